--- a/libs/concurrency/include/concurrency/sharded.h
+++ b/libs/concurrency/include/concurrency/sharded.h
@@ -29,7 +29,7 @@
 
     /// Calls `action(map&)` on each shard in turn, one lock at a time.
     template <std::invocable<map&> Action>
-    void for_each_shard(Action&& action)
+    void for_each_shard(Action action)
     {
         for (part& owner : parts_) {
             const std::scoped_lock lock(owner.mutex);
--- a/libs/concurrency/tests/sharded_test.cpp
+++ b/libs/concurrency/tests/sharded_test.cpp
@@ -35,6 +35,7 @@
     sharded<int, int> shards;
     snapshot<int> total(0);
     std::vector<std::thread> workers;
+    workers.reserve(threads);
     for (int worker = 0; worker < threads; ++worker) {
         workers.emplace_back([&] {
             for (int round = 0; round < rounds; ++round) {
--- a/libs/core/include/core/class_id.h
+++ b/libs/core/include/core/class_id.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <core/id.h>
+#include <core/id_hash.h>
 
 namespace ej::core {
 
--- a/libs/core/include/core/fencing_number.h
+++ b/libs/core/include/core/fencing_number.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <core/number.h>
+#include <core/number_hash.h>
 
 namespace ej::core {
 
--- a/libs/core/include/core/id.h
+++ b/libs/core/include/core/id.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <compare>
-#include <functional>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -32,11 +31,3 @@
 };
 
 } // namespace ej::core
-
-template <class Tag>
-struct std::hash<ej::core::id<Tag>> {
-    std::size_t operator()(const ej::core::id<Tag>& value) const noexcept
-    {
-        return std::hash<std::string>{}(value.text());
-    }
-};
--- a/libs/core/include/core/number.h
+++ b/libs/core/include/core/number.h
@@ -2,7 +2,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <functional>
 #include <ostream>
 
 namespace ej::core {
@@ -34,11 +33,3 @@
 };
 
 } // namespace ej::core
-
-template <class Tag>
-struct std::hash<ej::core::number<Tag>> {
-    std::size_t operator()(ej::core::number<Tag> number) const noexcept
-    {
-        return std::hash<std::uint64_t>{}(number.value());
-    }
-};
