Stand-ins: engine, application and platform with faults that switch while they run

Cause: the thin path and the process tests need endpoints and a platform that fail on order. Change: one program, a role per strategy object, routes and faults in tables of member pointers, state in shards, waits on signals. The engine's token N is a pure function of prompt and N, so that an answer can be checked byte for byte after any resume. Run: each call and fault by curl against the three roles, answers as in docs/CONTRACT.md.

--- /dev/null
+++ b/stand_ins/src/fault_control.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <utility>
+
+#include "change_signal.h"
+#include "faults.h"
+
+#include <concurrency/snapshot.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+namespace ej::stand_ins {
+
+/// Holds the faults in force and the one-time ones that are still due. Thread-safe.
+class fault_control {
+public:
+    explicit fault_control(faults initial) : state_(std::move(initial)) {}
+
+    /// Puts the faults named in `body` in force; `die` only at `die_if_due`. Throws on wrong types.
+    void apply(const nlohmann::json& body);
+
+    [[nodiscard]] std::shared_ptr<const faults> current() const { return state_.load(); }
+
+    /// Number of `silent` faults so far; a connection keeps the number at which it was opened.
+    [[nodiscard]] std::uint64_t silent_epoch() const { return silent_epoch_; }
+
+    /// Waits while frozen.
+    boost::asio::awaitable<void> thaw();
+
+    /// Waits while frozen; for good if a `silent` fault came after `opened_at`.
+    boost::asio::awaitable<void> pass(std::uint64_t opened_at);
+
+    /// True if the answer that is due now is to be lost; counts it.
+    [[nodiscard]] bool lose_answer();
+
+    /// Counts tokens sent, and ends the process when `die_after_tokens` is reached.
+    void count_sent(std::uint64_t tokens);
+
+    /// Ends the process if `crash_on_prompt` is part of `input`.
+    void crash_on(const std::string& input) const;
+
+    /// Ends the process if `die` was asked for.
+    void die_if_due() const;
+
+private:
+    concurrency::snapshot<faults> state_;
+    change_signal changed_;
+    std::atomic<std::uint64_t> silent_epoch_ = 0;
+    std::atomic<std::int64_t> answers_to_lose_ = 0;
+    std::atomic<std::int64_t> tokens_to_live_ = INT64_MAX;
+    std::atomic<bool> dying_ = false;
+};
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/generation.cpp
@@ -0,0 +1,71 @@
+#include "generation.h"
+
+#include <stand_ins/token_text.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ej::stand_ins {
+
+generation::generation(generation_order order, text_variant variant, std::uint64_t skip)
+    : order_(std::move(order)), variant_(variant), skip_(skip)
+{
+    progress_.offset = first_offset();
+    if (progress_.offset >= order_.max_tokens) {
+        progress_.end_reason = "length";
+    }
+}
+
+generation_progress generation::progress() const
+{
+    const std::scoped_lock lock(mutex_);
+    return progress_;
+}
+
+// An engine that makes another text makes it from the start, whatever prefix it was given.
+std::string generation::token(std::uint64_t offset) const
+{
+    const bool from_prefix = variant_ == text_variant::usual && offset < order_.prefix.size();
+    return from_prefix ? order_.prefix[offset] : token_at(order_.prompt, offset, variant_);
+}
+
+core::digest generation::digest_at(std::uint64_t offset) const
+{
+    core::digest digest;
+    for (std::uint64_t position = 0; position < offset; ++position) {
+        digest = extend_digest(digest, token(position));
+    }
+    return digest;
+}
+
+std::uint64_t generation::produce(std::uint64_t tokens)
+{
+    std::uint64_t made = 0;
+    {
+        const std::scoped_lock lock(mutex_);
+        if (progress_.finished()) {
+            return 0;
+        }
+        made = std::min(tokens, order_.max_tokens - progress_.offset);
+        progress_.offset += made;
+        if (progress_.offset == order_.max_tokens) {
+            progress_.end_reason = "length";
+        }
+    }
+    changed_.notify();
+    return made;
+}
+
+void generation::finish(const std::string& reason)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (progress_.finished()) {
+            return;
+        }
+        progress_.end_reason = reason;
+    }
+    changed_.notify();
+}
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/generation.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "change_signal.h"
+#include "generation_order.h"
+#include "generation_progress.h"
+
+#include <stand_ins/text_variant.h>
+
+#include <core/digest.h>
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace ej::stand_ins {
+
+/// One attempt that runs or has run on an engine. Thread-safe.
+class generation {
+public:
+    /// `skip` tokens are left out after the prefix, as an engine does that resumes wrongly.
+    generation(generation_order order, text_variant variant, std::uint64_t skip);
+
+    [[nodiscard]] const generation_order& order() const { return order_; }
+    [[nodiscard]] generation_progress progress() const;
+    [[nodiscard]] change_signal& changed() { return changed_; }
+
+    /// Offset at which its text begins.
+    [[nodiscard]] std::uint64_t first_offset() const { return order_.prefix.size() + skip_; }
+
+    /// Token at `offset` of the whole answer.
+    [[nodiscard]] std::string token(std::uint64_t offset) const;
+
+    /// Digest of the first `offset` tokens.
+    [[nodiscard]] core::digest digest_at(std::uint64_t offset) const;
+
+    /// Adds up to `tokens` tokens; returns how many. Ends at `max_tokens`.
+    std::uint64_t produce(std::uint64_t tokens);
+
+    /// Ends it with `reason`, unless it has ended.
+    void finish(const std::string& reason);
+
+private:
+    const generation_order order_;
+    const text_variant variant_;
+    const std::uint64_t skip_;
+    mutable std::mutex mutex_;
+    generation_progress progress_;
+    change_signal changed_;
+};
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/generation_order.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ej::stand_ins {
+
+/// What `POST /generate` asks for.
+struct generation_order {
+    std::string request;
+    std::uint64_t attempt = 0;
+    std::string prompt;
+    std::uint64_t max_tokens = 0; ///< Of the whole answer, prefix included.
+    std::int64_t priority = 0;    ///< Higher goes first.
+    std::vector<std::string> prefix;
+
+    friend auto operator<=>(const generation_order&, const generation_order&) = default;
+};
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/kv_slot.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "change_signal.h"
+#include "kv_version.h"
+
+#include <memory>
+#include <vector>
+
+namespace ej::stand_ins {
+
+/// A key's last versions, oldest first, and the signal of its watchers.
+struct kv_slot {
+    std::vector<kv_version> versions;
+    std::shared_ptr<change_signal> changed = std::make_shared<change_signal>();
+
+    /// The version in force.
+    [[nodiscard]] kv_version current() const
+    {
+        return versions.empty() ? kv_version{} : versions.back();
+    }
+};
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/kv_version.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace ej::stand_ins {
+
+/// One state of a key. Revision 0 stands for a key that was never written.
+struct kv_version {
+    std::uint64_t revision = 0;
+    std::string value;
+    std::string lease; ///< Empty: outlives every lease.
+    bool absent = true;
+
+    friend auto operator<=>(const kv_version&, const kv_version&) = default;
+};
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/lease_table.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <concurrency/sharded.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ej::stand_ins {
+
+/// Leases and the time at which each lapses. Thread-safe.
+class lease_table {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    /// Grants a lease of `ttl` from `now` and returns its name.
+    [[nodiscard]] std::string grant(std::chrono::milliseconds ttl, time_point now);
+
+    /// Extends a lease by its ttl from `now`; false when it has lapsed.
+    [[nodiscard]] bool renew(const std::string& lease, time_point now);
+
+    [[nodiscard]] bool alive(const std::string& lease);
+
+    /// Removes the lease if it has lapsed by `now`; else returns the time at which it would.
+    [[nodiscard]] std::optional<time_point> lapse(const std::string& lease, time_point now);
+
+private:
+    struct term {
+        std::chrono::milliseconds ttl{};
+        time_point end;
+    };
+
+    concurrency::sharded<std::string, term> terms_;
+    std::atomic<std::uint64_t> granted_ = 0;
+};
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/parse_faults.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "faults.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace ej::stand_ins {
+
+/// `current` with the fields that `body` names replaced. Throws on a field of the wrong type.
+[[nodiscard]] faults parse_faults(const nlohmann::json& body, faults current);
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/slot_pool.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <utility>
+
+#include "change_signal.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <mutex>
+#include <set>
+
+namespace ej::stand_ins {
+
+/// Bounds what runs at once; the rest waits by priority (higher first), then by arrival.
+/// Thread-safe.
+class slot_pool {
+public:
+    explicit slot_pool(std::uint32_t slots) : slots_(slots) {}
+
+    /// Returns once a slot is taken.
+    boost::asio::awaitable<void> acquire(std::int64_t priority);
+
+    /// Gives a slot back.
+    void release();
+
+    [[nodiscard]] std::uint32_t slots() const { return slots_; }
+    [[nodiscard]] std::uint32_t running() const;
+    [[nodiscard]] std::size_t waiting() const;
+
+private:
+    using place = std::pair<std::int64_t, std::uint64_t>;
+
+    place enqueue(std::int64_t priority);
+    bool take(const place& mine);
+
+    const std::uint32_t slots_;
+    mutable std::mutex mutex_;
+    std::uint32_t running_ = 0;
+    std::uint64_t arrivals_ = 0;
+    std::set<place> waiting_;
+    change_signal changed_;
+};
+
+} // namespace ej::stand_ins
--- /dev/null
+++ b/stand_ins/src/url.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "http_request.h"
+
+#include <string>
+#include <string_view>
+
+namespace ej::stand_ins {
+
+/// Replaces %XX by the byte it stands for.
+[[nodiscard]] std::string percent_decode(std::string_view text);
+
+/// Splits a request target into `into.path` and `into.query`, both decoded.
+void parse_target(std::string_view target, http_request& into);
+
+} // namespace ej::stand_ins
