Stand-ins: waits start inside their initiation, so that timers are used under one lock only

Change: change_signal starts its timer in the initiation, from the handler's executor, under its lock; pause is a wait that nothing ends early. Ruled out with it: a cancel that races a wait. Conclusion: one place that touches timers.

--- a/stand_ins/src/change_signal.cpp
+++ b/stand_ins/src/change_signal.cpp
@@ -1,68 +1,61 @@
 #include "change_signal.h"
 
-#include <utility>
-
-#include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <memory>
-
 namespace ej::stand_ins {
 
+namespace {
+
+using boost::asio::use_awaitable;
+using boost::asio::use_awaitable_t;
+
+} // namespace
+
 std::uint64_t change_signal::version() const
 {
     const std::scoped_lock lock(mutex_);
     return version_;
 }
 
-// The timer is cancelled on the waiter's own strand, so after it has begun to wait.
 boost::asio::awaitable<void> change_signal::wait(std::uint64_t seen, time_point until)
 {
-    const auto executor = co_await boost::asio::this_coro::executor;
-    auto timer = std::make_shared<boost::asio::steady_timer>(executor, until);
-    std::function<void()> wake = [executor, timer] {
-        boost::asio::post(executor, [timer] { timer->cancel(); });
-    };
-    std::uint64_t ticket = 0;
-    if (!add(seen, ticket, std::move(wake))) {
-        co_return;
-    }
-    boost::system::error_code ignored;
-    co_await timer->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    remove(ticket);
+    auto start = [this, seen, until](auto handler) { start_wait(seen, until, std::move(handler)); };
+    co_await boost::asio::async_initiate<const use_awaitable_t<>, void()>(start, use_awaitable);
 }
 
-void change_signal::notify()
+// Every use of a timer stands under the lock: timers are not thread-safe. Neither call runs the
+// handler; both only schedule it on the waiter's executor.
+template <class Handler>
+void change_signal::start_wait(std::uint64_t seen, time_point until, Handler handler)
 {
-    std::map<std::uint64_t, std::function<void()>> woken;
-    {
-        const std::scoped_lock lock(mutex_);
-        ++version_;
-        woken.swap(waiters_);
-    }
-    for (const auto& [ticket, wake] : woken) {
-        wake();
-    }
+    const auto executor = boost::asio::get_associated_executor(handler);
+    const std::scoped_lock lock(mutex_);
+    const auto expiry = version_ == seen ? until : time_point::min();
+    const auto waiter = std::make_shared<boost::asio::steady_timer>(executor, expiry);
+    waiting_.insert(waiter);
+    auto finish = [this, waiter, resume = std::move(handler)](boost::system::error_code) mutable {
+        remove(waiter);
+        resume();
+    };
+    waiter->async_wait(boost::asio::bind_executor(executor, std::move(finish)));
 }
 
-bool change_signal::add(std::uint64_t seen, std::uint64_t& ticket, std::function<void()> wake)
+void change_signal::notify()
 {
     const std::scoped_lock lock(mutex_);
-    if (version_ != seen) {
-        return false;
+    ++version_;
+    for (const timer& waiter : waiting_) {
+        waiter->cancel();
     }
-    ticket = next_ticket_++;
-    waiters_.emplace(ticket, std::move(wake));
-    return true;
 }
 
-void change_signal::remove(std::uint64_t ticket)
+void change_signal::remove(const timer& ended)
 {
     const std::scoped_lock lock(mutex_);
-    waiters_.erase(ticket);
+    waiting_.erase(ended);
 }
 
 } // namespace ej::stand_ins
--- a/stand_ins/src/change_signal.h
+++ b/stand_ins/src/change_signal.h
@@ -3,16 +3,17 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
-#include <map>
+#include <memory>
 #include <mutex>
+#include <set>
 
 namespace ej::stand_ins {
 
-/// Lets coroutines wait until a version moves on. Thread-safe; each waiter runs on a strand.
+/// Lets coroutines wait until a version moves on. Thread-safe.
 class change_signal {
 public:
     using time_point = std::chrono::steady_clock::time_point;
@@ -27,13 +28,15 @@
     void notify();
 
 private:
-    bool add(std::uint64_t seen, std::uint64_t& ticket, std::function<void()> wake);
-    void remove(std::uint64_t ticket);
+    using timer = std::shared_ptr<boost::asio::steady_timer>;
+
+    template <class Handler>
+    void start_wait(std::uint64_t seen, time_point until, Handler handler);
+    void remove(const timer& ended);
 
     mutable std::mutex mutex_;
     std::uint64_t version_ = 0;
-    std::uint64_t next_ticket_ = 0;
-    std::map<std::uint64_t, std::function<void()>> waiters_;
+    std::set<timer> waiting_;
 };
 
 } // namespace ej::stand_ins
--- a/stand_ins/src/pause.cpp
+++ b/stand_ins/src/pause.cpp
@@ -1,18 +1,15 @@
 #include "pause.h"
 
-#include <utility>
-
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "change_signal.h"
 
 namespace ej::stand_ins {
 
 boost::asio::awaitable<void> pause(std::chrono::duration<double> time)
 {
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-    timer.expires_after(std::chrono::duration_cast<boost::asio::steady_timer::duration>(time));
-    co_await timer.async_wait(boost::asio::use_awaitable);
+    change_signal never;
+    const auto now = std::chrono::steady_clock::now();
+    co_await never.wait(
+        0, now + std::chrono::duration_cast<std::chrono::steady_clock::duration>(time));
 }
 
 } // namespace ej::stand_ins
