libs/http: calls, line streams and a server as coroutines over Beast

Cause: cxxtools' HTTP reply is sent whole, and tokens have to be streamed. Ruled out: stackful coroutines (a stack per open stream). Change: a client that keeps a connection only after a whole answer, with errors that tell 'nothing sent' from 'may have run'; a stream read by lines with a bound on silence; a server with a strand per connection that notices a caller who leaves during a stream.

--- /dev/null
+++ b/libs/http/include/http/call_options.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <chrono>
+#include <cstddef>
+
+namespace ej::http {
+
+inline constexpr std::size_t default_max_body_bytes = std::size_t{4} << 20;
+
+/// Bounds of one call.
+struct call_options {
+    core::duration deadline = std::chrono::seconds(5);        ///< For the whole call; > 0.
+    core::duration connect_timeout = std::chrono::seconds(1); ///< For the connection alone; > 0.
+    std::size_t max_body_bytes = default_max_body_bytes;      ///< Longest accepted body.
+    bool reuse_connection = true; ///< False: only a connection opened for this call.
+};
+
+} // namespace ej::http
--- /dev/null
+++ b/libs/http/include/http/line_stream.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <http/call_options.h>
+#include <http/request.h>
+
+#include <core/address.h>
+#include <core/instant.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ej::http {
+
+/// An answer that is read line by line while the server still sends it.
+/// Used on one strand; `close` may be called on it while a read waits.
+class line_stream {
+public:
+    /// Sends `what` to `where` and reads the answer's header.
+    /// Errors: as client::fetch; NotFound for status 404; FailedPrecondition for any other than
+    /// 200.
+    static boost::asio::awaitable<absl::StatusOr<std::shared_ptr<line_stream>>>
+    open(core::address where, request what, call_options options);
+
+    explicit line_stream(core::duration connect_timeout);
+    ~line_stream();
+    line_stream(const line_stream&) = delete;
+    line_stream& operator=(const line_stream&) = delete;
+    line_stream(line_stream&&) = delete;
+    line_stream& operator=(line_stream&&) = delete;
+
+    /// The next line without its end; empty optional after the last one.
+    /// Errors: DeadlineExceeded when nothing came for `silence`, Aborted when the connection broke,
+    /// ResourceExhausted when a line is longer than 1 MB.
+    boost::asio::awaitable<absl::StatusOr<std::optional<std::string>>>
+    next_line(core::duration silence);
+
+    /// Breaks the connection; a waiting read ends with Aborted.
+    void close();
+
+private:
+    struct connection;
+    std::shared_ptr<connection> connection_;
+    core::duration connect_timeout_;
+};
+
+} // namespace ej::http
--- /dev/null
+++ b/libs/http/src/client.cpp
@@ -0,0 +1,150 @@
+#include "beast.h"
+#include "connection.h"
+#include "convert.h"
+
+#include <http/client.h>
+
+#include <concurrency/sharded.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace ej::http {
+
+namespace {
+
+// Enough for a burst to one endpoint; more are closed after their answer.
+constexpr std::size_t max_idle_per_address = 32;
+
+using connection_ptr = std::shared_ptr<connection_state>;
+
+/// Still usable: open, and the server has neither closed it nor sent anything unasked.
+bool usable(connection_state& connection)
+{
+    auto& socket = connection.stream.socket();
+    if (!socket.is_open() || connection.buffer.size() != 0) {
+        return false;
+    }
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+
+struct client::pool {
+    using idle_list = std::vector<connection_ptr>;
+
+    concurrency::sharded<std::string, idle_list> lists;
+    asio::any_io_executor executor;
+
+    explicit pool(asio::any_io_executor base) : executor(std::move(base)) {}
+
+    /// A usable idle connection to `address`, else a new one. The peek stays outside the lock.
+    connection_ptr take(const std::string& address)
+    {
+        for (;;) {
+            auto connection = lists.with(address, [&](auto& entries) {
+                auto& list = entries[address];
+                if (list.empty()) {
+                    return connection_ptr{};
+                }
+                auto last = std::move(list.back());
+                list.pop_back();
+                return last;
+            });
+            if (connection == nullptr || usable(*connection)) {
+                return connection;
+            }
+        }
+    }
+
+    void keep(const std::string& address, connection_ptr connection)
+    {
+        lists.with(address, [&](auto& entries) {
+            auto& list = entries[address];
+            if (list.size() < max_idle_per_address) {
+                list.push_back(std::move(connection));
+            }
+        });
+    }
+};
+
+client::client(boost::asio::any_io_executor executor)
+    : pool_(std::make_shared<pool>(std::move(executor)))
+{
+}
+
+client::~client() = default;
+
+namespace {
+
+/// Sends and reads on the connection's own strand.
+asio::awaitable<absl::StatusOr<response>> exchange_messages(connection_ptr connection,
+                                                            core::address where, request what,
+                                                            core::instant deadline,
+                                                            std::size_t max_body_bytes)
+{
+    boost::system::error_code error;
+    auto message = to_wire(what, where);
+    connection->stream.expires_at(deadline);
+    co_await wire::async_write(connection->stream, message, no_throw(error));
+    if (error) {
+        co_return broken(error);
+    }
+    wire::response_parser<wire::string_body> parser;
+    parser.body_limit(max_body_bytes);
+    co_await wire::async_read(connection->stream, connection->buffer, parser, no_throw(error));
+    if (error) {
+        co_return broken(error);
+    }
+    connection->reusable = parser.keep_alive();
+    connection->stream.expires_never();
+    auto received = parser.release();
+    co_return response{received.result_int(), to_headers(received), std::move(received.body())};
+}
+
+/// Connects first when the connection is new.
+asio::awaitable<absl::StatusOr<response>> call(connection_ptr connection, core::address where,
+                                               request what, call_options options,
+                                               core::instant deadline)
+{
+    if (!connection->stream.socket().is_open()) {
+        auto connected = co_await connect(connection, where, options.connect_timeout);
+        if (!connected.ok()) {
+            co_return connected;
+        }
+    }
+    if (std::chrono::steady_clock::now() >= deadline) {
+        co_return absl::UnavailableError("deadline passed before sending");
+    }
+    co_return co_await exchange_messages(connection, where, std::move(what), deadline,
+                                         options.max_body_bytes);
+}
+
+} // namespace
+
+asio::awaitable<absl::StatusOr<response>> client::fetch(core::address where, request what,
+                                                        call_options options)
+{
+    const auto idle = pool_;
+    const auto deadline = std::chrono::steady_clock::now() + options.deadline;
+    options.connect_timeout = std::min(options.connect_timeout, options.deadline);
+    const auto key = core::to_string(where);
+    auto connection = options.reuse_connection ? idle->take(key) : nullptr;
+    if (connection == nullptr) {
+        connection = std::make_shared<connection_state>(asio::make_strand(idle->executor));
+    }
+    auto answer = co_await asio::co_spawn(
+        connection->executor, call(connection, where, std::move(what), options, deadline),
+        asio::use_awaitable);
+    if (answer.ok() && connection->reusable) {
+        idle->keep(key, std::move(connection));
+    }
+    co_return answer;
+}
+
+} // namespace ej::http
--- /dev/null
+++ b/libs/http/src/connection.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "beast.h"
+
+#include <core/address.h>
+#include <core/instant.h>
+
+#include <absl/status/status.h>
+
+#include <memory>
+
+namespace ej::http {
+
+/// A client's TCP connection with the bytes read ahead of the parser.
+struct connection_state {
+    explicit connection_state(const asio::any_io_executor& strand)
+        : executor(strand), stream(strand)
+    {
+    }
+
+    asio::any_io_executor executor; ///< All work on the connection runs here.
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool reusable = false; ///< A whole answer was read and the server keeps the connection.
+};
+
+/// Connects `state` to `where`. Error: Unavailable.
+asio::awaitable<absl::Status> connect(std::shared_ptr<connection_state> state, core::address where,
+                                      core::duration timeout);
+
+/// The status of an operation that failed with `error` after sending began.
+absl::Status broken(const boost::system::error_code& error);
+
+} // namespace ej::http
--- /dev/null
+++ b/libs/http/src/server_connection.cpp
@@ -0,0 +1,196 @@
+#include "server_connection.h"
+
+#include "convert.h"
+
+#include <algorithm>
+#include <array>
+
+namespace ej::http {
+
+namespace {
+
+constexpr unsigned http_version = 11;
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_bad_request = 400;
+constexpr std::size_t watch_buffer_bytes = 256;
+
+absl::Status write_status(const boost::system::error_code& error)
+{
+    if (!error) {
+        return absl::OkStatus();
+    }
+    if (error == beast::error::timeout) {
+        return absl::DeadlineExceededError("caller does not read");
+    }
+    return absl::AbortedError("caller has gone: " + error.message());
+}
+
+wire::response<wire::string_body> to_wire(const response& answer, bool keep_alive)
+{
+    wire::response<wire::string_body> message;
+    message.version(http_version);
+    message.result(answer.status);
+    std::ranges::for_each(answer.headers,
+                          [&](const header& field) { message.insert(field.name, field.value); });
+    message.keep_alive(keep_alive);
+    message.body() = answer.body;
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+server_connection::server_connection(tcp::socket socket, server_options options)
+    : stream_(std::move(socket)), options_(options)
+{
+}
+
+asio::awaitable<void> server_connection::serve(server::handler handle)
+{
+    const auto self = shared_from_this();
+    boost::system::error_code error;
+    stream_.socket().set_option(tcp::no_delay(true), error);
+    do {
+        if (!co_await read_request()) {
+            co_return;
+        }
+        co_await handle(self);
+    } while (keep_alive_ && !streaming_ && !gone_);
+    stream_.socket().shutdown(tcp::socket::shutdown_both, error);
+    stream_.socket().close(error);
+}
+
+asio::awaitable<bool> server_connection::read_request()
+{
+    boost::system::error_code error;
+    if (buffer_.size() == 0) {
+        stream_.expires_after(options_.idle_timeout);
+        constexpr std::size_t first_read_bytes = 4096;
+        const auto read =
+            co_await stream_.async_read_some(buffer_.prepare(first_read_bytes), no_throw(error));
+        buffer_.commit(read);
+        if (error) {
+            co_return false;
+        }
+    }
+    wire::request_parser<wire::string_body> parser;
+    parser.body_limit(options_.max_body_bytes);
+    stream_.expires_after(options_.request_timeout);
+    co_await wire::async_read(stream_, buffer_, parser, no_throw(error));
+    if (error == wire::error::body_limit || error == wire::error::header_limit) {
+        keep_alive_ = false;
+        response answer{status_too_large, {}, "request is too large\n"};
+        co_await respond(std::move(answer));
+        co_return false;
+    }
+    if (error) {
+        if (error.category() == wire::make_error_code(wire::error::bad_method).category() &&
+            error != wire::error::end_of_stream && error != wire::error::partial_message) {
+            response answer{status_bad_request, {}, "request is not HTTP\n"};
+            co_await respond(std::move(answer));
+        }
+        co_return false;
+    }
+    keep_alive_ = parser.keep_alive();
+    auto message = parser.release();
+    received_ = request{std::string(message.method_string()), std::string(message.target()),
+                        to_headers(message), std::move(message.body())};
+    co_return true;
+}
+
+asio::awaitable<absl::Status> server_connection::respond(response answer)
+{
+    auto message = to_wire(answer, keep_alive_);
+    boost::system::error_code error;
+    stream_.expires_after(options_.write_timeout);
+    co_await wire::async_write(stream_, message, no_throw(error));
+    if (error) {
+        gone_ = true;
+    }
+    co_return write_status(error);
+}
+
+asio::awaitable<absl::Status> server_connection::start_stream(std::vector<header> headers)
+{
+    streaming_ = true;
+    wire::response<wire::empty_body> message;
+    message.version(http_version);
+    message.result(wire::status::ok);
+    std::ranges::for_each(headers,
+                          [&](const header& field) { message.insert(field.name, field.value); });
+    message.chunked(true);
+    message.keep_alive(false);
+    wire::response_serializer<wire::empty_body> serializer(message);
+    boost::system::error_code error;
+    stream_.expires_after(options_.write_timeout);
+    co_await wire::async_write_header(stream_, serializer, no_throw(error));
+    if (error) {
+        caller_gone();
+        co_return write_status(error);
+    }
+    stream_.expires_never();
+    asio::co_spawn(
+        co_await asio::this_coro::executor,
+        [self = shared_from_this()]() -> asio::awaitable<void> { return self->watch_caller(); },
+        asio::detached);
+    co_return absl::OkStatus();
+}
+
+// A read that waits for the whole of a streamed answer: it ends only when the caller goes.
+asio::awaitable<void> server_connection::watch_caller()
+{
+    const auto self = shared_from_this();
+    std::array<char, watch_buffer_bytes> ignored{};
+    boost::system::error_code error;
+    while (!error) {
+        co_await stream_.async_read_some(asio::buffer(ignored), no_throw(error));
+    }
+    caller_gone();
+}
+
+void server_connection::caller_gone()
+{
+    gone_ = true;
+    if (auto action = std::exchange(on_gone_, nullptr)) {
+        action();
+    }
+}
+
+asio::awaitable<absl::Status> server_connection::write(std::string part)
+{
+    if (gone_) {
+        co_return absl::AbortedError("caller has gone");
+    }
+    boost::system::error_code error;
+    stream_.expires_after(options_.write_timeout);
+    const auto chunk = wire::make_chunk(asio::buffer(part));
+    co_await asio::async_write(stream_, chunk, no_throw(error));
+    if (error) {
+        caller_gone();
+    }
+    co_return write_status(error);
+}
+
+asio::awaitable<absl::Status> server_connection::finish()
+{
+    if (gone_) {
+        co_return absl::AbortedError("caller has gone");
+    }
+    on_gone_ = nullptr;
+    boost::system::error_code error;
+    stream_.expires_after(options_.write_timeout);
+    const auto chunk = wire::make_chunk_last();
+    co_await asio::async_write(stream_, chunk, no_throw(error));
+    co_return write_status(error);
+}
+
+void server_connection::on_gone(std::function<void()> action)
+{
+    if (gone_) {
+        action();
+        return;
+    }
+    on_gone_ = std::move(action);
+}
+
+} // namespace ej::http
--- /dev/null
+++ b/libs/http/src/server_connection.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "beast.h"
+
+#include <http/exchange.h>
+#include <http/server.h>
+
+#include <memory>
+#include <optional>
+
+namespace ej::http {
+
+/// One caller's connection: reads requests one after another and hands each to the handler.
+class server_connection final : public exchange,
+                                public std::enable_shared_from_this<server_connection> {
+public:
+    server_connection(tcp::socket socket, server_options options);
+
+    /// Serves requests until the caller goes or an answer closes the connection.
+    asio::awaitable<void> serve(server::handler handle);
+
+    [[nodiscard]] const request& received() const override { return received_; }
+    asio::awaitable<absl::Status> respond(response answer) override;
+    asio::awaitable<absl::Status> start_stream(std::vector<header> headers) override;
+    asio::awaitable<absl::Status> write(std::string part) override;
+    asio::awaitable<absl::Status> finish() override;
+    void on_gone(std::function<void()> action) override;
+
+private:
+    asio::awaitable<bool> read_request();
+    asio::awaitable<void> watch_caller();
+    void caller_gone();
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    server_options options_;
+    request received_;
+    bool keep_alive_ = false;
+    bool streaming_ = false;
+    bool gone_ = false;
+    std::function<void()> on_gone_;
+};
+
+} // namespace ej::http
