Generation rules, engine messages, stream cursors, metrics and logs

Cause: a generation has to survive its engine, its connection and its daemon. Ruled out: a replica of each delivered text at a peer (19 million tokens a second at the target are some 64 KB a second per daemon, ten times the control budget). Change: libs/generation decides by immutable state and a table of member pointers, one event in, effects out; libs/cursor seals where an attempt runs into the event id, so that any daemon can take a stream up, and a digest of the delivered text checks a prefix that the caller hands in; libs/wire, metrics, logging.

--- /dev/null
+++ b/libs/cursor/include/cursor/stream_cursor.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cursor/attempt_place.h>
+
+#include <core/digest.h>
+#include <core/token_offset.h>
+
+#include <compare>
+
+namespace ej::cursor {
+
+/// A place in a streamed answer from which any daemon can take it up.
+struct stream_cursor {
+    attempt_place place;
+    core::token_offset next; ///< Offset of the first token that the caller has not got.
+    core::digest text;       ///< Digest of the text before `next`.
+
+    friend auto operator<=>(const stream_cursor&, const stream_cursor&) = default;
+};
+
+} // namespace ej::cursor
--- /dev/null
+++ b/libs/cursor/src/cursor_codec.cpp
@@ -0,0 +1,94 @@
+#include <cursor/cursor_codec.h>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace ej::cursor {
+
+namespace {
+
+using nlohmann::json;
+
+// Offset and digest stand outside the seal, which is made once per attempt: a caller that changes
+// them harms its own answer alone, and a prefix it hands in has to match the digest.
+constexpr char separator = '~';
+constexpr std::size_t place_fields = 7;
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc{} || stop != end || text.empty()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::optional<attempt_place> parse_place(const std::string& text)
+{
+    const auto fields = json::parse(text, nullptr, false);
+    if (!fields.is_array() || fields.size() != place_fields) {
+        return std::nullopt;
+    }
+    try {
+        return attempt_place{core::workspace_id(fields[0].get<std::string>()),
+                             core::request_id(fields[1].get<std::string>()),
+                             core::class_id(fields[2].get<std::string>()),
+                             core::attempt_number(fields[3].get<std::uint64_t>()),
+                             core::endpoint_id(fields[4].get<std::string>()),
+                             {fields[5].get<std::string>(), fields[6].get<std::uint16_t>()}};
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+cursor_codec::cursor_codec(const seal::secrets& keys) : sealer_(keys, "stream-cursor") {}
+
+std::string cursor_codec::seal_place(const attempt_place& place) const
+{
+    const json fields = json::array({place.workspace.text(), place.request.text(),
+                                     place.work_class.text(), place.attempt.value(),
+                                     place.endpoint.text(), place.where.host, place.where.port});
+    return sealer_.seal(fields.dump(-1, ' ', true, json::error_handler_t::replace));
+}
+
+std::string cursor_codec::event_id(std::string_view sealed_place, core::token_offset next,
+                                   core::digest text)
+{
+    std::string id(sealed_place);
+    id += separator;
+    id += std::to_string(next.value());
+    id += separator;
+    id += std::to_string(text.value());
+    return id;
+}
+
+std::optional<stream_cursor> cursor_codec::open(std::string_view event_id) const
+{
+    const auto last = event_id.rfind(separator);
+    if (last == std::string_view::npos || last == 0) {
+        return std::nullopt;
+    }
+    const auto middle = event_id.rfind(separator, last - 1);
+    if (middle == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto offset = parse_number(event_id.substr(middle + 1, last - middle - 1));
+    const auto text = parse_number(event_id.substr(last + 1));
+    const auto sealed = sealer_.open(event_id.substr(0, middle));
+    if (!offset || !text || !sealed) {
+        return std::nullopt;
+    }
+    auto place = parse_place(*sealed);
+    if (!place) {
+        return std::nullopt;
+    }
+    return stream_cursor{std::move(*place), core::token_offset(*offset), core::digest(*text)};
+}
+
+} // namespace ej::cursor
--- /dev/null
+++ b/libs/generation/include/generation/event.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <generation/event_kind.h>
+
+#include <core/attempt_number.h>
+#include <core/digest.h>
+#include <core/endpoint_id.h>
+#include <core/token_offset.h>
+
+#include <compare>
+#include <string>
+#include <vector>
+
+namespace ej::generation {
+
+/// One event of a generation. Fields that the kind does not name stay empty.
+struct event {
+    event_kind kind = event_kind::closed;
+    core::attempt_number attempt; ///< The attempt that it concerns.
+    core::token_offset offset;    ///< opened, tokens: where the text begins; finished: the total.
+    core::digest digest;          ///< opened: of the engine's text before `offset`.
+    core::endpoint_id endpoint;   ///< placed.
+    std::vector<std::string> tokens; ///< tokens.
+
+    friend auto operator<=>(const event&, const event&) = default;
+};
+
+} // namespace ej::generation
--- /dev/null
+++ b/libs/generation/include/generation/loss_policy.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <generation/cause.h>
+
+#include <core/instant.h>
+
+namespace ej::generation {
+
+/// How to go on when a connection is lost or silent. The class's target chooses the policy:
+/// asking first saves work, starting anew at once saves time.
+class loss_policy {
+public:
+    loss_policy() = default;
+    virtual ~loss_policy() = default;
+    loss_policy(const loss_policy&) = delete;
+    loss_policy& operator=(const loss_policy&) = delete;
+    loss_policy(loss_policy&&) = delete;
+    loss_policy& operator=(loss_policy&&) = delete;
+
+    /// True: ask the engine over a new connection; false: start the next attempt at once.
+    [[nodiscard]] virtual bool asks_first(cause why) const = 0;
+
+    /// Longest time without a line before the stream counts as silent; > 0.
+    [[nodiscard]] virtual core::duration silence_bound() const = 0;
+
+    /// Longest time to wait for an answer to a question; > 0.
+    [[nodiscard]] virtual core::duration answer_bound() const = 0;
+};
+
+} // namespace ej::generation
--- /dev/null
+++ b/libs/generation/include/generation/state.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <generation/phase.h>
+
+#include <core/attempt_number.h>
+#include <core/digest.h>
+#include <core/endpoint_id.h>
+#include <core/token_offset.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace ej::generation {
+
+/// What is decided about one generation. A value: each event yields a new one.
+struct state {
+    generation::phase phase = generation::phase::placing;
+    core::attempt_number attempt{1}; ///< Events of lower attempts are dropped.
+    core::token_offset next;         ///< Offset of the first token not yet delivered.
+    core::digest text;               ///< Digest of the delivered text.
+    core::endpoint_id endpoint;      ///< Runs the attempt; empty while placing.
+    std::uint32_t losses = 0;        ///< Engines that stopped answering while they ran it.
+    std::uint32_t restarts = 0;      ///< Attempts given up for any reason.
+    std::uint32_t attaches = 0;      ///< Re-attachments since the last token.
+
+    friend auto operator<=>(const state&, const state&) = default;
+};
+
+} // namespace ej::generation
--- /dev/null
+++ b/libs/generation/include/generation/transition.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <generation/cause.h>
+#include <generation/effect.h>
+#include <generation/state.h>
+
+#include <compare>
+#include <vector>
+
+namespace ej::generation {
+
+/// The outcome of one event: the state after it and what has to be done, in order.
+struct transition {
+    generation::state state;
+    std::vector<effect> effects;
+    generation::cause dropped = generation::cause::none; ///< Why the event changed nothing.
+
+    friend auto operator<=>(const transition&, const transition&) = default;
+};
+
+} // namespace ej::generation
--- /dev/null
+++ b/libs/generation/src/rules.cpp
@@ -0,0 +1,259 @@
+#include <generation/rules.h>
+
+#include <generation/token_digest.h>
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace ej::generation {
+
+namespace {
+
+transition dropped(const state& from, cause why)
+{
+    return {from, {}, why};
+}
+
+effect make_effect(effect_kind kind, const state& from, cause why = cause::none)
+{
+    return {kind, from.attempt, from.next, from.endpoint, {}, why};
+}
+
+transition end_with(state from, effect_kind kind, cause why)
+{
+    auto last = make_effect(kind, from, why);
+    from.phase = phase::ended;
+    return {from, {std::move(last)}};
+}
+
+} // namespace
+
+rules::rules(std::shared_ptr<const loss_policy> policy, limits bounds)
+    : policy_(std::move(policy)), limits_(bounds)
+{
+    assert(policy_ != nullptr);
+}
+
+rules::handler rules::handler_of(event_kind kind)
+{
+    static constexpr std::array<handler, event_kind_count> handlers{
+        &rules::placed,    &rules::unplaceable, &rules::rejected,   &rules::opened, &rules::tokens,
+        &rules::finished,  &rules::aborted,     &rules::closed,     &rules::silent, &rules::alive,
+        &rules::forgotten, &rules::unreachable, &rules::caller_gone};
+    return handlers.at(static_cast<std::size_t>(kind));
+}
+
+transition rules::begin(const state& from) const
+{
+    if (from.phase == phase::checking) {
+        return {from, {make_effect(effect_kind::check, from)}};
+    }
+    return {from, {make_effect(effect_kind::place, from)}};
+}
+
+transition rules::next(const state& from, const event& what) const
+{
+    if (from.phase == phase::ended) {
+        return dropped(from, cause::none);
+    }
+    if (what.kind != event_kind::caller_gone && what.attempt != from.attempt) {
+        return dropped(from, cause::stale_attempt);
+    }
+    return (this->*handler_of(what.kind))(from, what);
+}
+
+transition rules::placed(const state& from, const event& what) const
+{
+    if (from.phase != phase::placing) {
+        return dropped(from, cause::none);
+    }
+    state to = from;
+    to.phase = phase::opening;
+    to.endpoint = what.endpoint;
+    return {to, {make_effect(effect_kind::open, to)}};
+}
+
+transition rules::unplaceable(const state& from, const event&) const
+{
+    if (from.phase != phase::placing) {
+        return dropped(from, cause::none);
+    }
+    return end_with(from, effect_kind::fail, cause::no_endpoint);
+}
+
+transition rules::rejected(const state& from, const event&) const
+{
+    if (from.phase != phase::opening) {
+        return dropped(from, cause::none);
+    }
+    return supersede(from, cause::engine_rejected);
+}
+
+// The engine says what text it continues: any other text than the delivered one would mix two
+// generations in one answer, even at the right offset.
+transition rules::opened(const state& from, const event& what) const
+{
+    if (from.phase != phase::opening) {
+        return dropped(from, cause::none);
+    }
+    if (what.offset != from.next) {
+        return supersede(from, cause::wrong_offset);
+    }
+    if (what.digest != from.text) {
+        return supersede(from, cause::other_text);
+    }
+    state to = from;
+    to.phase = phase::streaming;
+    return {to, {}};
+}
+
+transition rules::tokens(const state& from, const event& what) const
+{
+    if (from.phase != phase::streaming) {
+        return dropped(from, cause::none);
+    }
+    if (what.offset > from.next) {
+        return reattach(from, cause::gap);
+    }
+    if (what.offset.plus(what.tokens.size()) <= from.next) {
+        return dropped(from, cause::repeated_tokens);
+    }
+    return deliver(from, what);
+}
+
+transition rules::deliver(const state& from, const event& what) const
+{
+    const auto repeated = static_cast<std::ptrdiff_t>(from.next.value() - what.offset.value());
+    effect delivery = make_effect(effect_kind::deliver, from);
+    delivery.tokens.assign(what.tokens.begin() + repeated, what.tokens.end());
+    state to = from;
+    to.next = from.next.plus(delivery.tokens.size());
+    to.text = extend(from.text, delivery.tokens);
+    to.attaches = 0;
+    return {to, {std::move(delivery)}};
+}
+
+transition rules::finished(const state& from, const event& what) const
+{
+    if (from.phase != phase::streaming) {
+        return dropped(from, cause::none);
+    }
+    if (what.offset > from.next) {
+        return reattach(from, cause::gap);
+    }
+    if (what.offset < from.next) {
+        return supersede(from, cause::other_text);
+    }
+    return end_with(from, effect_kind::finish, cause::none);
+}
+
+transition rules::aborted(const state& from, const event&) const
+{
+    if (from.phase != phase::streaming && from.phase != phase::opening) {
+        return dropped(from, cause::none);
+    }
+    return supersede(from, cause::engine_aborted);
+}
+
+transition rules::closed(const state& from, const event&) const
+{
+    return connection_lost(from, cause::connection_lost);
+}
+
+transition rules::silent(const state& from, const event&) const
+{
+    return connection_lost(from, cause::silence);
+}
+
+transition rules::connection_lost(const state& from, cause why) const
+{
+    if (from.phase != phase::streaming && from.phase != phase::opening) {
+        return dropped(from, cause::none);
+    }
+    if (!policy_->asks_first(why)) {
+        return supersede(from, why);
+    }
+    state to = from;
+    to.phase = phase::checking;
+    return {to,
+            {make_effect(effect_kind::close, to, why), make_effect(effect_kind::check, to, why)}};
+}
+
+transition rules::alive(const state& from, const event&) const
+{
+    if (from.phase != phase::checking) {
+        return dropped(from, cause::none);
+    }
+    return reattach(from, cause::none);
+}
+
+transition rules::forgotten(const state& from, const event&) const
+{
+    if (from.phase != phase::checking) {
+        return dropped(from, cause::none);
+    }
+    return supersede(from, cause::engine_forgot);
+}
+
+transition rules::unreachable(const state& from, const event&) const
+{
+    if (from.phase != phase::checking && from.phase != phase::opening) {
+        return dropped(from, cause::none);
+    }
+    return supersede(from, cause::engine_unreachable);
+}
+
+transition rules::caller_gone(const state& from, const event&) const
+{
+    state to = from;
+    to.phase = phase::ended;
+    transition result{to, {make_effect(effect_kind::close, from, cause::caller_gone)}};
+    if (!from.endpoint.empty()) {
+        result.effects.push_back(make_effect(effect_kind::cancel, from, cause::caller_gone));
+    }
+    return result;
+}
+
+transition rules::reattach(const state& from, cause why) const
+{
+    if (from.attaches >= limits_.max_attaches) {
+        return supersede(from, why);
+    }
+    state to = from;
+    to.phase = phase::opening;
+    ++to.attaches;
+    return {to,
+            {make_effect(effect_kind::close, to, why), make_effect(effect_kind::attach, to, why)}};
+}
+
+// The number is raised before the old attempt is cancelled: whatever the old engine still sends
+// belongs to a lower attempt by then.
+transition rules::supersede(const state& from, cause why) const
+{
+    const bool engine_lost =
+        why == cause::engine_unreachable || why == cause::engine_forgot || why == cause::silence;
+    state to = from;
+    to.losses += engine_lost ? 1 : 0;
+    ++to.restarts;
+    to.attaches = 0;
+    to.attempt = from.attempt.next();
+    to.phase = phase::placing;
+    to.endpoint = {};
+    transition result{to, {make_effect(effect_kind::close, from, why)}};
+    if (!from.endpoint.empty()) {
+        result.effects.push_back(make_effect(effect_kind::cancel, from, why));
+    }
+    if (to.losses >= limits_.max_losses || to.restarts >= limits_.max_restarts) {
+        auto last = end_with(to, effect_kind::fail, cause::too_many_losses);
+        result.state = last.state;
+        result.effects.push_back(std::move(last.effects.front()));
+        return result;
+    }
+    auto place = make_effect(effect_kind::place, to, why);
+    place.endpoint = from.endpoint;
+    result.effects.push_back(std::move(place));
+    return result;
+}
+
+} // namespace ej::generation
--- /dev/null
+++ b/libs/metrics/include/metrics/registry.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <metrics/label.h>
+
+#include <core/instant.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ej::metrics {
+
+/// Counters, gauges and histograms of the process, in Prometheus' text format. Thread-safe.
+/// Metric names are given without the prefix "endivejunction_".
+class registry {
+public:
+    registry();
+    ~registry();
+    registry(const registry&) = delete;
+    registry& operator=(const registry&) = delete;
+    registry(registry&&) = delete;
+    registry& operator=(registry&&) = delete;
+
+    /// Adds `by` to the counter `name` with `labels`.
+    void count(const std::string& name, const std::vector<label>& labels, double by = 1);
+
+    /// Sets the gauge `name` with `labels`.
+    void set(const std::string& name, const std::vector<label>& labels, double value);
+
+    /// Adds a time to the histogram `name`, in seconds; buckets reach from 1 ms to 60 s.
+    void observe(const std::string& name, const std::vector<label>& labels, core::duration time);
+
+    /// All metrics as text.
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct families;
+    std::unique_ptr<families> families_;
+};
+
+} // namespace ej::metrics
--- /dev/null
+++ b/libs/wire/src/json.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <core/findings.h>
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace ej::wire {
+
+using nlohmann::json;
+
+/// Reads `text`; a discarded value when it is no JSON.
+inline json parse_json(std::string_view text)
+{
+    return json::parse(text, nullptr, false);
+}
+
+/// Writes `value` on one line; bytes that are no UTF-8 are replaced.
+inline std::string write_json(const json& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace ej::wire
