Limits that daemons share without coordination

Cause: each daemon sees only its own requests and lagging reports; with a limit of all slots each, four daemons put 32 requests on 8 slots (test "limits of daemons that do not share go past the endpoint's slots").

Ruled out: equal shares (a daemon alone uses 2 of 8 slots, test "a daemon alone uses slots that equal shares leave idle"); AIMD on waiting alone, which gives no daemon a guaranteed part.

--- /dev/null
+++ b/libs/limits/include/limits/daemon_share.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <compare>
+
+namespace ej::limits {
+
+/// One daemon's part of every endpoint: the interval [before, before + fraction) of [0, 1).
+struct daemon_share {
+    double before = 0.0;   ///< Sum of the parts of the daemons ordered before; 0 to 1.
+    double fraction = 1.0; ///< Own part; 0 to 1.
+
+    friend auto operator<=>(const daemon_share&, const daemon_share&) = default;
+};
+
+} // namespace ej::limits
--- /dev/null
+++ b/libs/limits/include/limits/limiter.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <limits/daemon_share.h>
+#include <limits/endpoint_load.h>
+
+#include <cstdint>
+
+namespace ej::limits {
+
+/// Decides how many requests one daemon may have in flight at one endpoint. Stateless and
+/// thread-safe.
+class limiter {
+public:
+    virtual ~limiter() = default;
+
+    /// The limit after `load` was reported; `current` is the limit up to now. 0 to `load.slots`.
+    [[nodiscard]] virtual std::uint32_t next(std::uint32_t current, const endpoint_load& load,
+                                             const daemon_share& share) const = 0;
+};
+
+} // namespace ej::limits
--- /dev/null
+++ b/libs/routing/include/routing/candidates.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <routing/endpoint_view.h>
+
+#include <cstdint>
+#include <span>
+
+namespace ej::routing {
+
+/// What a router chooses from: all endpoints of a pool and the indexes of those with room.
+struct candidates {
+    std::span<const endpoint_view> all;
+    std::span<const std::uint32_t> open; ///< Indexes into `all`.
+    std::uint64_t turn = 0;              ///< Choices made in this pool before.
+
+    /// The endpoint with room at `position` of `open`.
+    [[nodiscard]] const endpoint_view& with_room(std::size_t position) const
+    {
+        return all[open[position]];
+    }
+};
+
+} // namespace ej::routing
--- /dev/null
+++ b/libs/routing/include/routing/endpoint_pools.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <routing/load_report.h>
+#include <routing/outcome.h>
+#include <routing/placement.h>
+#include <routing/pool.h>
+#include <routing/pool_key_hash.h>
+#include <routing/pool_outlook.h>
+#include <routing/reach.h>
+#include <routing/request_features.h>
+#include <routing/router.h>
+
+#include <limits/daemon_share.h>
+#include <limits/limiter.h>
+
+#include <concurrency/sharded.h>
+#include <concurrency/snapshot.h>
+#include <core/endpoint.h>
+
+#include <memory>
+#include <optional>
+
+namespace ej::routing {
+
+/// All endpoints that a daemon knows, a lock per shard of pools. Thread-safe.
+class endpoint_pools {
+public:
+    endpoint_pools(std::unique_ptr<const router> router,
+                   std::unique_ptr<const limits::limiter> limiter);
+
+    /// Sets this daemon's part of every endpoint; in force from the next reports on.
+    void set_share(const limits::daemon_share& share);
+
+    /// Adds an endpoint, or replaces it after a restart.
+    void add(const core::endpoint& endpoint, core::instant now);
+
+    /// Takes an endpoint out: it gets no new request. Unknown names are skipped.
+    void remove(const pool_key& key, const core::endpoint_id& name);
+
+    /// Applies a load report; those of unknown endpoints are skipped.
+    void report(const pool_key& key, const load_report& report);
+
+    /// Chooses an endpoint and counts the request there: in the local failure domain, or in a
+    /// remote one when the local pool has no room. Empty when none has room.
+    [[nodiscard]] std::optional<placement> acquire(const core::service_id& service,
+                                                   const reach& reach,
+                                                   const request_features& request,
+                                                   std::uint64_t seed, core::instant now);
+
+    /// Applies the end of a request.
+    void release(const placement& where, const outcome& outcome, core::instant now);
+
+    /// The view of one endpoint, if it is known.
+    [[nodiscard]] std::optional<endpoint_view> view(const pool_key& key,
+                                                    const core::endpoint_id& name);
+
+    /// What the reachable pools of `service` can do together.
+    [[nodiscard]] pool_outlook outlook(const core::service_id& service, const reach& reach);
+
+private:
+    std::optional<core::endpoint_id> acquire_in(const pool_key& key,
+                                                const request_features& request,
+                                                std::uint64_t seed, core::instant now);
+
+    std::unique_ptr<const router> router_;
+    std::unique_ptr<const limits::limiter> limiter_;
+    concurrency::snapshot<limits::daemon_share> share_;
+    concurrency::sharded<pool_key, pool> pools_;
+};
+
+} // namespace ej::routing
--- /dev/null
+++ b/libs/routing/include/routing/pool.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <routing/candidates.h>
+#include <routing/endpoint_view.h>
+#include <routing/index_set.h>
+#include <routing/load_report.h>
+#include <routing/outcome.h>
+#include <routing/pool_outlook.h>
+#include <routing/request_features.h>
+#include <routing/router.h>
+
+#include <limits/daemon_share.h>
+#include <limits/limiter.h>
+
+#include <core/endpoint.h>
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace ej::routing {
+
+/// The endpoints of one service in one failure domain. Each event costs the same however many
+/// endpoints there are. Not thread-safe.
+class pool {
+public:
+    /// Adds an endpoint, or replaces it after a restart.
+    void add(const core::endpoint& endpoint, const limits::limiter& limiter,
+             const limits::daemon_share& share, core::instant now);
+
+    /// Takes an endpoint out; unknown names are skipped.
+    void remove(const core::endpoint_id& name);
+
+    /// Applies a load report; those of unknown endpoints are skipped.
+    void report(const load_report& report, const limits::limiter& limiter,
+                const limits::daemon_share& share);
+
+    /// Chooses an endpoint and counts the request as in flight there.
+    std::optional<core::endpoint_id> acquire(const request_features& request, const router& router,
+                                             std::uint64_t seed, core::instant now);
+
+    /// Applies the end of a request at `name`.
+    void release(const core::endpoint_id& name, const outcome& outcome, bool urgent,
+                 core::instant now);
+
+    /// The view of `name`, if it is in the pool.
+    [[nodiscard]] std::optional<endpoint_view> view(const core::endpoint_id& name) const;
+
+    /// What the pool can do now.
+    [[nodiscard]] pool_outlook outlook() const;
+
+private:
+    void replace(std::uint32_t index, endpoint_view next);
+    void count(const endpoint_view& view, double sign);
+    void update_open(std::uint32_t index);
+    void unblock_due(core::instant now);
+
+    std::vector<endpoint_view> views_;
+    std::unordered_map<core::endpoint_id, std::uint32_t> index_;
+    index_set open_;
+    index_set urgent_open_;
+    std::deque<std::pair<core::instant, core::endpoint_id>> blocked_;
+    double work_per_second_ = 0;
+    double squared_rates_ = 0;
+    std::uint64_t turn_ = 0;
+};
+
+} // namespace ej::routing
--- /dev/null
+++ b/libs/routing/include/routing/reach.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/failure_domain_id.h>
+
+#include <compare>
+#include <vector>
+
+namespace ej::routing {
+
+/// The failure domains that a daemon can reach, its own apart.
+struct reach {
+    core::failure_domain_id local;
+    std::vector<core::failure_domain_id> remote; ///< Those with a working link, nearest first.
+
+    friend auto operator<=>(const reach&, const reach&) = default;
+};
+
+} // namespace ej::routing
--- /dev/null
+++ b/libs/routing/include/routing/view_changes.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <routing/endpoint_view.h>
+#include <routing/load_report.h>
+#include <routing/outcome.h>
+#include <routing/request_features.h>
+
+#include <limits/daemon_share.h>
+#include <limits/limiter.h>
+
+#include <core/endpoint.h>
+
+namespace ej::routing {
+
+/// The view of an endpoint that appears, or comes back with another incarnation.
+[[nodiscard]] endpoint_view new_view(const core::endpoint& endpoint, const limits::limiter& limiter,
+                                     const limits::daemon_share& share, core::instant now);
+
+/// `view` after a load report.
+[[nodiscard]] endpoint_view with_report(endpoint_view view, const load_report& report,
+                                        const limits::limiter& limiter,
+                                        const limits::daemon_share& share);
+
+/// `view` after a request was sent.
+[[nodiscard]] endpoint_view with_sent(endpoint_view view, bool urgent);
+
+/// `view` after a request ended; blocked for a while when it fails most requests.
+[[nodiscard]] endpoint_view with_outcome(endpoint_view view, const outcome& outcome, bool urgent,
+                                         core::instant now);
+
+/// `view` once its block has run out: one request may try it.
+[[nodiscard]] endpoint_view unblocked(endpoint_view view);
+
+} // namespace ej::routing
--- /dev/null
+++ b/libs/routing/src/pool.cpp
@@ -0,0 +1,133 @@
+#include <routing/pool.h>
+
+#include <routing/estimate.h>
+#include <routing/view_changes.h>
+
+#include <algorithm>
+
+namespace ej::routing {
+
+void pool::add(const core::endpoint& endpoint, const limits::limiter& limiter,
+               const limits::daemon_share& share, core::instant now)
+{
+    const auto [entry, added] =
+        index_.try_emplace(endpoint.name, static_cast<std::uint32_t>(views_.size()));
+    if (added) {
+        views_.push_back({.limit = 0});
+    }
+    replace(entry->second, new_view(endpoint, limiter, share, now));
+}
+
+void pool::remove(const core::endpoint_id& name)
+{
+    const auto found = index_.find(name);
+    if (found == index_.end()) {
+        return;
+    }
+    const std::uint32_t index = found->second;
+    const auto last = static_cast<std::uint32_t>(views_.size() - 1);
+    const endpoint_view moved = views_[last];
+    replace(last, {.limit = 0});
+    if (index != last) {
+        replace(index, moved);
+        index_[moved.name] = index;
+    }
+    views_.pop_back();
+    index_.erase(name);
+    // A view without a limit may still be open for urgent requests.
+    open_.update(last, false);
+    urgent_open_.update(last, false);
+}
+
+void pool::report(const load_report& report, const limits::limiter& limiter,
+                  const limits::daemon_share& share)
+{
+    const auto found = index_.find(report.name);
+    if (found != index_.end()) {
+        replace(found->second, with_report(views_[found->second], report, limiter, share));
+    }
+}
+
+std::optional<core::endpoint_id> pool::acquire(const request_features& request,
+                                               const router& router, std::uint64_t seed,
+                                               core::instant now)
+{
+    unblock_due(now);
+    // Urgent requests go past the limits only when nothing has room within them.
+    const bool past_limit = request.urgent && open_.members().empty();
+    const candidates from{views_, past_limit ? urgent_open_.members() : open_.members(), turn_};
+    const auto chosen = router.choose(from, request, random_stream(seed), now);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    ++turn_;
+    const std::uint32_t index = index_.at(*chosen);
+    replace(index, with_sent(views_[index], request.urgent));
+    return chosen;
+}
+
+void pool::release(const core::endpoint_id& name, const outcome& outcome, bool urgent,
+                   core::instant now)
+{
+    const auto found = index_.find(name);
+    if (found == index_.end()) {
+        return;
+    }
+    replace(found->second, with_outcome(views_[found->second], outcome, urgent, now));
+    if (const auto until = views_[found->second].blocked_until) {
+        blocked_.emplace_back(*until, name);
+    }
+}
+
+std::optional<endpoint_view> pool::view(const core::endpoint_id& name) const
+{
+    const auto found = index_.find(name);
+    if (found == index_.end()) {
+        return std::nullopt;
+    }
+    return views_[found->second];
+}
+
+pool_outlook pool::outlook() const
+{
+    const double mean = work_per_second_ > 0 ? squared_rates_ / work_per_second_ : 0;
+    return {std::max(work_per_second_, 0.0), mean,
+            static_cast<std::uint32_t>(open_.members().size()),
+            static_cast<std::uint32_t>(urgent_open_.members().size())};
+}
+
+void pool::replace(std::uint32_t index, endpoint_view next)
+{
+    count(views_[index], -1);
+    views_[index] = std::move(next);
+    count(views_[index], 1);
+    update_open(index);
+}
+
+void pool::count(const endpoint_view& view, double sign)
+{
+    const double slots = view.blocked_until ? 0 : view.limit;
+    work_per_second_ += sign * slots * view.work_rate;
+    squared_rates_ += sign * slots * view.work_rate * view.work_rate;
+}
+
+void pool::update_open(std::uint32_t index)
+{
+    open_.update(index, has_room(views_[index], false));
+    urgent_open_.update(index, has_room(views_[index], true));
+}
+
+// All blocks last equally long, so the queue is in order of time.
+void pool::unblock_due(core::instant now)
+{
+    while (!blocked_.empty() && blocked_.front().first <= now) {
+        const auto [due, name] = blocked_.front();
+        blocked_.pop_front();
+        const auto found = index_.find(name);
+        if (found != index_.end() && views_[found->second].blocked_until == due) {
+            replace(found->second, unblocked(views_[found->second]));
+        }
+    }
+}
+
+} // namespace ej::routing
--- /dev/null
+++ b/libs/routing/src/prefix_affinity.cpp
@@ -0,0 +1,56 @@
+#include <routing/prefix_affinity.h>
+
+#include <routing/estimate.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ej::routing {
+
+namespace {
+
+// A cached prefix saves at most about this part of a request's time.
+constexpr double worth_of_cache = 1.25;
+
+// Jump consistent hash (Lamping and Veach): few prefixes move as a pool grows by one.
+std::size_t bucket_of(std::uint64_t key, std::size_t buckets)
+{
+    std::int64_t last = 0;
+    std::int64_t next = 0;
+    while (next < static_cast<std::int64_t>(buckets)) {
+        last = next;
+        key = key * 2862933555777941757ULL + 1;
+        next = static_cast<std::int64_t>(static_cast<double>(last + 1) *
+                                         (static_cast<double>(1LL << 31) /
+                                          static_cast<double>((key >> 33) + 1)));
+    }
+    return static_cast<std::size_t>(last);
+}
+
+} // namespace
+
+prefix_affinity::prefix_affinity(std::unique_ptr<const router> fallback)
+    : fallback_(std::move(fallback))
+{
+}
+
+std::optional<core::endpoint_id> prefix_affinity::choose(const candidates& from,
+                                                         const request_features& request,
+                                                         random_stream random,
+                                                         core::instant now) const
+{
+    const auto other = fallback_->choose(from, request, random, now);
+    if (!other || request.prefix == 0) {
+        return other;
+    }
+    const endpoint_view& home = from.all[bucket_of(request.prefix, from.all.size())];
+    if (!has_room(home, request.urgent)) {
+        return other;
+    }
+    // A random endpoint with room stands for the pool's typical finish.
+    const endpoint_view& typical = from.with_room(random.below(from.open.size()));
+    const double bound = worth_of_cache * estimated_finish_seconds(typical, request, now);
+    return estimated_finish_seconds(home, request, now) <= bound ? home.name : *other;
+}
+
+} // namespace ej::routing
