Harness: starts a fleet of processes for tests, on ports that the system chooses

Cause: failures of the real processes need programs that are started, killed, frozen and always reaped, and a client that reads server-sent events. Ruled out: Beast's synchronous calls (they have no deadline); SO_RCVTIMEO (Asio goes on waiting). Change: child_process (posix_spawn, a thread drains the output), fleet, blocking client whose steps end after 30 s, and four tests of the stand-ins' own promises.

--- /dev/null
+++ b/harness/include/harness/http_result.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace ej::harness {
+
+/// A whole answer.
+struct http_result {
+    unsigned status = 0;
+    std::string body;
+
+    friend auto operator<=>(const http_result&, const http_result&) = default;
+};
+
+} // namespace ej::harness
--- /dev/null
+++ b/harness/src/blocking_body.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "blocking_stream.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace ej::harness {
+
+/// The body of an answer, read in parts as they come.
+class blocking_body {
+public:
+    /// Sends `call` and reads the answer's header.
+    absl::Status open(const core::address& where, const http_call& call);
+
+    [[nodiscard]] unsigned status() const { return parser_.get().result_int(); }
+
+    /// The next part. Errors: OutOfRange at the proper end, Unavailable when it broke.
+    absl::StatusOr<std::string> read();
+
+private:
+    blocking_stream stream_;
+    blocking_stream::parser parser_;
+};
+
+} // namespace ej::harness
--- /dev/null
+++ b/harness/src/child_process.cpp
@@ -0,0 +1,112 @@
+#include <harness/child_process.h>
+
+#include "child_output.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdlib>
+#include <system_error>
+
+namespace ej::harness {
+
+namespace {
+
+constexpr int signal_exit_base = 128;
+constexpr int log_mode = 0644;
+
+std::vector<char*> pointers_to(std::vector<std::string>& texts)
+{
+    std::vector<char*> pointers;
+    std::ranges::transform(texts, std::back_inserter(pointers),
+                           [](std::string& text) { return text.data(); });
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+// The standard error goes to the file that EJ_CHILD_LOG names, for a look after a failure.
+std::string error_file()
+{
+    const char* const file = std::getenv("EJ_CHILD_LOG");
+    return file == nullptr ? "/dev/null" : file;
+}
+
+int spawn(pid_t& pid, std::vector<std::string> command, int output)
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error_file().c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, log_mode);
+    const auto arguments = pointers_to(command);
+    const int error = ::posix_spawn(&pid, command.front().c_str(), &actions, nullptr,
+                                    arguments.data(), ::environ);
+    posix_spawn_file_actions_destroy(&actions);
+    return error;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<child_process>>
+child_process::start(const std::string& program, const std::vector<std::string>& arguments)
+{
+    std::array<int, 2> ends{};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
+        return absl::InternalError(std::generic_category().message(errno));
+    }
+    std::vector<std::string> command{program};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    pid_t pid = 0;
+    const int error = spawn(pid, std::move(command), ends[1]);
+    ::close(ends[1]);
+    if (error != 0) {
+        ::close(ends[0]);
+        return absl::InternalError(program + ": " + std::generic_category().message(error));
+    }
+    return std::unique_ptr<child_process>(new child_process(pid, ends[0]));
+}
+
+child_process::child_process(pid_t pid, int output_descriptor)
+    : pid_(pid), output_(std::make_unique<child_output>(output_descriptor))
+{
+}
+
+child_process::~child_process()
+{
+    signal(SIGKILL);
+    wait();
+}
+
+absl::StatusOr<std::string> child_process::wait_for_line(const std::string& prefix)
+{
+    auto line = output_->wait_for_line(prefix);
+    if (!line) {
+        return absl::UnavailableError("ended before it printed '" + prefix + "'");
+    }
+    return *std::move(line);
+}
+
+void child_process::signal(int number)
+{
+    if (!reaped_) {
+        ::kill(pid_, number);
+    }
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    if (!reaped_ && ::waitpid(pid_, &status, 0) == pid_) {
+        reaped_ = true;
+        exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : signal_exit_base + WTERMSIG(status);
+    }
+    return exit_code_;
+}
+
+} // namespace ej::harness
