Harness: a caller that takes a broken stream up again at any daemon

Cause: the process tests and the demo need the caller's side of the resume protocol. Change: generation_caller keeps request, cursor, text and count, counts misplaced offsets, and resumes by cursor or with the received text when a daemon answers prefix_needed. Not yet run against a daemon.

--- /dev/null
+++ b/harness/include/harness/generation_call.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace ej::harness {
+
+/// A generation that a caller asks for.
+struct generation_call {
+    std::string workspace_key;
+    std::string idempotency_key;
+    std::string work_class;
+    std::string prompt;
+    std::uint64_t max_tokens = 0;
+
+    friend auto operator<=>(const generation_call&, const generation_call&) = default;
+};
+
+} // namespace ej::harness
--- /dev/null
+++ b/harness/src/generation_caller.cpp
@@ -0,0 +1,158 @@
+#include <harness/generation_caller.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <utility>
+
+namespace ej::harness {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr unsigned http_ok = 200;
+
+} // namespace
+
+stream_state generation_caller::start(const core::address& daemon)
+{
+    return open(daemon, submission(false));
+}
+
+stream_state generation_caller::resume(const core::address& daemon)
+{
+    answer_.error_kind.clear();
+    answer_.error_reason.clear();
+    if (answer_.request.empty() || answer_.cursor.empty()) {
+        return resume_with_text(daemon);
+    }
+    http_call call{"GET", "/v1/generations/" + answer_.request, {}, {}};
+    call.headers["Authorization"] = "Bearer " + call_.workspace_key;
+    call.headers["Last-Event-ID"] = answer_.cursor;
+    open(daemon, call);
+    // The daemon looks for the engine before it says that it needs the text.
+    const auto received = answer_.tokens;
+    read_until(received + 1);
+    if (state_ == stream_state::failed && answer_.error_reason == "prefix_needed") {
+        return resume_with_text(daemon);
+    }
+    return state_;
+}
+
+stream_state generation_caller::resume_with_text(const core::address& daemon)
+{
+    answer_.error_kind.clear();
+    answer_.error_reason.clear();
+    return open(daemon, submission(answer_.tokens > 0));
+}
+
+stream_state generation_caller::read_until(std::uint64_t tokens)
+{
+    while (state_ == stream_state::flowing && answer_.tokens < tokens) {
+        const auto event = stream_->next();
+        state_ = event.ok() ? take(*event) : stream_state::broken;
+    }
+    return state_;
+}
+
+stream_state generation_caller::read_to_end(std::span<const core::address> daemons)
+{
+    constexpr auto all = std::numeric_limits<std::uint64_t>::max();
+    read_until(all);
+    std::ranges::find_if(daemons, [&](const core::address& daemon) {
+        if (state_ != stream_state::broken) {
+            return true;
+        }
+        resume(daemon);
+        return read_until(all) != stream_state::broken;
+    });
+    return state_;
+}
+
+stream_state generation_caller::open(const core::address& daemon, const http_call& call)
+{
+    stream_.reset();
+    auto opened = event_stream::open(daemon, call);
+    if (!opened.ok()) {
+        return state_ = stream_state::broken;
+    }
+    stream_.emplace(*std::move(opened));
+    state_ = stream_state::flowing;
+    if (stream_->status() != http_ok) {
+        answer_.error_kind = "status " + std::to_string(stream_->status());
+        state_ = stream_state::failed;
+    }
+    return state_;
+}
+
+stream_state generation_caller::take(const sse_event& event)
+{
+    using handler = void (generation_caller::*)(const sse_event&);
+    using row = std::pair<std::string_view, std::pair<handler, stream_state>>;
+    static constexpr std::array<row, 4> handlers{
+        {{"start", {&generation_caller::take_start, stream_state::flowing}},
+         {"tokens", {&generation_caller::take_tokens, stream_state::flowing}},
+         {"end", {&generation_caller::take_end, stream_state::ended}},
+         {"error", {&generation_caller::take_error, stream_state::failed}}}};
+    if (!event.id.empty()) {
+        answer_.cursor = event.id;
+    }
+    const auto* const found = std::ranges::find(handlers, event.name, &row::first);
+    if (found == handlers.end()) {
+        return stream_state::flowing;
+    }
+    (this->*found->second.first)(event);
+    return found->second.second;
+}
+
+void generation_caller::take_start(const sse_event& event)
+{
+    answer_.request = json::parse(event.data).at("request").get<std::string>();
+}
+
+void generation_caller::take_tokens(const sse_event& event)
+{
+    const auto data = json::parse(event.data);
+    if (data.at("offset").get<std::uint64_t>() != answer_.tokens) {
+        ++answer_.misplaced;
+    }
+    for (const json& token : data.at("tokens")) {
+        answer_.text += token.get<std::string>();
+        ++answer_.tokens;
+    }
+}
+
+void generation_caller::take_end(const sse_event& event)
+{
+    const auto data = json::parse(event.data);
+    answer_.total = data.at("total").get<std::uint64_t>();
+    answer_.end_reason = data.at("reason").get<std::string>();
+}
+
+void generation_caller::take_error(const sse_event& event)
+{
+    const auto data = json::parse(event.data);
+    answer_.error_kind = data.value("kind", "");
+    answer_.error_reason = data.value("reason", "");
+}
+
+http_call generation_caller::submission(bool with_text) const
+{
+    json body{
+        {"class", call_.work_class}, {"prompt", call_.prompt}, {"max_tokens", call_.max_tokens}};
+    http_call call{"POST", "/v1/generations", {}, {}};
+    call.headers["Authorization"] = "Bearer " + call_.workspace_key;
+    call.headers["Idempotency-Key"] = call_.idempotency_key;
+    if (with_text) {
+        body["delivered_text"] = answer_.text;
+        body["delivered_tokens"] = answer_.tokens;
+        call.headers["Last-Event-ID"] = answer_.cursor;
+    }
+    call.body = body.dump();
+    return call;
+}
+
+} // namespace ej::harness
