--- /dev/null
+++ b/tests/process/generation_loss_test.cpp
@@ -0,0 +1,114 @@
+#include "deployment.h"
+
+#include <stand_ins/token_text.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+#include <signal.h>
+
+namespace ej::process_tests {
+
+using harness::generation_caller;
+using harness::stream_state;
+
+TEST_CASE("an engine killed midway costs no token of the answer")
+{
+    deployment system(2);
+    const auto call = summary("bells of the night", 200);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(20) == stream_state::flowing);
+    system.fleet().kill(system.running_engine());
+    REQUIRE(caller.read_to_end() == stream_state::ended);
+    require_whole(caller, call);
+}
+
+TEST_CASE("an engine that is stopped and woken adds nothing to the answer")
+{
+    deployment system(2);
+    const auto call = summary("bells of the night", 300);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(20) == stream_state::flowing);
+    const auto engine = system.running_engine();
+    system.fleet().signal(engine, SIGSTOP);
+    REQUIRE(caller.read_until(caller.answer().tokens + 100) == stream_state::flowing);
+    system.fleet().signal(engine, SIGCONT);
+    REQUIRE(caller.read_to_end() == stream_state::ended);
+    require_whole(caller, call);
+}
+
+TEST_CASE("a connection that goes silent is replaced and costs no tokens")
+{
+    deployment system(2);
+    const auto call = summary("bells of the night", 200);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(20) == stream_state::flowing);
+    system.fleet().fault(system.running_engine(), {{"silent", true}});
+    REQUIRE(caller.read_to_end() == stream_state::ended);
+    require_whole(caller, call);
+    CHECK(system.engine_total("tokens_generated") == 200);
+}
+
+TEST_CASE("a resume at the wrong offset or with other text never reaches the caller")
+{
+    const auto fault = GENERATE(as<std::string>{}, "wrong_offset", "other_text");
+    deployment system(3);
+    const auto call = summary("bells of the night", 200);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(20) == stream_state::flowing);
+    const auto engine = system.running_engine();
+    system.fault_others(engine, {{fault, true}});
+    system.fleet().kill(engine);
+    const auto state = caller.read_to_end();
+    CHECK(state == stream_state::failed);
+    CHECK(caller.answer().misplaced == 0);
+    CHECK(caller.answer().text == stand_ins::answer_text(call.prompt, caller.answer().tokens));
+}
+
+TEST_CASE("an engine and its daemon die together and another daemon goes on")
+{
+    deployment system(2);
+    const auto call = summary("bells of the night", 200);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(20) == stream_state::flowing);
+    system.fleet().kill(system.running_engine());
+    system.fleet().kill("d1");
+    REQUIRE(caller.read_to_end(std::array{system.daemon("d2")}) == stream_state::ended);
+    require_whole(caller, call);
+}
+
+TEST_CASE("a caller whose daemon died goes on at another daemon without a token made twice")
+{
+    deployment system(2);
+    const auto call = summary("bells of the night", 200);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(20) == stream_state::flowing);
+    system.fleet().kill("d1");
+    REQUIRE(caller.read_to_end(std::array{system.daemon("d2")}) == stream_state::ended);
+    require_whole(caller, call);
+    CHECK(system.engine_total("tokens_generated") == 200);
+}
+
+TEST_CASE("a slow reader gets the whole answer although the engine dies meanwhile")
+{
+    constexpr std::uint64_t tokens = 100'000; // More than the buffers on the way hold.
+    deployment system(2, {"--tokens-per-second", "200000"});
+    const auto call = summary("bells of the night", tokens);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(1) == stream_state::flowing);
+    const auto engine = system.running_engine();
+    system.fleet().kill(engine);
+    REQUIRE(caller.read_to_end() == stream_state::ended);
+    require_whole(caller, call);
+}
+
+} // namespace ej::process_tests
