The whole path: a generation served as processes and carried over an engine's death

Cause: the thin path has to run before anything is built on it. Change: libs/runtime carries out the generation rules' effects on sockets (a table of member pointers by effect), with the caller's interface, the VM list, routing over endpoint pools, metrics and draining; the program with serve, check and version, settings by flags and environment variables with all faults reported together. Ruled out: waiting for admission first; a generation without a free engine waits on a timer until the class's finish target.

--- /dev/null
+++ b/endivejunction/src/check.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <span>
+#include <string>
+
+namespace ej {
+
+/// Checks the settings of `serve` and prints all faults. Returns the exit code: 0 when there is
+/// none.
+int check(std::span<const std::string> arguments);
+
+} // namespace ej
--- /dev/null
+++ b/endivejunction/src/main.cpp
@@ -0,0 +1,54 @@
+#include "check.h"
+#include "serve.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+constexpr int exit_usage = 2;
+
+struct command {
+    std::string_view name;
+    int (*run)(std::span<const std::string>);
+    std::string_view brief;
+};
+
+int version(std::span<const std::string>)
+{
+    std::cout << "endivejunction 0.1.0\n";
+    return 0;
+}
+
+constexpr std::array<command, 3> commands{{{"serve", &ej::serve, "run a daemon"},
+                                           {"check", &ej::check, "check the settings of serve"},
+                                           {"version", &version, "print the version"}}};
+
+int usage()
+{
+    std::cerr << "usage: endivejunction COMMAND [--help]\n";
+    std::ranges::for_each(commands, [](const command& one) {
+        std::cerr << "  " << one.name << "  " << one.brief << '\n';
+    });
+    return exit_usage;
+}
+
+} // namespace
+
+int main(int count, char** values)
+{
+    const std::vector<std::string> arguments(values, values + count);
+    if (arguments.size() < 2) {
+        return usage();
+    }
+    const auto* const found = std::ranges::find(commands, arguments[1], &command::name);
+    if (found == commands.end()) {
+        return usage();
+    }
+    return found->run(std::span(arguments).subspan(2));
+}
--- /dev/null
+++ b/endivejunction/src/serve.cpp
@@ -0,0 +1,91 @@
+#include "serve.h"
+
+#include "parse_settings.h"
+
+#include <logging/log.h>
+#include <runtime/daemon.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <thread>
+
+namespace ej {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int exit_faulty = 2;
+constexpr int exit_failed = 1;
+
+/// Drains the daemon at the first signal; further ones change nothing.
+class signal_drain {
+public:
+    explicit signal_drain(runtime::daemon& daemon)
+        : daemon_(daemon), signals_(context_, SIGTERM, SIGINT)
+    {
+        wait();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+    ~signal_drain()
+    {
+        context_.stop();
+        thread_.join();
+    }
+    signal_drain(const signal_drain&) = delete;
+    signal_drain& operator=(const signal_drain&) = delete;
+    signal_drain(signal_drain&&) = delete;
+    signal_drain& operator=(signal_drain&&) = delete;
+
+private:
+    void wait()
+    {
+        signals_.async_wait([this](const boost::system::error_code& error, int number) {
+            if (error) {
+                return;
+            }
+            logging::log(logging::level::info, "draining", {{"signal", std::to_string(number)}});
+            daemon_.drain();
+            wait();
+        });
+    }
+
+    runtime::daemon& daemon_;
+    asio::io_context context_;
+    asio::signal_set signals_;
+    std::thread thread_;
+};
+
+} // namespace
+
+int serve(std::span<const std::string> arguments)
+{
+    core::findings faults;
+    auto settings = parse_settings(arguments, faults);
+    if (settings.help) {
+        std::cout << settings_help();
+        return 0;
+    }
+    if (!faults.empty()) {
+        std::cerr << faults.status().message() << '\n';
+        return exit_faulty;
+    }
+    logging::start(settings.log_level);
+    auto started = runtime::daemon::start(std::move(settings.daemon));
+    if (!started.ok()) {
+        std::cerr << started.status().message() << '\n';
+        return exit_failed;
+    }
+    const auto daemon = std::move(started).value();
+    const signal_drain signals(*daemon);
+    std::cout << "listening caller=" << daemon->caller_address() << std::endl;
+    daemon->wait_until_drained();
+    logging::log(logging::level::info, "drained");
+    return 0;
+}
+
+} // namespace ej
--- a/libs/http/src/beast.h
+++ b/libs/http/src/beast.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <utility> // Asio 1.74's awaitable.hpp uses std::exchange without it.
-
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
--- /dev/null
+++ b/libs/runtime/src/caller_api.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "services.h"
+
+#include <http/exchange.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+
+namespace ej::runtime {
+
+/// Answers callers' requests. Thread-safe; each call runs on its connection's strand.
+class caller_api {
+public:
+    explicit caller_api(std::shared_ptr<services> shared) : shared_(std::move(shared)) {}
+
+    /// Answers one request.
+    boost::asio::awaitable<void> handle(std::shared_ptr<http::exchange> call) const;
+
+private:
+    using action = boost::asio::awaitable<void> (caller_api::*)(std::shared_ptr<http::exchange>,
+                                                                core::workspace_id) const;
+    struct route;
+
+    static const route* find_route(const http::request& call);
+
+    boost::asio::awaitable<void> start_generation(std::shared_ptr<http::exchange> call,
+                                                  core::workspace_id workspace) const;
+    boost::asio::awaitable<void> resume_generation(std::shared_ptr<http::exchange> call,
+                                                   core::workspace_id workspace) const;
+
+    std::shared_ptr<services> shared_;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/engine_link.cpp
@@ -0,0 +1,128 @@
+#include "asio.h"
+
+#include "engine_link.h"
+
+#include <wire/engine_line.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ej::runtime {
+
+namespace {
+
+using generation::event;
+using generation::event_kind;
+
+constexpr core::duration connect_timeout = std::chrono::milliseconds(300);
+constexpr core::duration cancel_deadline = std::chrono::seconds(2);
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+
+http::request post(std::string target, std::string body)
+{
+    return {"POST", std::move(target), {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+http::call_options bounded(core::duration bound)
+{
+    http::call_options options;
+    options.deadline = bound;
+    options.connect_timeout = std::min(bound, connect_timeout);
+    return options;
+}
+
+event_kind kind_of(const absl::Status& error)
+{
+    return absl::IsDeadlineExceeded(error) ? event_kind::silent : event_kind::closed;
+}
+
+} // namespace
+
+asio::awaitable<absl::Status> engine_link::open(core::endpoint engine, wire::engine_order order,
+                                                core::duration bound)
+{
+    auto body = wire::to_json(order);
+    co_return co_await connect(std::move(engine), "/generate", std::move(body), bound);
+}
+
+asio::awaitable<absl::Status>
+engine_link::attach(core::endpoint engine, wire::engine_position position, core::duration bound)
+{
+    auto body = wire::to_json(position);
+    co_return co_await connect(std::move(engine), "/attach", std::move(body), bound);
+}
+
+asio::awaitable<absl::Status> engine_link::connect(core::endpoint engine, std::string target,
+                                                   std::string body, core::duration bound)
+{
+    auto call = post(std::move(target), std::move(body));
+    const auto options = bounded(bound);
+    auto opened = co_await http::line_stream::open(engine.where, std::move(call), options);
+    if (!opened.ok()) {
+        co_return opened.status();
+    }
+    stream_ = std::move(opened).value();
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<event> engine_link::next(core::attempt_number attempt, core::duration silence)
+{
+    event ended;
+    ended.kind = event_kind::closed;
+    ended.attempt = attempt;
+    const auto stream = stream_;
+    if (stream == nullptr) {
+        co_return ended;
+    }
+    auto line = co_await stream->next_line(silence);
+    if (!line.ok()) {
+        ended.kind = kind_of(line.status());
+        co_return ended;
+    }
+    if (!line->has_value()) {
+        co_return ended;
+    }
+    auto parsed = wire::parse_engine_line(**line, attempt);
+    if (!parsed.ok()) {
+        ended.kind = event_kind::aborted;
+        co_return ended;
+    }
+    co_return std::move(parsed).value();
+}
+
+asio::awaitable<event_kind> engine_link::check(core::endpoint engine,
+                                               wire::engine_position position, core::duration bound)
+{
+    http::request question;
+    question.target =
+        "/generations/" + position.request.text() + "/" + std::to_string(position.attempt.value());
+    auto options = bounded(bound);
+    options.reuse_connection = false;
+    auto answer = co_await calls_->fetch(engine.where, std::move(question), options);
+    if (answer.ok() && answer->status == status_ok) {
+        co_return event_kind::alive;
+    }
+    if (answer.ok() && answer->status == status_not_found) {
+        co_return event_kind::forgotten;
+    }
+    co_return event_kind::unreachable;
+}
+
+asio::awaitable<void> engine_link::cancel(core::endpoint engine, wire::engine_position position)
+{
+    auto body = wire::to_json(position);
+    auto call = post("/cancel", std::move(body));
+    const auto options = bounded(cancel_deadline);
+    co_await calls_->fetch(engine.where, std::move(call), options);
+}
+
+void engine_link::close()
+{
+    if (stream_ != nullptr) {
+        stream_->close();
+        stream_ = nullptr;
+    }
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/engine_link.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <core/endpoint.h>
+#include <core/instant.h>
+#include <generation/event.h>
+#include <generation/event_kind.h>
+#include <http/client.h>
+#include <http/line_stream.h>
+#include <wire/engine_order.h>
+#include <wire/engine_position.h>
+
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace ej::runtime {
+
+/// The connection of one generation to the engine that runs its current attempt. Used on one
+/// strand; `close` may be called while another call waits.
+class engine_link {
+public:
+    explicit engine_link(std::shared_ptr<http::client> calls) : calls_(std::move(calls)) {}
+
+    /// Starts an attempt. Errors: as http::line_stream::open.
+    boost::asio::awaitable<absl::Status> open(core::endpoint engine, wire::engine_order order,
+                                              core::duration bound);
+
+    /// Connects to an attempt that runs. Errors: as http::line_stream::open.
+    boost::asio::awaitable<absl::Status>
+    attach(core::endpoint engine, wire::engine_position position, core::duration bound);
+
+    /// The next event of the stream; `closed` without a connection.
+    boost::asio::awaitable<generation::event> next(core::attempt_number attempt,
+                                                   core::duration silence);
+
+    /// Asks over a new connection whether the engine has the attempt: alive, forgotten or
+    /// unreachable.
+    boost::asio::awaitable<generation::event_kind>
+    check(core::endpoint engine, wire::engine_position position, core::duration bound);
+
+    /// Cancels an attempt; the answer does not matter.
+    boost::asio::awaitable<void> cancel(core::endpoint engine, wire::engine_position position);
+
+    /// Breaks the connection.
+    void close();
+
+private:
+    boost::asio::awaitable<absl::Status> connect(core::endpoint engine, std::string target,
+                                                 std::string body, core::duration bound);
+
+    std::shared_ptr<http::client> calls_;
+    std::shared_ptr<http::line_stream> stream_;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/generation_session.cpp
@@ -0,0 +1,336 @@
+#include "asio.h"
+
+#include "generation_session.h"
+
+#include "pause_for.h"
+
+#include <generation/policies.h>
+#include <logging/log.h>
+#include <wire/sse.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <numeric>
+#include <utility>
+
+namespace ej::runtime {
+
+namespace {
+
+using generation::cause;
+using generation::effect;
+using generation::effect_kind;
+using generation::event;
+using generation::event_kind;
+
+constexpr core::duration place_retry_interval = std::chrono::milliseconds(50);
+constexpr std::chrono::milliseconds retry_after{1'000};
+
+core::instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+generation_session::generation_session(std::shared_ptr<services> shared,
+                                       std::shared_ptr<http::exchange> caller,
+                                       generation_start start)
+    : shared_(std::move(shared)), caller_(std::move(caller)), start_(std::move(start)),
+      policy_(generation::policy_for(start_.work_class.target)),
+      rules_(policy_, generation::limits{}), link_(shared_->calls), state_(start_.state),
+      began_at_(now())
+{
+}
+
+generation_session::carrier generation_session::carrier_of(effect_kind kind)
+{
+    static constexpr std::array<carrier, generation::effect_kind_count> carriers{
+        &generation_session::place,   &generation_session::open,   &generation_session::attach,
+        &generation_session::check,   &generation_session::close,  &generation_session::cancel,
+        &generation_session::deliver, &generation_session::finish, &generation_session::fail};
+    return carriers.at(static_cast<std::size_t>(kind));
+}
+
+asio::awaitable<void> generation_session::run()
+{
+    const auto self = shared_from_this();
+    const std::weak_ptr<generation_session> weak = self;
+    caller_->on_gone([weak] {
+        if (const auto session = weak.lock()) {
+            session->caller_left();
+        }
+    });
+    co_await caller_->write(wire::start_event(start_.request));
+    auto begun = rules_.begin(state_);
+    std::ranges::move(begun.effects, std::back_inserter(pending_));
+    co_await carry_out_pending();
+    while (state_.phase != generation::phase::ended) {
+        auto what = co_await link_.next(state_.attempt, policy_->silence_bound());
+        apply(what);
+        co_await carry_out_pending();
+    }
+    co_await caller_->finish();
+}
+
+asio::awaitable<void> generation_session::carry_out_pending()
+{
+    while (!pending_.empty()) {
+        auto what = std::move(pending_.front());
+        pending_.pop_front();
+        count(what);
+        const auto carry = carrier_of(what.kind);
+        auto followed_by = co_await (this->*carry)(std::move(what));
+        if (gone_ && state_.phase != generation::phase::ended) {
+            apply(make_event(event_kind::caller_gone));
+        }
+        else if (followed_by) {
+            apply(*followed_by);
+        }
+    }
+}
+
+void generation_session::apply(const event& what)
+{
+    if (gone_ && what.kind != event_kind::caller_gone) {
+        apply(make_event(event_kind::caller_gone));
+        return;
+    }
+    auto decided = rules_.next(state_, what);
+    state_ = decided.state;
+    if (decided.dropped != cause::none) {
+        shared_->metrics.count("dropped_events_total",
+                               {{"reason", std::string(generation::to_string(decided.dropped))}});
+    }
+    std::ranges::move(decided.effects, std::back_inserter(pending_));
+}
+
+void generation_session::count(const effect& what)
+{
+    const bool retries = what.kind == effect_kind::place || what.kind == effect_kind::attach ||
+                         what.kind == effect_kind::check;
+    if (!retries || what.cause == cause::none) {
+        return;
+    }
+    if (!lost_at_) {
+        lost_at_ = last_token_at_.value_or(began_at_);
+    }
+    const auto reason = std::string(generation::to_string(what.cause));
+    shared_->metrics.count("retries_total", {{"reason", reason}});
+    logging::log(logging::level::info, "generation goes on",
+                 {{"request", start_.request.text()},
+                  {"reason", reason},
+                  {"attempt", std::to_string(what.attempt.value())},
+                  {"offset", std::to_string(what.offset.value())}});
+}
+
+void generation_session::caller_left()
+{
+    gone_ = true;
+    link_.close();
+}
+
+event generation_session::make_event(event_kind kind) const
+{
+    event what;
+    what.kind = kind;
+    what.attempt = state_.attempt;
+    return what;
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::place(effect what)
+{
+    release_engine(false);
+    if (!start_.prompt) {
+        co_await fail_with("failed", "prefix_needed");
+        state_.phase = generation::phase::ended;
+        co_return std::nullopt;
+    }
+    routing::request_features features;
+    features.work = start_.max_tokens - static_cast<double>(state_.next.value());
+    const routing::reach reach{shared_->settings.domain, {}};
+    const auto give_up_at = now() + start_.work_class.target.finish;
+    while (!gone_ && now() < give_up_at) {
+        const auto chosen = shared_->pools.acquire(start_.work_class.service, reach, features,
+                                                   shared_->ids.next_seed(), now());
+        if (chosen) {
+            placement_ = chosen;
+            placed_at_ = now();
+            engine_ = shared_->endpoints.find(chosen->endpoint);
+            auto placed = make_event(event_kind::placed);
+            placed.endpoint = chosen->endpoint;
+            co_return placed;
+        }
+        co_await pause_for(place_retry_interval);
+    }
+    (void)what;
+    co_return make_event(event_kind::unplaceable);
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::open(effect what)
+{
+    (void)what;
+    if (!engine_) {
+        co_return make_event(event_kind::rejected);
+    }
+    const cursor::attempt_place place{start_.workspace, start_.request, start_.work_class.name,
+                                      state_.attempt,   engine_->name,  engine_->where};
+    sealed_place_ = shared_->cursors.seal_place(place);
+    auto opened = co_await link_.open(*engine_, order(), policy_->silence_bound());
+    co_return event_of(opened);
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::attach(effect what)
+{
+    engine_ = engine_of(what);
+    if (!engine_) {
+        co_return make_event(event_kind::closed);
+    }
+    const cursor::attempt_place place{start_.workspace, start_.request, start_.work_class.name,
+                                      state_.attempt,   engine_->name,  engine_->where};
+    sealed_place_ = shared_->cursors.seal_place(place);
+    auto opened = co_await link_.attach(*engine_, position(what), policy_->answer_bound());
+    co_return event_of(opened);
+}
+
+generation_session::optional_event generation_session::event_of(const absl::Status& opened) const
+{
+    if (opened.ok()) {
+        return std::nullopt;
+    }
+    if (absl::IsUnavailable(opened) || absl::IsFailedPrecondition(opened) ||
+        absl::IsNotFound(opened)) {
+        return make_event(event_kind::rejected);
+    }
+    return make_event(absl::IsDeadlineExceeded(opened) ? event_kind::silent : event_kind::closed);
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::check(effect what)
+{
+    const auto engine = engine_of(what);
+    if (!engine) {
+        co_return make_event(event_kind::unreachable);
+    }
+    const auto kind = co_await link_.check(*engine, position(what), policy_->answer_bound());
+    co_return make_event(kind);
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::close(effect what)
+{
+    (void)what;
+    link_.close();
+    co_return std::nullopt;
+}
+
+// The next attempt does not wait for the answer: the engine may be gone.
+asio::awaitable<generation_session::optional_event> generation_session::cancel(effect what)
+{
+    const auto engine = engine_of(what);
+    if (engine) {
+        asio::co_spawn(
+            co_await asio::this_coro::executor,
+            [calls = shared_->calls, engine = *engine,
+             where = position(what)]() -> asio::awaitable<void> {
+                engine_link link(calls);
+                co_await link.cancel(engine, where);
+            },
+            asio::detached);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::deliver(effect what)
+{
+    const auto at = now();
+    if (lost_at_) {
+        shared_->metrics.observe("resume_seconds", {}, at - *std::exchange(lost_at_, std::nullopt));
+    }
+    else if (last_token_at_) {
+        shared_->metrics.observe("between_tokens_seconds", {}, at - *last_token_at_);
+    }
+    else {
+        shared_->metrics.observe("first_token_seconds", {}, at - began_at_);
+    }
+    last_token_at_ = at;
+    delivered_here_ += what.tokens.size();
+    const auto id = cursor::cursor_codec::event_id(sealed_place_, state_.next, state_.text);
+    auto text = wire::tokens_event(id, what.offset, what.tokens);
+    if (start_.prompt) {
+        std::ranges::move(what.tokens, std::back_inserter(start_.delivered));
+    }
+    auto written = co_await caller_->write(std::move(text));
+    if (!written.ok()) {
+        caller_left();
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::finish(effect what)
+{
+    release_engine(true);
+    shared_->metrics.count("generations_total", {{"outcome", "whole"}});
+    co_await caller_->write(wire::end_event(what.offset));
+    co_return std::nullopt;
+}
+
+asio::awaitable<generation_session::optional_event> generation_session::fail(effect what)
+{
+    const bool refused = what.cause == cause::no_endpoint && delivered_here_ == 0;
+    co_return co_await fail_with(refused ? "refused" : "failed",
+                                 std::string(generation::to_string(what.cause)));
+}
+
+asio::awaitable<generation_session::optional_event>
+generation_session::fail_with(std::string kind, std::string reason)
+{
+    release_engine(false);
+    shared_->metrics.count("refusals_total", {{"reason", reason}});
+    shared_->metrics.count("generations_total", {{"outcome", kind}});
+    logging::log(logging::level::warn, "generation ended without a whole answer",
+                 {{"request", start_.request.text()}, {"outcome", kind}, {"reason", reason}});
+    co_await caller_->write(wire::error_event(kind, reason, retry_after));
+    co_return std::nullopt;
+}
+
+void generation_session::release_engine(bool finished)
+{
+    if (!placement_) {
+        return;
+    }
+    const auto kind = finished ? routing::outcome_kind::finished
+                      : gone_  ? routing::outcome_kind::cancelled
+                               : routing::outcome_kind::failed;
+    const routing::outcome outcome{kind, static_cast<double>(delivered_here_), now() - placed_at_};
+    shared_->pools.release(*placement_, outcome, now());
+    placement_.reset();
+}
+
+wire::engine_order generation_session::order() const
+{
+    wire::engine_order order;
+    order.request = start_.request;
+    order.attempt = state_.attempt;
+    order.model = start_.work_class.service;
+    order.prompt = start_.prompt.value_or("");
+    order.max_tokens = start_.max_tokens;
+    order.prefix_text =
+        std::accumulate(start_.delivered.begin(), start_.delivered.end(), std::string());
+    order.prefix_tokens = state_.next.value();
+    return order;
+}
+
+wire::engine_position generation_session::position(const effect& what) const
+{
+    return {start_.request, what.attempt, what.offset};
+}
+
+std::optional<core::endpoint> generation_session::engine_of(const effect& what) const
+{
+    if (engine_ && engine_->name == what.endpoint) {
+        return engine_;
+    }
+    return shared_->endpoints.find(what.endpoint);
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/generation_session.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "engine_link.h"
+#include "flight.h"
+#include "generation_start.h"
+#include "services.h"
+
+#include <generation/loss_policy.h>
+#include <generation/rules.h>
+#include <http/exchange.h>
+#include <routing/placement.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ej::runtime {
+
+/// Carries one generation from its caller to engines and back: hands events to the rules and
+/// carries out their effects. Lives on the strand of the caller's connection.
+class generation_session : public std::enable_shared_from_this<generation_session> {
+public:
+    generation_session(std::shared_ptr<services> shared, std::shared_ptr<http::exchange> caller,
+                       generation_start start);
+
+    /// Runs to the end of the answer.
+    boost::asio::awaitable<void> run();
+
+private:
+    using optional_event = std::optional<generation::event>;
+    using carrier =
+        boost::asio::awaitable<optional_event> (generation_session::*)(generation::effect);
+
+    static carrier carrier_of(generation::effect_kind kind);
+
+    boost::asio::awaitable<optional_event> place(generation::effect what);
+    boost::asio::awaitable<optional_event> open(generation::effect what);
+    boost::asio::awaitable<optional_event> attach(generation::effect what);
+    boost::asio::awaitable<optional_event> check(generation::effect what);
+    boost::asio::awaitable<optional_event> close(generation::effect what);
+    boost::asio::awaitable<optional_event> cancel(generation::effect what);
+    boost::asio::awaitable<optional_event> deliver(generation::effect what);
+    boost::asio::awaitable<optional_event> finish(generation::effect what);
+    boost::asio::awaitable<optional_event> fail(generation::effect what);
+
+    boost::asio::awaitable<void> carry_out_pending();
+    boost::asio::awaitable<optional_event> fail_with(std::string kind, std::string reason);
+    void apply(const generation::event& what);
+    void count(const generation::effect& what);
+    void caller_left();
+    void release_engine(bool finished);
+    [[nodiscard]] generation::event make_event(generation::event_kind kind) const;
+    [[nodiscard]] wire::engine_order order() const;
+    [[nodiscard]] wire::engine_position position(const generation::effect& what) const;
+    [[nodiscard]] optional_event event_of(const absl::Status& opened) const;
+    [[nodiscard]] std::optional<core::endpoint> engine_of(const generation::effect& what) const;
+
+    std::shared_ptr<services> shared_;
+    std::shared_ptr<http::exchange> caller_;
+    generation_start start_;
+    std::shared_ptr<const generation::loss_policy> policy_;
+    generation::rules rules_;
+    engine_link link_;
+    generation::state state_;
+    std::deque<generation::effect> pending_;
+    std::string sealed_place_;
+    std::optional<core::endpoint> engine_;
+    std::optional<routing::placement> placement_;
+    core::instant placed_at_;
+    core::instant began_at_;
+    std::optional<core::instant> last_token_at_;
+    std::optional<core::instant> lost_at_;
+    std::uint64_t delivered_here_ = 0;
+    bool gone_ = false;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/generation_start.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <core/class_id.h>
+#include <core/request_id.h>
+#include <core/work_class.h>
+#include <core/workspace_id.h>
+#include <generation/state.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ej::runtime {
+
+/// How a generation begins at this daemon: new, or taken up from another daemon's cursor.
+struct generation_start {
+    core::workspace_id workspace;
+    core::request_id request;
+    core::work_class work_class;
+    std::optional<std::string> prompt; ///< Empty when the caller only takes up the stream.
+    std::uint32_t max_tokens = 0;
+    std::vector<std::string> delivered; ///< Tokens before state.next; needed with a prompt only.
+    generation::state state;
+
+    friend auto operator<=>(const generation_start&, const generation_start&) = default;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/pause_for.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace ej::runtime {
+
+/// Waits on a timer; the thread is free meanwhile.
+boost::asio::awaitable<void> pause_for(core::duration time);
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/replies.cpp
@@ -0,0 +1,42 @@
+#include "replies.h"
+
+#include <wire/refusal_body.h>
+
+#include <array>
+#include <utility>
+
+namespace ej::runtime {
+
+namespace {
+
+using core::refusal_reason;
+
+constexpr std::chrono::milliseconds retry_after{1'000};
+
+constexpr std::array<unsigned, core::refusal_reason_count> statuses{
+    401, 400, 413, 404, 503, 503, 503, 429, 503, 422, 503, 503, 409, 408};
+
+} // namespace
+
+http::response refusal(refusal_reason reason, std::string_view detail)
+{
+    http::response answer;
+    answer.status = statuses.at(static_cast<std::size_t>(reason));
+    answer.headers = {{"Content-Type", "application/json"}};
+    answer.body = wire::refusal_body(core::to_string(reason), detail, retry_after);
+    return answer;
+}
+
+http::response refusal_of(const absl::Status& fault)
+{
+    const auto detail = std::string_view(fault.message().data(), fault.message().size());
+    if (absl::IsNotFound(fault)) {
+        return refusal(refusal_reason::unknown_class, detail);
+    }
+    if (absl::IsPermissionDenied(fault)) {
+        return refusal(refusal_reason::unauthenticated, detail);
+    }
+    return refusal(refusal_reason::malformed, detail);
+}
+
+} // namespace ej::runtime
