No lambda with captures beside co_await: g++ 12 destroys it twice

Cause: the daemon aborted with 'free(): invalid size' when an engine was killed midway: the cancel call was spawned from an expression that also awaited the executor. Ruled out: the aggregate named before its co_await (the earlier form of the fault). Change: the executor is taken in a statement of its own; the same form in the HTTP server too.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -129,8 +129,9 @@
         co_return write_status(error);
     }
     stream_.expires_never();
+    const auto strand = co_await asio::this_coro::executor;
     asio::co_spawn(
-        co_await asio::this_coro::executor,
+        strand,
         [self = shared_from_this()]() -> asio::awaitable<void> { return self->watch_caller(); },
         asio::detached);
     co_return absl::OkStatus();
--- a/libs/runtime/src/generation_session.cpp
+++ b/libs/runtime/src/generation_session.cpp
@@ -226,17 +226,17 @@
 // The next attempt does not wait for the answer: the engine may be gone.
 asio::awaitable<generation_session::optional_event> generation_session::cancel(effect what)
 {
+    const auto strand = co_await asio::this_coro::executor;
     const auto engine = engine_of(what);
-    if (engine) {
-        asio::co_spawn(
-            co_await asio::this_coro::executor,
-            [calls = shared_->calls, engine = *engine,
-             where = position(what)]() -> asio::awaitable<void> {
-                engine_link link(calls);
-                co_await link.cancel(engine, where);
-            },
-            asio::detached);
+    if (!engine) {
+        co_return std::nullopt;
     }
+    const auto cancelling = [calls = shared_->calls, engine = *engine,
+                             where = position(what)]() -> asio::awaitable<void> {
+        engine_link link(calls);
+        co_await link.cancel(engine, where);
+    };
+    asio::co_spawn(strand, cancelling, asio::detached);
     co_return std::nullopt;
 }
 
