--- a/libs/generation/src/rules.cpp
+++ b/libs/generation/src/rules.cpp
@@ -92,9 +92,10 @@
 
 // The engine says what text it continues: any other text than the delivered one would mix two
 // generations in one answer, even at the right offset.
+// A second such line on one connection is held to the same.
 transition rules::opened(const state& from, const event& what) const
 {
-    if (from.phase != phase::opening) {
+    if (from.phase != phase::opening && from.phase != phase::streaming) {
         return dropped(from, cause::none);
     }
     if (what.offset != from.next) {
--- /dev/null
+++ b/libs/generation/tests/history_step.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <ostream>
+
+namespace ej::generation {
+
+/// What may happen next in a history; `honest_line` stands first and is drawn most often.
+enum class history_step : std::uint8_t {
+    honest_line,
+    repeated_line,
+    skipped_line,
+    overlapping_line,
+    stale_line,
+    early_end,
+    late_end,
+    aborted,
+    closed,
+    silent,
+    open_at_wrong_offset,
+    open_with_other_text,
+    forgotten,
+    unreachable,
+    rejected,
+    caller_gone
+};
+
+inline constexpr int history_step_count = 16;
+
+/// Shows a step of a failed history by its number.
+inline void showValue(history_step step, std::ostream& out) // NOLINT(readability-identifier-naming)
+{
+    out << static_cast<int>(step);
+}
+
+} // namespace ej::generation
