Short idempotent requests through the daemon

Cause: berth and placement lookups share the pool with generations. The runner of non-idempotent classes is not there yet: such a class is answered as unknown.

--- a/libs/runtime/src/caller_api.h
+++ b/libs/runtime/src/caller_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "services.h"
+#include "short_call_api.h"
 
 #include <http/exchange.h>
 
@@ -13,7 +14,10 @@
 /// Answers callers' requests. Thread-safe; each call runs on its connection's strand.
 class caller_api {
 public:
-    explicit caller_api(std::shared_ptr<services> shared) : shared_(std::move(shared)) {}
+    caller_api(std::shared_ptr<services> shared, std::shared_ptr<short_call_api> short_calls)
+        : shared_(std::move(shared)), short_calls_(std::move(short_calls))
+    {
+    }
 
     /// Answers one request.
     boost::asio::awaitable<void> handle(std::shared_ptr<http::exchange> call) const;
@@ -30,7 +34,11 @@
     boost::asio::awaitable<void> resume_generation(std::shared_ptr<http::exchange> call,
                                                    core::workspace_id workspace) const;
 
+    boost::asio::awaitable<void> run_short_call(std::shared_ptr<http::exchange> call,
+                                                core::workspace_id workspace) const;
+
     std::shared_ptr<services> shared_;
+    std::shared_ptr<short_call_api> short_calls_;
 };
 
 } // namespace ej::runtime
--- a/libs/runtime/src/daemon.cpp
+++ b/libs/runtime/src/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "caller_api.h"
 #include "endpoint_watch.h"
+#include "idempotent_runner.h"
 #include "services.h"
 
 #include <http/server.h>
@@ -21,10 +22,16 @@
         : work(asio::make_work_guard(context)),
           shared(std::make_shared<services>(std::move(settings),
                                             std::make_shared<http::client>(executor))),
-          callers(std::make_shared<caller_api>(shared))
+          callers(std::make_shared<caller_api>(shared,
+                                               std::make_shared<short_call_api>(shared, runners())))
     {
     }
 
+    short_call_api::runner_map runners()
+    {
+        return {{core::work_kind::idempotent, std::make_shared<idempotent_runner>(shared)}};
+    }
+
     ~parts()
     {
         context.stop();
--- a/libs/runtime/src/replies.cpp
+++ b/libs/runtime/src/replies.cpp
@@ -1,5 +1,6 @@
 #include "replies.h"
 
+#include <wire/outcome_body.h>
 #include <wire/refusal_body.h>
 
 #include <array>
@@ -27,6 +28,19 @@
     return answer;
 }
 
+http::response done(std::string_view result)
+{
+    return {200, {{"Content-Type", "application/json"}}, wire::done_body(result)};
+}
+
+http::response outcome_unknown(std::string_view reason)
+{
+    constexpr unsigned gateway_timeout = 504;
+    return {gateway_timeout,
+            {{"Content-Type", "application/json"}},
+            wire::outcome_body("outcome_unknown", reason)};
+}
+
 http::response refusal_of(const absl::Status& fault)
 {
     const auto detail = std::string_view(fault.message().data(), fault.message().size());
--- /dev/null
+++ b/libs/runtime/src/short_call_api.cpp
@@ -0,0 +1,51 @@
+#include "asio.h"
+
+#include "short_call_api.h"
+
+#include "flight.h"
+#include "replies.h"
+
+#include <core/findings.h>
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace ej::runtime {
+
+asio::awaitable<void> short_call_api::handle(std::shared_ptr<http::exchange> call,
+                                             core::workspace_id workspace) const
+{
+    auto reply = co_await answer(call, std::move(workspace));
+    co_await call->respond(std::move(reply));
+}
+
+asio::awaitable<http::response> short_call_api::answer(std::shared_ptr<http::exchange> call,
+                                                       core::workspace_id workspace) const
+{
+    core::findings faults;
+    short_call wanted;
+    wanted.workspace = std::move(workspace);
+    wanted.wanted = wire::parse_short_request(call->received().body, faults);
+    wanted.key = core::idempotency_key(
+        call->received().header_value("Idempotency-Key").value_or(std::string()));
+    if (!faults.empty()) {
+        co_return refusal_of(faults.status());
+    }
+    const auto classes = shared_->classes.load();
+    const auto found = classes->find(wanted.wanted.work_class);
+    const auto runner =
+        found == classes->end() ? runners_.end() : runners_.find(found->second.kind);
+    if (runner == runners_.end()) {
+        co_return refusal(core::refusal_reason::unknown_class);
+    }
+    if (!shared_->flights.enter()) {
+        co_return refusal(core::refusal_reason::draining);
+    }
+    const flight counted(shared_->flights);
+    wanted.work_class = found->second;
+    wanted.deadline = std::chrono::steady_clock::now() + wanted.work_class.target.finish;
+    co_return co_await runner->second->run(std::move(wanted));
+}
+
+} // namespace ej::runtime
--- a/libs/wire/src/generation_request.cpp
+++ b/libs/wire/src/generation_request.cpp
@@ -1,4 +1,4 @@
-#include "json.h"
+#include "fields.h"
 
 #include <wire/generation_request.h>
 
@@ -9,17 +9,6 @@
 
 namespace {
 
-std::string text_field(const json& body, const char* name, core::findings& faults)
-{
-    const auto found = body.find(name);
-    if (found == body.end() || !found->is_string() ||
-        found->get_ref<const std::string&>().empty()) {
-        faults.add(name, "must be a text that is not empty");
-        return {};
-    }
-    return found->get<std::string>();
-}
-
 std::uint32_t max_tokens_field(const json& body, core::findings& faults)
 {
     const auto found = body.find("max_tokens");
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -1,5 +1,7 @@
 #include <wire/engine_line.h>
 #include <wire/generation_request.h>
+#include <wire/outcome_body.h>
+#include <wire/short_request.h>
 #include <wire/sse.h>
 
 #include <catch2/catch.hpp>
@@ -48,6 +50,23 @@
     CHECK(faults.list().size() == 4);
 }
 
+TEST_CASE("a short request keeps its body as it is, and its path must be one")
+{
+    core::findings faults;
+    const auto good =
+        parse_short_request(R"({"class":"lookups","path":"/berths/1","body":{"b":[1]}})", faults);
+    CHECK(faults.empty());
+    CHECK(good == short_request{core::class_id("lookups"), "/berths/1", R"({"b":[1]})"});
+    (void)parse_short_request(R"({"class":"lookups","path":"berths"})", faults);
+    CHECK(faults.list().size() == 1);
+}
+
+TEST_CASE("a result that is no JSON is handed on as a text")
+{
+    CHECK(done_body(R"({"a":1})") == R"({"outcome":"done","result":{"a":1}})");
+    CHECK(done_body("free") == R"({"outcome":"done","result":"free"})");
+}
+
 TEST_CASE("a token event carries the id and survives line ends in tokens")
 {
     const std::vector<std::string> tokens{"a\nb"};
