--- /dev/null
+++ b/libs/actions/include/actions/claim_batcher.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <actions/action_id.h>
+#include <actions/bucket_number.h>
+#include <actions/call_pace.h>
+#include <actions/claim_lane.h>
+#include <actions/claim_limits.h>
+#include <actions/lane_effect.h>
+#include <actions/lane_event.h>
+#include <actions/lane_rules.h>
+
+#include <concurrency/sharded.h>
+
+#include <mutex>
+#include <vector>
+
+namespace ej::actions {
+
+/// One daemon's claims: a lane a bucket, and one pace for all calls. Thread-safe.
+class claim_batcher {
+public:
+    explicit claim_batcher(const claim_limits& limits);
+
+    /// The bucket that holds `action`; the same at every daemon with equal limits.
+    [[nodiscard]] bucket_number bucket_of(const action_id& action) const;
+
+    /// Applies `event` to `bucket` at `now` and returns what to carry out.
+    [[nodiscard]] std::vector<lane_effect> apply(bucket_number bucket, const lane_event& event,
+                                                 core::instant now);
+
+private:
+    [[nodiscard]] core::instant reserve_call(core::instant now);
+
+    claim_limits limits_;
+    lane_rules rules_;
+    concurrency::sharded<bucket_number, claim_lane> lanes_;
+    std::mutex pace_mutex_;
+    call_pace pace_;
+};
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/include/actions/claim_entry.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <actions/action_id.h>
+#include <actions/claim_nonce.h>
+#include <actions/wall_time.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace ej::actions {
+
+/// One bound action in a claim bucket.
+struct claim_entry {
+    action_id action;
+    std::uint32_t owner_index = 0; ///< Into the bucket's owners.
+    claim_nonce nonce;
+    wall_time expires;
+
+    friend auto operator<=>(const claim_entry&, const claim_entry&) = default;
+};
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/include/actions/claim_lane.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <actions/claim.h>
+#include <actions/claim_bucket.h>
+#include <actions/lane_phase.h>
+
+#include <core/revision.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace ej::actions {
+
+/// One daemon's claims on one bucket, and what it knows of the bucket.
+struct claim_lane {
+    lane_phase phase = lane_phase::idle;
+    std::vector<claim> waiting;
+    std::vector<claim> in_flight;      ///< Bound once the write under way is accepted.
+    std::optional<claim_bucket> known; ///< The store's value at `revision`, unless changed since.
+    core::revision revision;
+    core::revision highest_seen; ///< Of the bucket; the store never goes below it.
+    claim_bucket written;        ///< The value under way.
+    std::uint32_t failures = 0;  ///< Calls without an answer in a row.
+    std::uint32_t conflicts = 0; ///< Lost races in a row.
+
+    friend auto operator<=>(const claim_lane&, const claim_lane&) = default;
+};
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/include/actions/claim_nonce.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <core/number_hash.h>
+
+namespace ej::actions {
+
+/// Tells the claims of one daemon incarnation apart; from 1, 0 means none.
+using claim_nonce = core::number<struct claim_nonce_tag>;
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/include/actions/lane_effect.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <actions/claim_bucket.h>
+#include <actions/claim_verdict.h>
+#include <actions/lane_effect_kind.h>
+
+#include <core/instant.h>
+#include <core/revision.h>
+
+#include <compare>
+
+namespace ej::actions {
+
+/// Something to carry out for a claim bucket; `kind` says which members count.
+struct lane_effect {
+    lane_effect_kind kind = lane_effect_kind::read;
+    core::instant not_before;
+    claim_bucket bucket;
+    core::revision revision;
+    claim_verdict verdict;
+
+    friend auto operator<=>(const lane_effect&, const lane_effect&) = default;
+};
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/include/actions/verdict_kind.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace ej::actions {
+
+/// What became of a claim.
+enum class verdict_kind {
+    bound,    ///< Stands for the claimant.
+    conflict, ///< Another incarnation owns the action.
+    stale,    ///< An earlier claim of the same incarnation owns the action.
+    failed    ///< Given up; it may have taken effect.
+};
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/include/actions/waiter_id.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <core/number_hash.h>
+
+namespace ej::actions {
+
+/// Names one submission that waits for an outcome; unique in a daemon.
+using waiter_id = core::number<struct waiter_id_tag>;
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/src/claim_batcher.cpp
@@ -0,0 +1,42 @@
+#include <actions/claim_batcher.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ej::actions {
+
+claim_batcher::claim_batcher(const claim_limits& limits)
+    : limits_(limits), rules_(limits), pace_{limits.interval, limits.burst, {}}
+{
+}
+
+bucket_number claim_batcher::bucket_of(const action_id& action) const
+{
+    return bucket_number(action.high % limits_.buckets);
+}
+
+std::vector<lane_effect> claim_batcher::apply(bucket_number bucket, const lane_event& event,
+                                              core::instant now)
+{
+    auto effects = lanes_.with(bucket, [&](auto& lanes) {
+        claim_lane& lane = lanes[bucket];
+        lane_transition applied = rules_.apply(std::move(lane), event);
+        lane = std::move(applied.next);
+        return std::move(applied.effects);
+    });
+    for (lane_effect& effect : effects) {
+        if (effect.kind == lane_effect_kind::schedule) {
+            effect.not_before = reserve_call(now);
+        }
+    }
+    return effects;
+}
+
+core::instant claim_batcher::reserve_call(core::instant now)
+{
+    const std::scoped_lock lock(pace_mutex_);
+    pace_ = with_call(pace_, now);
+    return latest_call(pace_);
+}
+
+} // namespace ej::actions
--- /dev/null
+++ b/libs/actions/src/claim_merge.cpp
@@ -0,0 +1,68 @@
+#include <actions/claim_merge.h>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace ej::actions {
+
+namespace {
+
+// A claim that waited this long may have been preceded by one that has expired and gone: its
+// claimant was paused between arrival and claim. Both clocks may err by the skew.
+bool too_late(const claim& wanted, const claim_bucket& bucket, const claim_limits& limits)
+{
+    return bucket.clock >= wanted.arrived + limits.retention - 2 * limits.clock_skew;
+}
+
+claim_verdict standing(const claim& wanted, const claim_entry& entry, const claim_bucket& bucket)
+{
+    const owner& holder = bucket.owners.at(entry.owner_index);
+    if (holder.incarnation != wanted.claimant.incarnation) {
+        return {verdict_kind::conflict, wanted, holder, entry.nonce};
+    }
+    const bool mine = entry.nonce == wanted.nonce;
+    return {mine ? verdict_kind::bound : verdict_kind::stale, wanted, {}, {}};
+}
+
+std::uint32_t owner_index(claim_bucket& bucket, const owner& claimant)
+{
+    const auto found = std::ranges::find(bucket.owners, claimant);
+    const auto index = found - bucket.owners.begin();
+    if (found == bucket.owners.end()) {
+        bucket.owners.push_back(claimant);
+    }
+    return static_cast<std::uint32_t>(index);
+}
+
+void insert(claim_bucket& bucket, const claim& wanted, const claim_limits& limits)
+{
+    const claim_entry entry{wanted.action, owner_index(bucket, wanted.claimant), wanted.nonce,
+                            bucket.clock + limits.retention};
+    const auto place =
+        std::ranges::lower_bound(bucket.entries, wanted.action, {}, &claim_entry::action);
+    bucket.entries.insert(place, entry);
+}
+
+} // namespace
+
+claim_merge merge(const claim_bucket& bucket, const std::vector<claim>& claims, wall_time now,
+                  const claim_limits& limits)
+{
+    claim_merge merged{pruned(bucket, now), {}, {}};
+    for (const claim& wanted : claims) {
+        if (const auto* entry = find_entry(merged.next, wanted.action)) {
+            merged.verdicts.push_back(standing(wanted, *entry, merged.next));
+        }
+        else if (too_late(wanted, merged.next, limits) ||
+                 merged.next.entries.size() >= limits.max_entries) {
+            merged.verdicts.push_back({verdict_kind::failed, wanted, {}, {}});
+        }
+        else {
+            insert(merged.next, wanted, limits);
+            merged.added.push_back(wanted);
+        }
+    }
+    return merged;
+}
+
+} // namespace ej::actions
