Histories of failures over several daemons, a store and an application

Cause: orders of loss, repeat, delay, crash, pause, cut, outage and drain decide whether an action runs twice; single cases do not find them. Ruled out: expiry times in claims (a VM whose clock is behind writes claims that others drop at once; the generated histories found it) and the arrival time of a request as read (it may have lain in the socket of a paused daemon; found as well). Change: a daemon prunes a claim only when it has itself seen it for the whole retention; a claim is given up when its submission can have arrived too long ago, judged by the last tick but one.

--- a/libs/actions/include/actions/action_state.h
+++ b/libs/actions/include/actions/action_state.h
@@ -22,6 +22,7 @@
     core::instant deadline;               ///< Latest deadline of the waiting submissions.
     core::instant keep_until;             ///< The record may go then, once final.
     claim_nonce nonce;                    ///< Of the owner's claim; the same in every try.
+    waiter_id source;                     ///< The submission whose request is sent.
     core::attempt_number attempt;         ///< The attempt under way.
     std::vector<submission> waiting;      ///< In order of arrival.
     actions::owner owner;                 ///< For `foreign`.
--- a/libs/actions/include/actions/claim.h
+++ b/libs/actions/include/actions/claim.h
@@ -14,7 +14,7 @@
     action_id action;
     owner claimant;
     claim_nonce nonce;
-    wall_time arrived; ///< When the submission came to the claimant.
+    wall_time arrived; ///< The earliest that the submission can have come to the claimant.
 
     friend auto operator<=>(const claim&, const claim&) = default;
 };
--- a/libs/actions/include/actions/claim_batcher.h
+++ b/libs/actions/include/actions/claim_batcher.h
@@ -24,9 +24,8 @@
     /// The bucket that holds `action`; the same at every daemon with equal limits.
     [[nodiscard]] bucket_number bucket_of(const action_id& action) const;
 
-    /// Applies `event` to `bucket` at `now` and returns what to carry out.
-    [[nodiscard]] std::vector<lane_effect> apply(bucket_number bucket, const lane_event& event,
-                                                 core::instant now);
+    /// Applies `event` to `bucket` and returns what to carry out.
+    [[nodiscard]] std::vector<lane_effect> apply(bucket_number bucket, const lane_event& event);
 
 private:
     [[nodiscard]] core::instant reserve_call(core::instant now);
--- a/libs/actions/include/actions/claim_bucket.h
+++ b/libs/actions/include/actions/claim_bucket.h
@@ -4,6 +4,8 @@
 #include <actions/owner.h>
 #include <actions/wall_time.h>
 
+#include <core/instant.h>
+
 #include <compare>
 #include <vector>
 
@@ -11,7 +13,7 @@
 
 /// The claims that share one value in the platform's store.
 struct claim_bucket {
-    wall_time clock;                  ///< Latest time of any writer; never goes back.
+    wall_time clock;                  ///< Latest time known to any writer; never goes back.
     std::vector<owner> owners;        ///< Each once, in order.
     std::vector<claim_entry> entries; ///< One an action, in order of actions.
 
@@ -21,7 +23,16 @@
 /// The entry of `action`, or null.
 [[nodiscard]] const claim_entry* find_entry(const claim_bucket& bucket, const action_id& action);
 
-/// `bucket` at `now`: entries that have expired and owners without entries are gone.
-[[nodiscard]] claim_bucket pruned(const claim_bucket& bucket, wall_time now);
+/// Since when each entry of a bucket has been known to one daemon, on its monotonic clock.
+using sightings = std::vector<core::instant>;
+
+/// The sightings of `next` at `now`, by a daemon that has seen `bucket` since `seen`.
+[[nodiscard]] sightings seen_since(const claim_bucket& bucket, const sightings& seen,
+                                   const claim_bucket& next, core::instant now);
+
+/// `bucket` without the entries that have been seen since `oldest` or longer, and without owners
+/// that have no entry left.
+[[nodiscard]] claim_bucket pruned(const claim_bucket& bucket, const sightings& seen,
+                                  core::instant oldest);
 
 } // namespace ej::actions
--- a/libs/actions/include/actions/claim_entry.h
+++ b/libs/actions/include/actions/claim_entry.h
@@ -2,7 +2,6 @@
 
 #include <actions/action_id.h>
 #include <actions/claim_nonce.h>
-#include <actions/wall_time.h>
 
 #include <compare>
 #include <cstdint>
@@ -14,7 +13,6 @@
     action_id action;
     std::uint32_t owner_index = 0; ///< Into the bucket's owners.
     claim_nonce nonce;
-    wall_time expires;
 
     friend auto operator<=>(const claim_entry&, const claim_entry&) = default;
 };
--- a/libs/actions/include/actions/claim_lane.h
+++ b/libs/actions/include/actions/claim_lane.h
@@ -4,11 +4,11 @@
 #include <actions/claim_bucket.h>
 #include <actions/lane_phase.h>
 
+#include <core/instant.h>
 #include <core/revision.h>
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace ej::actions {
@@ -17,8 +17,11 @@
 struct claim_lane {
     lane_phase phase = lane_phase::idle;
     std::vector<claim> waiting;
-    std::vector<claim> in_flight;      ///< Bound once the write under way is accepted.
-    std::optional<claim_bucket> known; ///< The store's value at `revision`, unless changed since.
+    std::vector<claim> in_flight; ///< Bound once the write under way is accepted.
+    claim_bucket known;           ///< The store's value at `revision`.
+    sightings seen;               ///< Of the entries of `known`.
+    core::instant known_since;    ///< When `known` was read or written.
+    bool fresh = false;           ///< False when `known` may have been replaced in the store.
     core::revision revision;
     core::revision highest_seen; ///< Of the bucket; the store never goes below it.
     claim_bucket written;        ///< The value under way.
--- a/libs/actions/include/actions/claim_merge.h
+++ b/libs/actions/include/actions/claim_merge.h
@@ -19,8 +19,8 @@
     friend auto operator<=>(const claim_merge&, const claim_merge&) = default;
 };
 
-/// Adds `claims` to `bucket` at `now`.
+/// Adds `claims` to `bucket`, whose clock has been brought up to date.
 [[nodiscard]] claim_merge merge(const claim_bucket& bucket, const std::vector<claim>& claims,
-                                wall_time now, const claim_limits& limits);
+                                const claim_limits& limits);
 
 } // namespace ej::actions
--- a/libs/actions/include/actions/lane_rules.h
+++ b/libs/actions/include/actions/lane_rules.h
@@ -27,7 +27,7 @@
     [[nodiscard]] lane_transition conflict(claim_lane lane, const lane_event& event) const;
     [[nodiscard]] lane_transition fail(claim_lane lane, const lane_event& event) const;
 
-    [[nodiscard]] lane_transition write(claim_lane lane, wall_time now) const;
+    [[nodiscard]] lane_transition write(claim_lane lane, const lane_event& event) const;
 
     claim_limits limits_;
 };
--- a/libs/actions/src/action_rules.cpp
+++ b/libs/actions/src/action_rules.cpp
@@ -32,6 +32,7 @@
     next.keep_until = arrival.keep_until;
     if (arrival.origin == action_origin::ticket) {
         next.digest = arrival.digest;
+        next.source = arrival.waiter;
         return arrival.draining ? settled(std::move(next), action_phase::refused,
                                           not_run(core::refusal_reason::draining))
                                 : connecting(std::move(next));
@@ -99,6 +100,7 @@
         return current;
     }
     current.next.digest = current.next.waiting.front().digest;
+    current.next.source = current.next.waiting.front().waiter;
     const auto others =
         std::ranges::stable_partition(current.next.waiting, [&](const submission& waiting) {
             return waiting.digest == current.next.digest;
@@ -165,7 +167,7 @@
     }
     action_state next = state;
     next.phase = action_phase::sent;
-    return with(std::move(next), {{effect_kind::send, {}, {}, {}, {}, state.attempt}});
+    return with(std::move(next), {{effect_kind::send, state.source, {}, {}, {}, state.attempt}});
 }
 
 transition action_rules::retry(const action_state& state, const action_event& event) const
--- a/libs/actions/src/claim_batcher.cpp
+++ b/libs/actions/src/claim_batcher.cpp
@@ -15,8 +15,7 @@
     return bucket_number(action.high % limits_.buckets);
 }
 
-std::vector<lane_effect> claim_batcher::apply(bucket_number bucket, const lane_event& event,
-                                              core::instant now)
+std::vector<lane_effect> claim_batcher::apply(bucket_number bucket, const lane_event& event)
 {
     auto effects = lanes_.with(bucket, [&](auto& lanes) {
         claim_lane& lane = lanes[bucket];
@@ -26,7 +25,7 @@
     });
     for (lane_effect& effect : effects) {
         if (effect.kind == lane_effect_kind::schedule) {
-            effect.not_before = reserve_call(now);
+            effect.not_before = reserve_call(event.now);
         }
     }
     return effects;
--- a/libs/actions/src/claim_bucket.cpp
+++ b/libs/actions/src/claim_bucket.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <iterator>
 #include <limits>
 
 namespace ej::actions {
@@ -29,6 +28,13 @@
     }
 }
 
+bool same_claim(const claim_bucket& bucket, const claim_entry& entry,
+                const claim_bucket& other_bucket, const claim_entry& other)
+{
+    return entry.action == other.action && entry.nonce == other.nonce &&
+           bucket.owners.at(entry.owner_index) == other_bucket.owners.at(other.owner_index);
+}
+
 } // namespace
 
 const claim_entry* find_entry(const claim_bucket& bucket, const action_id& action)
@@ -37,12 +43,31 @@
     return found != bucket.entries.end() && found->action == action ? &*found : nullptr;
 }
 
-claim_bucket pruned(const claim_bucket& bucket, wall_time now)
+sightings seen_since(const claim_bucket& bucket, const sightings& seen, const claim_bucket& next,
+                     core::instant now)
+{
+    sightings result;
+    auto old = bucket.entries.begin();
+    for (const claim_entry& entry : next.entries) {
+        old = std::find_if(old, bucket.entries.end(), [&](const claim_entry& candidate) {
+            return candidate.action >= entry.action;
+        });
+        const bool known = old != bucket.entries.end() && same_claim(bucket, *old, next, entry);
+        result.push_back(known ? seen.at(static_cast<std::size_t>(old - bucket.entries.begin()))
+                               : now);
+    }
+    return result;
+}
+
+claim_bucket pruned(const claim_bucket& bucket, const sightings& seen, core::instant oldest)
 {
     claim_bucket next;
-    next.clock = std::max(bucket.clock, now);
-    std::ranges::copy_if(bucket.entries, std::back_inserter(next.entries),
-                         [&](const claim_entry& entry) { return entry.expires > next.clock; });
+    next.clock = bucket.clock;
+    for (std::size_t index = 0; index < bucket.entries.size(); ++index) {
+        if (seen.at(index) > oldest) {
+            next.entries.push_back(bucket.entries[index]);
+        }
+    }
     keep_used_owners(bucket.owners, next);
     return next;
 }
--- a/libs/actions/src/claim_merge.cpp
+++ b/libs/actions/src/claim_merge.cpp
@@ -7,11 +7,13 @@
 
 namespace {
 
-// A claim that waited this long may have been preceded by one that has expired and gone: its
-// claimant was paused between arrival and claim. Both clocks may err by the skew.
+// The key may have been claimed as early as the longest retry before this submission arrived. Once
+// a claim of that age can have been pruned, its absence proves nothing: the claimant was paused
+// between arrival and claim. Both clocks may err by the skew.
 bool too_late(const claim& wanted, const claim_bucket& bucket, const claim_limits& limits)
 {
-    return bucket.clock >= wanted.arrived + limits.retention - 2 * limits.clock_skew;
+    const auto patience = limits.retention - limits.longest_retry - 2 * limits.clock_skew;
+    return bucket.clock >= wanted.arrived + patience;
 }
 
 claim_verdict standing(const claim& wanted, const claim_entry& entry, const claim_bucket& bucket)
@@ -34,10 +36,9 @@
     return static_cast<std::uint32_t>(index);
 }
 
-void insert(claim_bucket& bucket, const claim& wanted, const claim_limits& limits)
+void insert(claim_bucket& bucket, const claim& wanted)
 {
-    const claim_entry entry{wanted.action, owner_index(bucket, wanted.claimant), wanted.nonce,
-                            bucket.clock + limits.retention};
+    const claim_entry entry{wanted.action, owner_index(bucket, wanted.claimant), wanted.nonce};
     const auto place =
         std::ranges::lower_bound(bucket.entries, wanted.action, {}, &claim_entry::action);
     bucket.entries.insert(place, entry);
@@ -45,10 +46,10 @@
 
 } // namespace
 
-claim_merge merge(const claim_bucket& bucket, const std::vector<claim>& claims, wall_time now,
+claim_merge merge(const claim_bucket& bucket, const std::vector<claim>& claims,
                   const claim_limits& limits)
 {
-    claim_merge merged{pruned(bucket, now), {}, {}};
+    claim_merge merged{bucket, {}, {}};
     for (const claim& wanted : claims) {
         if (const auto* entry = find_entry(merged.next, wanted.action)) {
             merged.verdicts.push_back(standing(wanted, *entry, merged.next));
@@ -58,7 +59,7 @@
             merged.verdicts.push_back({verdict_kind::failed, wanted, {}, {}});
         }
         else {
-            insert(merged.next, wanted, limits);
+            insert(merged.next, wanted);
             merged.added.push_back(wanted);
         }
     }
--- a/libs/actions/src/lane_rules.cpp
+++ b/libs/actions/src/lane_rules.cpp
@@ -23,6 +23,27 @@
      {&lane_rules::gather, &lane_rules::ignore, &lane_rules::ignore, &lane_rules::ignore,
       &lane_rules::accept, &lane_rules::conflict, &lane_rules::fail}}};
 
+namespace {
+
+// The lane that knows the store's value `bucket` since `event`.
+claim_lane known(claim_lane lane, claim_bucket bucket, const lane_event& event)
+{
+    lane.seen = seen_since(lane.known, lane.seen, bucket, event.now);
+    lane.known = std::move(bucket);
+    lane.known_since = event.now;
+    lane.revision = event.revision;
+    lane.fresh = true;
+    return lane;
+}
+
+// The bucket's clock, carried on by the monotonic clock: it holds when this VM's time is behind.
+wall_time clock_of(const claim_lane& lane, core::instant now)
+{
+    return lane.known.clock + std::chrono::floor<std::chrono::milliseconds>(now - lane.known_since);
+}
+
+} // namespace
+
 lane_transition lane_rules::apply(claim_lane lane, const lane_event& event) const
 {
     const auto handler = table::rows.at(static_cast<std::size_t>(lane.phase))
@@ -54,8 +75,8 @@
 
 lane_transition lane_rules::take_turn(claim_lane lane, const lane_event& event) const
 {
-    if (lane.known) {
-        return write(std::move(lane), event.at);
+    if (lane.fresh) {
+        return write(std::move(lane), event);
     }
     lane.phase = lane_phase::reading;
     return {std::move(lane), {lane_effect{}}};
@@ -67,15 +88,15 @@
     if (event.revision < lane.highest_seen) {
         return given_up(std::move(lane));
     }
-    lane.known = event.bucket;
-    lane.revision = event.revision;
     lane.highest_seen = event.revision;
-    return write(std::move(lane), event.at);
+    return write(known(std::move(lane), event.bucket, event), event);
 }
 
-lane_transition lane_rules::write(claim_lane lane, wall_time now) const
+lane_transition lane_rules::write(claim_lane lane, const lane_event& event) const
 {
-    claim_merge merged = merge(*lane.known, lane.waiting, now, limits_);
+    claim_bucket base = pruned(lane.known, lane.seen, event.now - limits_.retention);
+    base.clock = std::max(event.at, clock_of(lane, event.now));
+    claim_merge merged = merge(base, lane.waiting, limits_);
     std::vector<lane_effect> effects;
     std::ranges::transform(merged.verdicts, std::back_inserter(effects), settle);
     lane.waiting.clear();
@@ -100,8 +121,8 @@
         return settle({verdict_kind::bound, added, {}, {}});
     });
     lane.in_flight.clear();
-    lane.known = std::exchange(lane.written, {});
-    lane.revision = event.revision;
+    claim_bucket written = std::exchange(lane.written, {});
+    lane = known(std::move(lane), std::move(written), event);
     lane.highest_seen = std::max(lane.highest_seen, event.revision);
     lane.failures = 0;
     lane.conflicts = 0;
--- a/libs/actions/src/lane_steps.cpp
+++ b/libs/actions/src/lane_steps.cpp
@@ -27,7 +27,7 @@
 
 claim_lane recalled(claim_lane lane)
 {
-    lane.known.reset();
+    lane.fresh = false;
     lane.waiting.insert(lane.waiting.begin(), lane.in_flight.begin(), lane.in_flight.end());
     lane.in_flight.clear();
     return lane;
--- a/libs/actions/src/transitions.cpp
+++ b/libs/actions/src/transitions.cpp
@@ -51,7 +51,7 @@
 {
     state.phase = action_phase::connecting;
     state.attempt = state.attempt.next();
-    const action_effect connect{effect_kind::connect, {}, {}, {}, {}, state.attempt};
+    const action_effect connect{effect_kind::connect, state.source, {}, {}, {}, state.attempt};
     return with(std::move(state), {connect});
 }
 
--- /dev/null
+++ b/libs/actions/tests/naive_daemon.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "fleet_model.h"
+
+namespace ej::actions::model {
+
+/// Looks the key up in a shared set, then sends, and sends again when no answer comes.
+class naive_daemon : public daemon {
+public:
+    naive_daemon(fleet_model& fleet, int at) : fleet_(fleet), at_(at) {}
+
+    void submit(const request& wanted, std::optional<claim_nonce> forwarded,
+                const teller& tell) override;
+
+private:
+    void send(const request& wanted, const teller& tell, int tries);
+
+    fleet_model& fleet_;
+    int at_;
+};
+
+} // namespace ej::actions::model
