libs/config: accepted changes, how they spread, and how a submission ends

Cause: a configuration that is written whole or polled loses the change of one of two racing operators, calls a change refused whose answer was lost, and goes back with a platform that comes back with older data.

Ruled out: last writer wins; one key an object; every daemon watching the platform; the store's key revision as the configuration's revision (see docs/notes/config.md).

Seen red, then green again with the guard back: - "an accepted change is in force everywhere and never reverts, whatever is lost or cut": store writes without comparing ("a daemon applied what the store never held"); conflict after a lost answer taken as final and no search for the change's id ("a change reported as not made was made"); a silent watch not re-asked (agrees() false). Not caught by any test: clearing the mark of an unanswered write on a conflict; the search for the change's id covers it.

--- /dev/null
+++ b/libs/config/include/config/change_accepted.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <config/configuration.h>
+#include <config/stored_tail.h>
+
+namespace ej::config {
+
+/// A change submitted at this daemon was accepted.
+struct change_accepted {
+    configuration made;
+    stored_tail stored;
+
+    friend bool operator==(const change_accepted&, const change_accepted&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/change_submission.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <config/change.h>
+#include <config/configuration.h>
+#include <config/stored_tail.h>
+#include <config/submission_effect.h>
+#include <config/submission_event.h>
+#include <config/submission_limits.h>
+
+#include <core/revision.h>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace ej::config {
+
+/// Brings one change into the platform's log by compare-and-swap.
+///
+/// The driver carries out the effect returned and hands in what came of it, until
+/// `finish_submission`. Not thread-safe: one owner drives it.
+class change_submission {
+public:
+    /// `newest_known` is the highest revision heard of from any daemon; `seed` spreads the delays
+    /// of submitters that collide.
+    change_submission(change wanted, configuration in_force, core::revision newest_known,
+                      submission_limits limits, std::uint64_t seed);
+
+    /// The first effect.
+    [[nodiscard]] submission_effect start();
+
+    /// The next effect; none once finished.
+    [[nodiscard]] std::optional<submission_effect> handle(const submission_event& event);
+
+private:
+    using tail_rule = submission_effect (change_submission::*)();
+    using answer_rule = submission_effect (change_submission::*)(const write_answered&);
+
+    submission_effect on(const stored_tail& event);
+    submission_effect on(const stored_base& event);
+    submission_effect on(const write_answered& event);
+    submission_effect on(const fetch_failed& event);
+    submission_effect on(const deadline_passed& event);
+
+    submission_effect judge_log();
+    submission_effect continue_from_log();
+    submission_effect fetch_base();
+    submission_effect refuse_older();
+    submission_effect propose();
+
+    submission_effect accept_write(const write_answered& answer);
+    submission_effect resolve_conflict(const write_answered& answer);
+    submission_effect read_back(const write_answered& answer);
+
+    submission_effect read_again();
+    submission_effect finish(submission_outcome outcome, core::revision revision = {});
+    submission_effect finish_without_effect(submission_outcome outcome);
+    [[nodiscard]] std::optional<core::revision> revision_in_log() const;
+
+    change wanted_;
+    configuration seen_;
+    core::revision newest_known_;
+    submission_limits limits_;
+    std::mt19937_64 random_;
+    stored_tail stored_;
+    std::optional<core::revision> attempted_; ///< Revision of a write that may yet take effect.
+    core::revision attempted_key_;            ///< Key revision on which that write depends.
+    std::uint32_t reads_ = 0;
+    bool uncertain_ = false; ///< A write on `attempted_key_` had no answer.
+    bool finished_ = false;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/config_follower.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <config/configuration.h>
+#include <config/dissemination.h>
+#include <config/follower_effect.h>
+#include <config/follower_event.h>
+#include <config/follower_settings.h>
+#include <config/follower_status.h>
+#include <config/watch_schedule.h>
+
+#include <core/instant.h>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace ej::config {
+
+/// Keeps the newest accepted configuration in force at one daemon, from the platform's service or
+/// from peers, and passes it on. Never applies a lower revision, whatever the source.
+/// Not thread-safe.
+class config_follower {
+public:
+    config_follower(follower_settings settings, core::instant started, std::uint64_t seed);
+
+    /// What to do about `event`, in order.
+    [[nodiscard]] std::vector<follower_effect> handle(const follower_event& event,
+                                                      core::instant now);
+
+    /// When the next `tick` is due.
+    [[nodiscard]] core::instant next_wake() const;
+
+    /// The configuration in force; revision 0 until one is known.
+    [[nodiscard]] const configuration& in_force() const { return in_force_; }
+
+    /// How far this daemon is.
+    [[nodiscard]] follower_status status(core::instant now) const;
+
+private:
+    using log_rule = void (config_follower::*)(const tail& log, const core::vm_id& from);
+
+    void on(const members_changed& event);
+    void on(const watch_answered& event);
+    void on(const watch_failed& event);
+    void on(const stored_base& event);
+    void on(const peer_heard& event);
+    void on(const change_accepted& event);
+    void on(const tick& event);
+
+    void hear(const revision_digest& message, const core::vm_id& from);
+    void hear(const change_request& message, const core::vm_id& from);
+    void hear(const tail& message, const core::vm_id& from);
+    void hear(const configuration& message, const core::vm_id& from);
+
+    void judge_stored(const stored_tail& stored);
+    void advance(const tail& log, const core::vm_id& from);
+    void keep(const tail& log, const core::vm_id& from);
+    void fetch_base(const tail& log, const core::vm_id& from);
+    void request_changes(const tail& log, const core::vm_id& from);
+    void request_whole(const tail& log, const core::vm_id& from);
+
+    void adopt(const configuration& next, const tail& log);
+    void pass_on(core::revision before);
+    void note_contact(core::instant at);
+    void ask_if_due();
+    void send_digests();
+    void ask_peers();
+    void send(const core::vm_id& to, peer_message message);
+    [[nodiscard]] revision_digest digest() const;
+    [[nodiscard]] std::optional<core::duration> contact_age(core::instant now) const;
+    [[nodiscard]] bool may_be_ready() const;
+    [[nodiscard]] bool watches(core::instant now) const;
+    [[nodiscard]] std::optional<core::vm_id> pick(const std::vector<core::vm_id>& from);
+
+    follower_settings settings_;
+    core::instant started_;
+    std::mt19937_64 random_;
+    core::instant now_;
+    std::vector<follower_effect> effects_;
+
+    configuration in_force_;
+    tail recent_;
+    bool loaded_ = false; ///< `in_force_` is from the platform or a peer.
+    bool ready_ = false;  ///< Never false again: a daemon that lags still serves.
+
+    dissemination place_;
+    core::revision newest_known_;
+    bool heard_peer_ = false;
+    bool diverged_ = false;
+    core::instant next_digest_;
+
+    watch_schedule schedule_;
+    std::optional<stored_tail> pending_; ///< Waits for the snapshot.
+    std::optional<core::instant> contact_;
+    bool platform_behind_ = false;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/finish_snapshot_write.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <compare>
+
+namespace ej::config {
+
+/// The snapshot's write has ended.
+struct finish_snapshot_write {
+    bool complete = false; ///< Both snapshot and log are known to be written.
+
+    friend auto operator<=>(const finish_snapshot_write&, const finish_snapshot_write&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/follower_effect.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <config/apply_configuration.h>
+#include <config/read_base.h>
+#include <config/send_to_peer.h>
+#include <config/watch_tail.h>
+
+#include <variant>
+
+namespace ej::config {
+
+/// What a follower asks its driver to do.
+using follower_effect = std::variant<watch_tail, read_base, apply_configuration, send_to_peer>;
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/follower_event.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <config/change_accepted.h>
+#include <config/members_changed.h>
+#include <config/peer_heard.h>
+#include <config/stored_base.h>
+#include <config/tick.h>
+#include <config/watch_answered.h>
+#include <config/watch_failed.h>
+
+#include <variant>
+
+namespace ej::config {
+
+/// What the driver tells a follower.
+using follower_event = std::variant<members_changed, watch_answered, watch_failed, stored_base,
+                                    peer_heard, change_accepted, tick>;
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/history_digest.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <config/change_id.h>
+
+#include <core/number_hash.h>
+
+namespace ej::config {
+
+/// Hash over the ids of all changes up to a revision; equal for equal histories.
+using history_digest = core::number<struct history_digest_tag>;
+
+/// The digest after `id` has followed the history that `before` stands for.
+[[nodiscard]] history_digest extend(history_digest before, const change_id& id);
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/members_changed.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <config/member.h>
+
+#include <compare>
+#include <vector>
+
+namespace ej::config {
+
+/// The live daemons known now, in any order.
+struct members_changed {
+    std::vector<member> members;
+
+    friend auto operator<=>(const members_changed&, const members_changed&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/put_workspace.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <config/workspace.h>
+
+#include <compare>
+
+namespace ej::config {
+
+/// Creates a workspace or replaces it whole.
+struct put_workspace {
+    workspace value;
+
+    friend auto operator<=>(const put_workspace&, const put_workspace&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/read_base.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <compare>
+
+namespace ej::config {
+
+/// Read the snapshot.
+struct read_base {
+    friend auto operator<=>(const read_base&, const read_base&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/read_tail.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <compare>
+
+namespace ej::config {
+
+/// Read the log of changes.
+struct read_tail {
+    core::duration delay{}; ///< Time to wait before; >= 0.
+
+    friend auto operator<=>(const read_tail&, const read_tail&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/submission_effect.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <config/finish_submission.h>
+#include <config/read_base.h>
+#include <config/read_tail.h>
+#include <config/write_tail.h>
+
+#include <variant>
+
+namespace ej::config {
+
+/// What a submission asks its driver to do next.
+using submission_effect = std::variant<read_tail, read_base, write_tail, finish_submission>;
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/submission_event.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <config/deadline_passed.h>
+#include <config/fetch_failed.h>
+#include <config/stored_base.h>
+#include <config/stored_tail.h>
+#include <config/write_answered.h>
+
+#include <variant>
+
+namespace ej::config {
+
+/// What the driver tells a submission.
+using submission_event =
+    std::variant<stored_tail, stored_base, write_answered, fetch_failed, deadline_passed>;
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/watch_answered.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <config/stored_tail.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+
+namespace ej::config {
+
+/// The platform's answer to a `watch_tail`.
+struct watch_answered {
+    std::uint64_t ask = 0;
+    std::optional<stored_tail> stored; ///< None: unchanged.
+
+    friend auto operator<=>(const watch_answered&, const watch_answered&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/watch_failed.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace ej::config {
+
+/// A `watch_tail` was refused or had no answer in time.
+struct watch_failed {
+    std::uint64_t ask = 0;
+
+    friend auto operator<=>(const watch_failed&, const watch_failed&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/include/config/write_base.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <config/configuration.h>
+
+#include <core/revision.h>
+
+namespace ej::config {
+
+/// Replace the snapshot if its key still has `if_revision`.
+struct write_base {
+    core::revision if_revision; ///< 0: must be absent.
+    configuration snapshot;
+
+    friend bool operator==(const write_base&, const write_base&) = default;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/src/action_applier.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <config/action.h>
+#include <config/configuration.h>
+
+#include <core/revision.h>
+
+namespace ej::config {
+
+/// Makes one kind of action to a configuration; visits `action`.
+struct action_applier {
+    const configuration& before;
+    core::revision revision;
+    history_digest history;
+
+    configuration operator()(const put_class& what) const;
+    configuration operator()(const delete_class& what) const;
+    configuration operator()(const put_workspace& what) const;
+    configuration operator()(const delete_workspace& what) const;
+};
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/src/change_submission.cpp
@@ -0,0 +1,180 @@
+#include <config/change_submission.h>
+
+#include <config/apply.h>
+#include <config/catch_up.h>
+#include <config/validate.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace ej::config {
+
+change_submission::change_submission(change wanted, configuration in_force,
+                                     core::revision newest_known, submission_limits limits,
+                                     std::uint64_t seed)
+    : wanted_(std::move(wanted)), seen_(std::move(in_force)), newest_known_(newest_known),
+      limits_(limits), random_(seed)
+{
+}
+
+submission_effect change_submission::start()
+{
+    return read_tail{};
+}
+
+std::optional<submission_effect> change_submission::handle(const submission_event& event)
+{
+    if (finished_) {
+        return std::nullopt;
+    }
+    return std::visit([this](const auto& what) { return on(what); }, event);
+}
+
+submission_effect change_submission::on(const stored_tail& event)
+{
+    stored_ = event;
+    return judge_log();
+}
+
+submission_effect change_submission::on(const stored_base& event)
+{
+    if (event.snapshot.revision() > seen_.revision()) {
+        seen_ = event.snapshot;
+    }
+    // A log that still begins later was cut after it was read.
+    return compare(seen_, stored_.log) == catch_up_state::gap ? read_again() : judge_log();
+}
+
+submission_effect change_submission::on(const write_answered& event)
+{
+    static constexpr std::array<answer_rule, 3> rules{&change_submission::accept_write,
+                                                      &change_submission::resolve_conflict,
+                                                      &change_submission::read_back};
+    return (this->*rules.at(static_cast<std::size_t>(event.outcome)))(event);
+}
+
+submission_effect change_submission::on(const fetch_failed& /*event*/)
+{
+    return read_again();
+}
+
+submission_effect change_submission::on(const deadline_passed& /*event*/)
+{
+    return finish_without_effect(submission_outcome::unavailable);
+}
+
+submission_effect change_submission::judge_log()
+{
+    static constexpr std::array<tail_rule, 5> rules{
+        &change_submission::continue_from_log, &change_submission::continue_from_log,
+        &change_submission::refuse_older, &change_submission::fetch_base,
+        &change_submission::refuse_older};
+    return (this->*rules.at(static_cast<std::size_t>(compare(seen_, stored_.log))))();
+}
+
+submission_effect change_submission::fetch_base()
+{
+    return read_base{};
+}
+
+submission_effect change_submission::refuse_older()
+{
+    return finish_without_effect(submission_outcome::platform_behind);
+}
+
+submission_effect change_submission::continue_from_log()
+{
+    seen_ = catch_up(seen_, stored_.log);
+    if (const auto made = revision_in_log()) {
+        return finish(submission_outcome::accepted, *made);
+    }
+    if (stored_.log.last() < newest_known_) {
+        return refuse_older();
+    }
+    if (attempted_ && attempted_key_ != stored_.key_revision) {
+        // That write can no longer take effect. It did not, unless the log was cut past it.
+        if (stored_.log.after >= *attempted_) {
+            return finish(submission_outcome::unknown);
+        }
+        attempted_.reset();
+        uncertain_ = false;
+    }
+    return propose();
+}
+
+submission_effect change_submission::propose()
+{
+    const core::revision present = revision_of(seen_, wanted_.what);
+    if (present != wanted_.expected) {
+        return finish(submission_outcome::conflict, present);
+    }
+    if (!validate(seen_, wanted_).empty()) {
+        return finish(submission_outcome::invalid);
+    }
+    attempted_ = stored_.log.last().next();
+    attempted_key_ = stored_.key_revision;
+    return write_tail{stored_.key_revision, append(stored_.log, wanted_)};
+}
+
+submission_effect change_submission::accept_write(const write_answered& answer)
+{
+    stored_ = {answer.key_revision, append(stored_.log, wanted_)};
+    seen_ = catch_up(seen_, stored_.log);
+    return finish(submission_outcome::accepted, seen_.revision());
+}
+
+submission_effect change_submission::resolve_conflict(const write_answered& /*answer*/)
+{
+    // After an unanswered write of the same log, the conflict may be with that very write.
+    if (!uncertain_) {
+        attempted_.reset();
+    }
+    return read_again();
+}
+
+submission_effect change_submission::read_back(const write_answered& /*answer*/)
+{
+    uncertain_ = true;
+    return read_again();
+}
+
+submission_effect change_submission::read_again()
+{
+    if (++reads_ >= limits_.max_attempts) {
+        return finish_without_effect(submission_outcome::unavailable);
+    }
+    constexpr std::uint32_t max_doublings = 16;
+    const auto ceiling =
+        std::min(limits_.max_delay, limits_.first_delay * (1U << std::min(reads_, max_doublings)));
+    std::uniform_int_distribution<core::duration::rep> spread(ceiling.count() / 2, ceiling.count());
+    return read_tail{core::duration(spread(random_))};
+}
+
+submission_effect change_submission::finish(submission_outcome outcome, core::revision revision)
+{
+    finished_ = true;
+    submission_result result{outcome, revision, {}, seen_, {}};
+    if (outcome == submission_outcome::invalid) {
+        result.faults = validate(seen_, wanted_);
+    }
+    if (outcome == submission_outcome::accepted) {
+        result.stored = stored_;
+    }
+    return finish_submission{std::move(result)};
+}
+
+submission_effect change_submission::finish_without_effect(submission_outcome outcome)
+{
+    return finish(attempted_ ? submission_outcome::unknown : outcome);
+}
+
+std::optional<core::revision> change_submission::revision_in_log() const
+{
+    const auto& changes = stored_.log.changes;
+    const auto found = std::ranges::find(
+        changes, wanted_.id, [](const committed_change& entry) { return entry.made.id; });
+    return found == changes.end() ? std::nullopt : std::optional(found->revision);
+}
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/src/config_follower.cpp
@@ -0,0 +1,291 @@
+#include <config/config_follower.h>
+
+#include <config/catch_up.h>
+#include <config/recent_changes.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace ej::config {
+
+config_follower::config_follower(follower_settings settings, core::instant started,
+                                 std::uint64_t seed)
+    : settings_(std::move(settings)), started_(started), random_(seed), now_(started),
+      place_(place_in_tree(settings_.self, {}, settings_.watchers, settings_.fanout)),
+      next_digest_(started), schedule_(settings_, started)
+{
+}
+
+std::vector<follower_effect> config_follower::handle(const follower_event& event, core::instant now)
+{
+    now_ = std::max(now_, now);
+    std::visit([this](const auto& what) { on(what); }, event);
+    ask_if_due();
+    ready_ = ready_ || may_be_ready();
+    return std::exchange(effects_, {});
+}
+
+core::instant config_follower::next_wake() const
+{
+    return watches(now_) ? std::min(next_digest_, schedule_.due()) : next_digest_;
+}
+
+void config_follower::on(const members_changed& event)
+{
+    place_ = place_in_tree(settings_.self, event.members, settings_.watchers, settings_.fanout);
+}
+
+void config_follower::on(const watch_answered& event)
+{
+    note_contact(now_);
+    schedule_.answered(event.ask, now_);
+    if (event.stored) {
+        judge_stored(*event.stored);
+    }
+}
+
+void config_follower::on(const watch_failed& event)
+{
+    schedule_.failed(event.ask, now_);
+}
+
+void config_follower::on(const stored_base& event)
+{
+    note_contact(now_);
+    if (!pending_) {
+        return;
+    }
+    const stored_tail stored = *std::exchange(pending_, std::nullopt);
+    const configuration newest = catch_up(event.snapshot, stored.log);
+    schedule_.followed(stored.key_revision);
+    schedule_.snapshot_arrived(now_);
+    if (newest.revision() <= in_force_.revision()) {
+        platform_behind_ = true;
+        return;
+    }
+    platform_behind_ = false;
+    adopt(newest, stored.log);
+}
+
+void config_follower::on(const peer_heard& event)
+{
+    heard_peer_ = true;
+    std::visit([&](const auto& message) { hear(message, event.from); }, event.message);
+}
+
+void config_follower::on(const change_accepted& event)
+{
+    note_contact(now_);
+    if (event.made.revision() > in_force_.revision()) {
+        adopt(event.made, event.stored.log);
+    }
+}
+
+void config_follower::on(const tick& /*event*/)
+{
+    if (now_ >= next_digest_) {
+        loaded_ ? send_digests() : ask_peers();
+        next_digest_ = now_ + settings_.digest_interval;
+    }
+}
+
+void config_follower::judge_stored(const stored_tail& stored)
+{
+    static constexpr std::array<log_rule, 5> rules{
+        &config_follower::advance, &config_follower::keep, &config_follower::keep,
+        &config_follower::fetch_base, &config_follower::fetch_base};
+    const catch_up_state state = compare(in_force_, stored.log);
+    pending_ = stored;
+    (this->*rules.at(static_cast<std::size_t>(state)))(stored.log, {});
+    if (state == catch_up_state::gap || state == catch_up_state::diverged) {
+        // Asked again only after the snapshot came, or when that takes too long.
+        schedule_.await_snapshot(now_);
+        return;
+    }
+    pending_.reset();
+    platform_behind_ = state == catch_up_state::older;
+    schedule_.followed(stored.key_revision);
+    loaded_ = true;
+}
+
+void config_follower::hear(const revision_digest& message, const core::vm_id& from)
+{
+    newest_known_ = std::max(newest_known_, message.revision);
+    if (message.contact_age) {
+        note_contact(now_ - *message.contact_age);
+    }
+    if (message.revision > in_force_.revision()) {
+        send(from, change_request{in_force_.revision()});
+    }
+    if (message.revision < in_force_.revision()) {
+        send(from, digest());
+    }
+    const bool same_length = loaded_ && message.revision == in_force_.revision();
+    diverged_ = diverged_ || (same_length && message.history != in_force_.history());
+}
+
+void config_follower::hear(const change_request& message, const core::vm_id& from)
+{
+    if (!loaded_) {
+        return;
+    }
+    const bool covered = message.after >= recent_.after && message.after <= recent_.last();
+    if (message.whole || !covered) {
+        send(from, in_force_);
+        return;
+    }
+    send(from, since(recent_, message.after));
+}
+
+void config_follower::hear(const tail& message, const core::vm_id& from)
+{
+    static constexpr std::array<log_rule, 5> rules{
+        &config_follower::advance, &config_follower::keep, &config_follower::keep,
+        &config_follower::request_changes, &config_follower::request_whole};
+    newest_known_ = std::max(newest_known_, message.last());
+    const catch_up_state state = compare(in_force_, message);
+    (this->*rules.at(static_cast<std::size_t>(state)))(message, from);
+    loaded_ = loaded_ || state == catch_up_state::same;
+}
+
+void config_follower::hear(const configuration& message, const core::vm_id& /*from*/)
+{
+    newest_known_ = std::max(newest_known_, message.revision());
+    loaded_ = true;
+    if (message.revision() > in_force_.revision()) {
+        adopt(message, {message.revision(), message.history(), {}});
+    }
+}
+
+void config_follower::advance(const tail& log, const core::vm_id& /*from*/)
+{
+    adopt(catch_up(in_force_, log), log);
+}
+
+void config_follower::keep(const tail& /*log*/, const core::vm_id& /*from*/) {}
+
+void config_follower::fetch_base(const tail& /*log*/, const core::vm_id& /*from*/)
+{
+    effects_.emplace_back(read_base{});
+}
+
+void config_follower::request_changes(const tail& /*log*/, const core::vm_id& from)
+{
+    send(from, change_request{in_force_.revision()});
+}
+
+void config_follower::request_whole(const tail& log, const core::vm_id& from)
+{
+    diverged_ = true;
+    if (log.last() > in_force_.revision()) {
+        send(from, change_request{in_force_.revision(), true});
+    }
+}
+
+void config_follower::adopt(const configuration& next, const tail& log)
+{
+    const core::revision before = in_force_.revision();
+    in_force_ = next;
+    loaded_ = true;
+    newest_known_ = std::max(newest_known_, next.revision());
+    recent_ = merge(recent_, log, settings_.recent_changes);
+    if (recent_.last() != next.revision()) {
+        recent_ = {next.revision(), next.history(), {}};
+    }
+    effects_.emplace_back(apply_configuration{next});
+    pass_on(before);
+}
+
+void config_follower::pass_on(core::revision before)
+{
+    const bool covered = before >= recent_.after;
+    const peer_message news =
+        covered ? peer_message(since(recent_, before)) : peer_message(digest());
+    std::ranges::for_each(place_.children, [&](const auto& child) { send(child, news); });
+    std::ranges::for_each(place_.roots, [&](const auto& root) { send(root, news); });
+}
+
+void config_follower::note_contact(core::instant at)
+{
+    contact_ = contact_ ? std::max(*contact_, at) : at;
+}
+
+void config_follower::ask_if_due()
+{
+    if (now_ >= schedule_.due() && watches(now_)) {
+        effects_.emplace_back(schedule_.ask(now_));
+    }
+}
+
+void config_follower::send_digests()
+{
+    std::ranges::for_each(place_.children, [&](const auto& child) { send(child, digest()); });
+    const bool far = !place_.remote_peers.empty() && (random_() % 2 == 0);
+    if (const auto other = pick(far ? place_.remote_peers : place_.domain_peers)) {
+        send(*other, digest());
+    }
+}
+
+// A daemon without a configuration sends no digest: revision 0 would pass for an empty platform.
+void config_follower::ask_peers()
+{
+    std::ranges::for_each(place_.roots, [&](const auto& root) { send(root, change_request{}); });
+    if (const auto other = pick(random_() % 2 == 0 ? place_.remote_peers : place_.domain_peers)) {
+        send(*other, change_request{});
+    }
+}
+
+void config_follower::send(const core::vm_id& to, peer_message message)
+{
+    effects_.emplace_back(send_to_peer{to, std::move(message)});
+}
+
+revision_digest config_follower::digest() const
+{
+    return {in_force_.revision(), in_force_.history(), contact_age(now_)};
+}
+
+std::optional<core::duration> config_follower::contact_age(core::instant now) const
+{
+    return contact_ ? std::optional<core::duration>(now - *contact_) : std::nullopt;
+}
+
+// The platform may have come back with older data while this daemon was away; peers would know.
+bool config_follower::may_be_ready() const
+{
+    const bool alone = place_.domain_peers.empty() && place_.remote_peers.empty();
+    const bool peers_had_time = heard_peer_ || alone || now_ - started_ >= settings_.peer_grace;
+    return loaded_ && peers_had_time && in_force_.revision() >= newest_known_;
+}
+
+bool config_follower::watches(core::instant now) const
+{
+    const core::duration silent = now - contact_.value_or(started_);
+    const auto further = static_cast<std::uint64_t>(silent / settings_.takeover_after);
+    const auto limit =
+        std::min<std::uint64_t>(settings_.watchers + further, settings_.max_watchers);
+    return place_.rank < limit;
+}
+
+std::optional<core::vm_id> config_follower::pick(const std::vector<core::vm_id>& from)
+{
+    return from.empty() ? std::nullopt : std::optional(from[random_() % from.size()]);
+}
+
+follower_status config_follower::status(core::instant now) const
+{
+    const core::duration silent = now - contact_.value_or(started_);
+    follower_status status;
+    status.in_force = in_force_.revision();
+    status.newest_known = newest_known_;
+    status.contact_age = contact_age(now);
+    status.ready = ready_;
+    status.watching = watches(now);
+    status.behind = in_force_.revision() < newest_known_ || silent >= settings_.behind_after;
+    status.platform_behind = platform_behind_;
+    status.diverged = diverged_;
+    return status;
+}
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/src/watch_schedule.cpp
@@ -0,0 +1,52 @@
+#include <config/watch_schedule.h>
+
+namespace ej::config {
+
+watch_schedule::watch_schedule(const follower_settings& settings, core::instant started)
+    : silence_bound_(settings.silence_bound), retry_delay_(settings.retry_delay),
+      verify_interval_(settings.verify_interval), due_(started), verify_due_(started)
+{
+}
+
+watch_tail watch_schedule::ask(core::instant now)
+{
+    due_ = now + silence_bound_;
+    // A store that went back never exceeds the key revision already followed; only a plain read
+    // shows it.
+    if (now < verify_due_) {
+        return {++ask_, followed_key_};
+    }
+    verify_due_ = now + verify_interval_;
+    return {++ask_, core::revision()};
+}
+
+void watch_schedule::answered(std::uint64_t ask, core::instant now)
+{
+    if (ask == ask_) {
+        due_ = now;
+    }
+}
+
+void watch_schedule::failed(std::uint64_t ask, core::instant now)
+{
+    if (ask == ask_) {
+        due_ = now + retry_delay_;
+    }
+}
+
+void watch_schedule::await_snapshot(core::instant now)
+{
+    due_ = now + silence_bound_;
+}
+
+void watch_schedule::snapshot_arrived(core::instant now)
+{
+    due_ = now;
+}
+
+void watch_schedule::followed(core::revision key)
+{
+    followed_key_ = key;
+}
+
+} // namespace ej::config
--- /dev/null
+++ b/libs/config/tests/store_model.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <config/stored_base.h>
+#include <config/stored_tail.h>
+#include <config/write_answered.h>
+#include <config/write_base.h>
+#include <config/write_tail.h>
+
+#include <vector>
+
+namespace ej::config {
+
+/// The platform's service and, beside it, the plain list of all changes that it took.
+class store_model {
+public:
+    struct state {
+        stored_tail log;
+        stored_base base;
+    };
+
+    write_answered write(const write_tail& wanted);
+    write_answered write(const write_base& wanted);
+    void rewind(std::size_t changes);
+
+    [[nodiscard]] const stored_tail& log() const { return now_.log; }
+    [[nodiscard]] const stored_base& base() const { return now_.base; }
+    /// Every change ever taken, in order: the naive version of the configuration's history.
+    [[nodiscard]] const std::vector<change>& taken() const { return taken_; }
+
+private:
+    void record(const tail& log);
+
+    state now_;
+    std::vector<state> past_;
+    std::uint64_t counter_ = 0;
+    std::vector<change> taken_;
+};
+
+/// The naive configuration: plain maps, changes made one after the other.
+[[nodiscard]] configuration fold(const std::vector<change>& changes, std::size_t count);
+
+} // namespace ej::config
