libs/config_wire: configuration as JSON for the store and operators, as CBOR for peers

Cause: decisions know no encoding; store, operators and peers each need one. Ruled out: a text format of its own; a second set of types for the wire. Change: one set of conversions to and from JSON values that collects every fault with its place; CBOR is the same values in binary. An unknown kind of change is refused, as skipping it would let a daemon go on with another configuration than the rest.

--- /dev/null
+++ b/libs/config_wire/include/config_wire/peer_codec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <config/peer_message.h>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace ej::config_wire {
+
+/// A message between daemons as CBOR.
+[[nodiscard]] std::string encode_peer_message(const config::peer_message& message);
+
+/// Reads what `encode_peer_message` wrote; unknown fields are skipped. Error: InvalidArgument,
+/// every fault with its place.
+[[nodiscard]] absl::StatusOr<config::peer_message> parse_peer_message(std::string_view bytes);
+
+} // namespace ej::config_wire
--- /dev/null
+++ b/libs/config_wire/src/action_to_json.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "json.h"
+#include "object_json.h"
+
+#include <config/action.h>
+
+namespace ej::config_wire {
+
+/// Writes one kind of action as the JSON field that names it; visits `config::action`.
+struct action_to_json {
+    json& target;
+
+    void operator()(const config::put_class& what) const
+    {
+        target["put_class"] = class_to_json(what.value);
+    }
+    void operator()(const config::delete_class& what) const
+    {
+        target["delete_class"] = what.name.text();
+    }
+    void operator()(const config::put_workspace& what) const
+    {
+        target["put_workspace"] = workspace_to_json(what.value);
+    }
+    void operator()(const config::delete_workspace& what) const
+    {
+        target["delete_workspace"] = what.name.text();
+    }
+};
+
+} // namespace ej::config_wire
--- /dev/null
+++ b/libs/config_wire/src/json.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+namespace ej::config_wire {
+
+using json = nlohmann::json;
+
+} // namespace ej::config_wire
--- /dev/null
+++ b/libs/config_wire/src/store_codec.cpp
@@ -0,0 +1,28 @@
+#include <config_wire/store_codec.h>
+
+#include "change_json.h"
+#include "parse.h"
+
+namespace ej::config_wire {
+
+std::string encode_tail(const config::tail& log)
+{
+    return tail_to_json(log).dump();
+}
+
+absl::StatusOr<config::tail> parse_tail(std::string_view text)
+{
+    return parse_text(text, tail_from_json);
+}
+
+std::string encode_configuration(const config::configuration& value)
+{
+    return configuration_to_json(value).dump();
+}
+
+absl::StatusOr<config::configuration> parse_configuration(std::string_view text)
+{
+    return parse_text(text, configuration_from_json);
+}
+
+} // namespace ej::config_wire
