--- /dev/null
+++ b/libs/platform/include/platform/vm_record.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <platform/vm_role.h>
+
+#include <core/endpoint.h>
+#include <core/vm_id.h>
+
+#include <compare>
+
+namespace ej::platform {
+
+/// A VM as the platform's lagging list shows it.
+struct vm_record {
+    core::vm_id vm;
+    vm_role role = vm_role::other;
+    core::endpoint what; ///< For a daemon its address, domain and incarnation alone.
+    bool leaving = false;
+
+    friend auto operator<=>(const vm_record&, const vm_record&) = default;
+};
+
+} // namespace ej::platform
