Fair shares between workspaces: start-time fair queueing per class

Cause: one workspace that sends 1,000 requests in a burst kept a second one from any of the next 100 places when requests go in order of arrival (test "a flood in one workspace leaves another its half").

Ruled out: fixed slots per workspace, which leave an idle share unused.

Change: fairness::fair_queue orders workspaces by a share_policy; max_min_share serves who has had least work. Time spent idle earns no credit. push, pop, cancel and put_back cost O(log n). lateness_share (fairness on the outcome) and arrival_order stay as strategies for the measurement.

Seen red first: the same test with arrival_order gave 0 of 100 places in place of 50.

Conclusion: same order as a whole search in every generated history.

--- /dev/null
+++ b/libs/fairness/include/fairness/arrival_order.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <fairness/share_policy.h>
+
+namespace ej::fairness {
+
+/// Serves the oldest request, whosever it is.
+class arrival_order final : public share_policy {
+public:
+    [[nodiscard]] double rank(const flow_usage& usage, const claim& head) const override;
+};
+
+} // namespace ej::fairness
--- /dev/null
+++ b/libs/fairness/include/fairness/fair_queue.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <fairness/backlog.h>
+#include <fairness/claim.h>
+#include <fairness/flow.h>
+#include <fairness/position.h>
+#include <fairness/share_policy.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace ej::fairness {
+
+/// Requests that wait, shared out between workspaces by a policy. A workspace alone gets all; one
+/// that comes back from idleness gets its share at once and no more. Each call costs O(log n).
+/// Not thread-safe.
+class fair_queue {
+public:
+    explicit fair_queue(std::shared_ptr<const share_policy> policy);
+
+    /// Adds a request whose id does not wait yet.
+    void push(const claim& added);
+
+    /// Takes the next request out and charges its workspace.
+    std::optional<claim> pop();
+
+    /// Undoes `pop` of `taken`.
+    void put_back(const claim& taken);
+
+    /// Takes a request out without a charge; empty if it does not wait.
+    std::optional<claim> cancel(const core::request_id& request);
+
+    /// Takes out the newest request of the workspace with the most waiting.
+    std::optional<claim> take_newest_of_longest();
+
+    /// Notes that a request of `workspace` took `lateness` parts of its target.
+    void note_lateness(const core::workspace_id& workspace, double lateness);
+
+    /// The request that `pop` would return.
+    [[nodiscard]] const claim* next() const;
+
+    [[nodiscard]] backlog waiting() const { return {where_.size(), work_}; }
+    [[nodiscard]] backlog waiting_of(const core::workspace_id& workspace) const;
+
+    /// Number of workspaces with requests that wait.
+    [[nodiscard]] std::size_t workspaces() const { return order_.size(); }
+
+    /// Arrival of the oldest request that waits.
+    [[nodiscard]] std::optional<core::instant> oldest() const;
+
+private:
+    void insert(flow& owner, const claim& added, std::int64_t sequence);
+    claim extract(const position& at);
+    void leave_order(const core::workspace_id& workspace, const flow& owner);
+    void join_order(const core::workspace_id& workspace, flow& owner);
+    void forget_idle();
+
+    std::shared_ptr<const share_policy> policy_;
+    std::unordered_map<core::workspace_id, flow> flows_;
+    std::unordered_map<core::request_id, position> where_;
+    std::set<std::pair<double, core::workspace_id>> order_;
+    std::set<std::pair<std::size_t, core::workspace_id>> lengths_;
+    std::set<std::pair<core::instant, std::int64_t>> arrivals_;
+    double work_ = 0;
+    double virtual_time_ = 0;
+    std::int64_t last_sequence_ = 0;
+    std::int64_t first_sequence_ = 0;
+};
+
+} // namespace ej::fairness
--- /dev/null
+++ b/libs/fairness/src/fair_queue.cpp
@@ -0,0 +1,155 @@
+#include <fairness/fair_queue.h>
+
+#include <algorithm>
+
+namespace ej::fairness {
+
+namespace {
+
+constexpr double lateness_weight = 0.2;
+constexpr std::size_t idle_flows_kept = 4'096;
+
+} // namespace
+
+fair_queue::fair_queue(std::shared_ptr<const share_policy> policy) : policy_(std::move(policy)) {}
+
+void fair_queue::push(const claim& added)
+{
+    flow& owner = flows_[added.workspace];
+    if (owner.waiting.empty()) {
+        // Time spent idle earns no credit against those who used the share meanwhile.
+        owner.usage.start_tag = std::max(owner.usage.start_tag, virtual_time_);
+    }
+    insert(owner, added, ++last_sequence_);
+    if (flows_.size() > 2 * (order_.size() + idle_flows_kept)) {
+        forget_idle();
+    }
+}
+
+std::optional<claim> fair_queue::pop()
+{
+    if (order_.empty()) {
+        return std::nullopt;
+    }
+    const core::workspace_id workspace = order_.begin()->second;
+    flow& owner = flows_.at(workspace);
+    virtual_time_ = std::max(virtual_time_, owner.usage.start_tag);
+    claim taken = extract({workspace, owner.waiting.begin()->first});
+    leave_order(workspace, owner);
+    owner.usage.start_tag += taken.work;
+    join_order(workspace, owner);
+    return taken;
+}
+
+void fair_queue::put_back(const claim& taken)
+{
+    flow& owner = flows_[taken.workspace];
+    leave_order(taken.workspace, owner);
+    owner.usage.start_tag -= taken.work;
+    join_order(taken.workspace, owner);
+    insert(owner, taken, --first_sequence_);
+}
+
+std::optional<claim> fair_queue::cancel(const core::request_id& request)
+{
+    const auto found = where_.find(request);
+    if (found == where_.end()) {
+        return std::nullopt;
+    }
+    const position at = found->second;
+    return extract(at);
+}
+
+std::optional<claim> fair_queue::take_newest_of_longest()
+{
+    if (lengths_.empty()) {
+        return std::nullopt;
+    }
+    const core::workspace_id workspace = lengths_.rbegin()->second;
+    return extract({workspace, flows_.at(workspace).waiting.rbegin()->first});
+}
+
+void fair_queue::note_lateness(const core::workspace_id& workspace, double lateness)
+{
+    flow& owner = flows_[workspace];
+    leave_order(workspace, owner);
+    owner.usage.lateness += lateness_weight * (lateness - owner.usage.lateness);
+    join_order(workspace, owner);
+}
+
+const claim* fair_queue::next() const
+{
+    if (order_.empty()) {
+        return nullptr;
+    }
+    return &flows_.at(order_.begin()->second).waiting.begin()->second;
+}
+
+backlog fair_queue::waiting_of(const core::workspace_id& workspace) const
+{
+    const auto found = flows_.find(workspace);
+    if (found == flows_.end()) {
+        return {};
+    }
+    return {found->second.waiting.size(), found->second.work};
+}
+
+std::optional<core::instant> fair_queue::oldest() const
+{
+    if (arrivals_.empty()) {
+        return std::nullopt;
+    }
+    return arrivals_.begin()->first;
+}
+
+void fair_queue::insert(flow& owner, const claim& added, std::int64_t sequence)
+{
+    leave_order(added.workspace, owner);
+    owner.waiting.emplace(sequence, added);
+    owner.work += added.work;
+    join_order(added.workspace, owner);
+    where_.emplace(added.request, position{added.workspace, sequence});
+    arrivals_.emplace(added.arrived, sequence);
+    work_ += added.work;
+}
+
+claim fair_queue::extract(const position& at)
+{
+    flow& owner = flows_.at(at.workspace);
+    leave_order(at.workspace, owner);
+    claim taken = owner.waiting.extract(at.sequence).mapped();
+    owner.work = owner.waiting.empty() ? 0 : owner.work - taken.work;
+    join_order(at.workspace, owner);
+    where_.erase(taken.request);
+    arrivals_.erase({taken.arrived, at.sequence});
+    // An exact zero when nothing waits keeps rounding errors from adding up.
+    work_ = where_.empty() ? 0 : work_ - taken.work;
+    return taken;
+}
+
+void fair_queue::leave_order(const core::workspace_id& workspace, const flow& owner)
+{
+    if (!owner.waiting.empty()) {
+        order_.erase({owner.rank, workspace});
+        lengths_.erase({owner.waiting.size(), workspace});
+    }
+}
+
+void fair_queue::join_order(const core::workspace_id& workspace, flow& owner)
+{
+    if (!owner.waiting.empty()) {
+        owner.rank = policy_->rank(owner.usage, owner.waiting.begin()->second);
+        order_.emplace(owner.rank, workspace);
+        lengths_.emplace(owner.waiting.size(), workspace);
+    }
+}
+
+// An idle workspace whose tag has been passed starts afresh at the virtual time anyway.
+void fair_queue::forget_idle()
+{
+    std::erase_if(flows_, [&](const auto& entry) {
+        return entry.second.waiting.empty() && entry.second.usage.start_tag <= virtual_time_;
+    });
+}
+
+} // namespace ej::fairness
--- /dev/null
+++ b/libs/fairness/src/max_min_share.cpp
@@ -0,0 +1,10 @@
+#include <fairness/max_min_share.h>
+
+namespace ej::fairness {
+
+double max_min_share::rank(const flow_usage& usage, const claim&) const
+{
+    return usage.start_tag;
+}
+
+} // namespace ej::fairness
--- /dev/null
+++ b/libs/fairness/tests/naive_fair_queue.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <fairness/claim.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace ej::fairness {
+
+/// Max-min shares with a list and a whole search for each question.
+struct naive_fair_queue {
+    std::vector<claim> waiting;
+    std::map<core::workspace_id, double> tags;
+    double virtual_time = 0;
+
+    [[nodiscard]] bool waits(const core::workspace_id& workspace) const
+    {
+        return std::ranges::count(waiting, workspace, &claim::workspace) > 0;
+    }
+
+    void push(const claim& added)
+    {
+        if (!waits(added.workspace)) {
+            tags[added.workspace] = std::max(tags[added.workspace], virtual_time);
+        }
+        waiting.push_back(added);
+    }
+
+    std::optional<claim> pop()
+    {
+        if (waiting.empty()) {
+            return std::nullopt;
+        }
+        const auto key = [&](const claim& one) {
+            return std::pair(tags[one.workspace], one.workspace);
+        };
+        const auto first = std::ranges::min_element(waiting, {}, key);
+        claim taken(*first);
+        virtual_time = std::max(virtual_time, tags[taken.workspace]);
+        tags[taken.workspace] += taken.work;
+        waiting.erase(first);
+        return taken;
+    }
+
+    void put_back(const claim& taken)
+    {
+        tags[taken.workspace] -= taken.work;
+        waiting.insert(waiting.begin(), taken);
+    }
+
+    void cancel(const core::request_id& request)
+    {
+        std::erase_if(waiting, [&](const claim& one) { return one.request == request; });
+    }
+};
+
+} // namespace ej::fairness
