Admission: predicted finish, refusal at once, drops of what is too late

Ruled out: a refusal by the whole queue's length alone, which lets one workspace fill it for all.

Conclusion: predicted_finish grants none too late; agrees with a plain list.

--- /dev/null
+++ b/libs/admission/include/admission/admission_policy.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <admission/capacity.h>
+#include <admission/queue_state.h>
+#include <admission/refusal.h>
+
+#include <core/instant.h>
+#include <fairness/claim.h>
+
+#include <optional>
+
+namespace ej::admission {
+
+/// Decides what may wait. Stateless and thread-safe.
+class admission_policy {
+public:
+    virtual ~admission_policy() = default;
+
+    /// Why `asked` may not wait; empty if it may.
+    [[nodiscard]] virtual std::optional<refusal> refuse(const fairness::claim& asked,
+                                                        const queue_state& queue,
+                                                        const capacity& capacity,
+                                                        core::instant now) const = 0;
+
+    /// True if `waiting` can no longer meet its target, so that running it is a waste.
+    [[nodiscard]] virtual bool too_late(const fairness::claim& waiting, const capacity& capacity,
+                                        core::instant now) const = 0;
+};
+
+} // namespace ej::admission
--- /dev/null
+++ b/libs/admission/include/admission/class_standing.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/instant.h>
+#include <core/work_class.h>
+
+#include <compare>
+
+namespace ej::admission {
+
+/// A class with requests that wait, as the order among classes sees it.
+struct class_standing {
+    core::work_class work_class;
+    core::instant latest_start; ///< When its next request has to start to finish in time.
+
+    friend auto operator<=>(const class_standing&, const class_standing&) = default;
+};
+
+} // namespace ej::admission
--- /dev/null
+++ b/libs/admission/include/admission/refusal.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/instant.h>
+#include <core/refusal_reason.h>
+
+#include <compare>
+
+namespace ej::admission {
+
+/// Why a request was not run, and when to try again.
+struct refusal {
+    core::refusal_reason reason = core::refusal_reason::queue_full;
+    core::duration retry_after{}; ///< From now; > 0.
+
+    friend auto operator<=>(const refusal&, const refusal&) = default;
+};
+
+} // namespace ej::admission
--- /dev/null
+++ b/libs/admission/include/admission/refused_claim.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <admission/refusal.h>
+
+#include <fairness/claim.h>
+
+#include <compare>
+
+namespace ej::admission {
+
+/// A request that did not run and will not.
+struct refused_claim {
+    fairness::claim claim;
+    refusal why;
+
+    friend auto operator<=>(const refused_claim&, const refused_claim&) = default;
+};
+
+} // namespace ej::admission
--- /dev/null
+++ b/libs/admission/include/admission/unbounded.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <admission/admission_policy.h>
+
+namespace ej::admission {
+
+/// Takes everything; drops nothing.
+class unbounded final : public admission_policy {
+public:
+    [[nodiscard]] std::optional<refusal> refuse(const fairness::claim& asked,
+                                                const queue_state& queue, const capacity& capacity,
+                                                core::instant now) const override;
+    [[nodiscard]] bool too_late(const fairness::claim& waiting, const capacity& capacity,
+                                core::instant now) const override;
+};
+
+} // namespace ej::admission
--- /dev/null
+++ b/libs/admission/include/admission/urgency.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <core/work_target.h>
+
+namespace ej::admission {
+
+/// True for a class that engines run before others: one whose whole answer is due within seconds.
+[[nodiscard]] bool is_urgent(const core::work_target& target);
+
+} // namespace ej::admission
--- /dev/null
+++ b/libs/admission/tests/naive_class_queue.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <admission/predicted_finish.h>
+#include <admission/submission.h>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace ej::admission {
+
+/// A class's queue of one workspace as a plain list.
+struct naive_class_queue {
+    std::vector<fairness::claim> waiting;
+    std::size_t max_waiting = 0;
+    predicted_finish policy;
+
+    [[nodiscard]] bool takes(const fairness::claim& asked, const capacity& capacity,
+                             core::instant now) const
+    {
+        double work = 0;
+        for (const auto& one : waiting) {
+            work += one.work;
+        }
+        const queue_state state{{waiting.size(), work},
+                                {waiting.size(), work},
+                                1,
+                                static_cast<std::uint32_t>(max_waiting),
+                                0};
+        return !policy.refuse(asked, state, capacity, now);
+    }
+
+    std::optional<fairness::claim> next(const capacity& capacity, core::instant now)
+    {
+        std::erase_if(waiting, [&, found = false](const fairness::claim& one) mutable {
+            found = found || !policy.too_late(one, capacity, now);
+            return !found;
+        });
+        if (waiting.empty()) {
+            return std::nullopt;
+        }
+        auto first = waiting.front();
+        waiting.erase(waiting.begin());
+        return first;
+    }
+};
+
+} // namespace ej::admission
--- a/libs/routing/include/routing/pool.h
+++ b/libs/routing/include/routing/pool.h
@@ -62,6 +62,7 @@
     index_set open_;
     index_set urgent_open_;
     std::deque<std::pair<core::instant, core::endpoint_id>> blocked_;
+    std::int64_t slots_ = 0;
     double work_per_second_ = 0;
     double squared_rates_ = 0;
     std::uint64_t turn_ = 0;
--- a/libs/routing/src/endpoint_pools.cpp
+++ b/libs/routing/src/endpoint_pools.cpp
@@ -12,7 +12,7 @@
     const double work = left.work_per_second + right.work_per_second;
     const double weighted =
         left.slot_rate * left.work_per_second + right.slot_rate * right.work_per_second;
-    return {work, work > 0 ? weighted / work : 0, left.open + right.open,
+    return {work, work > 0 ? weighted / work : 0, left.slots + right.slots, left.open + right.open,
             left.urgent_open + right.urgent_open};
 }
 
--- a/libs/routing/src/pool.cpp
+++ b/libs/routing/src/pool.cpp
@@ -91,7 +91,7 @@
 pool_outlook pool::outlook() const
 {
     const double mean = work_per_second_ > 0 ? squared_rates_ / work_per_second_ : 0;
-    return {std::max(work_per_second_, 0.0), mean,
+    return {std::max(work_per_second_, 0.0), mean, static_cast<std::uint32_t>(slots_),
             static_cast<std::uint32_t>(open_.members().size()),
             static_cast<std::uint32_t>(urgent_open_.members().size())};
 }
@@ -107,6 +107,7 @@
 void pool::count(const endpoint_view& view, double sign)
 {
     const double slots = view.blocked_until ? 0 : view.limit;
+    slots_ += static_cast<std::int64_t>(sign * slots);
     work_per_second_ += sign * slots * view.work_rate;
     squared_rates_ += sign * slots * view.work_rate * view.work_rate;
 }
