Retries: a budget per class earned by first attempts, typed loss of an attempt

Cause: when every endpoint is slow, retries without a budget make four attempts of each request (test "attempts do not grow when all endpoints are slow", naive no_budget: 4.0).

Ruled out: a fixed count of retries per request, whose load is highest when capacity is lowest.

Change: lost attempts are not_run or may_have_run; non-idempotent work that may have run is never tried again; the deadline is carried on; extra work stays within extra_work_percent of first attempts plus one request.

Conclusion: growth is at most 1.05 with earned_budget.

--- /dev/null
+++ b/libs/retry/include/retry/class_budgets.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <retry/budget_policy.h>
+#include <retry/retry_request.h>
+#include <retry/retry_verdict.h>
+#include <retry/token_bucket.h>
+
+#include <concurrency/sharded.h>
+#include <core/class_id.h>
+#include <core/work_target.h>
+
+#include <memory>
+
+namespace ej::retry {
+
+/// The retry budgets of all classes at this daemon, a lock per shard of classes. Thread-safe.
+class class_budgets {
+public:
+    explicit class_budgets(std::unique_ptr<const budget_policy> policy);
+
+    /// Notes that the first attempt of a request began; it earns the class extra work.
+    void first_attempt(const core::class_id& name, const core::work_target& target, double work);
+
+    /// Decides on another attempt and spends its extra work.
+    [[nodiscard]] retry_verdict ask(const core::class_id& name, const retry_request& asked,
+                                    core::instant now);
+
+private:
+    std::unique_ptr<const budget_policy> policy_;
+    concurrency::sharded<core::class_id, token_bucket> buckets_;
+};
+
+} // namespace ej::retry
--- /dev/null
+++ b/libs/retry/include/retry/no_budget.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <retry/budget_policy.h>
+
+namespace ej::retry {
+
+/// Allows every attempt.
+class no_budget final : public budget_policy {
+public:
+    [[nodiscard]] bool allows(const token_bucket& bucket, double work) const override;
+};
+
+} // namespace ej::retry
--- /dev/null
+++ b/libs/retry/include/retry/retry_rules.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <retry/budget_policy.h>
+#include <retry/retry_request.h>
+#include <retry/retry_verdict.h>
+#include <retry/token_bucket.h>
+
+#include <core/instant.h>
+
+namespace ej::retry {
+
+/// Decides on another attempt, from the request's kind, its deadline and the budget.
+[[nodiscard]] retry_verdict decide(const retry_request& asked, const token_bucket& bucket,
+                                   const budget_policy& budget, core::instant now);
+
+/// Extra work that another attempt costs: what was done and not delivered has to be done again.
+[[nodiscard]] double extra_work(const retry_request& asked);
+
+} // namespace ej::retry
--- /dev/null
+++ b/libs/retry/src/budget_policy.cpp
@@ -0,0 +1,16 @@
+#include <retry/earned_budget.h>
+#include <retry/no_budget.h>
+
+namespace ej::retry {
+
+bool earned_budget::allows(const token_bucket& bucket, double work) const
+{
+    return bucket.covers(work);
+}
+
+bool no_budget::allows(const token_bucket&, double) const
+{
+    return true;
+}
+
+} // namespace ej::retry
--- /dev/null
+++ b/libs/retry/tests/retry_test.cpp
@@ -0,0 +1,97 @@
+#include <retry/class_budgets.h>
+#include <retry/earned_budget.h>
+#include <retry/no_budget.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <chrono>
+
+namespace ej::retry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const core::class_id name("c");
+
+retry_request lost(core::work_kind kind, lost_attempt how, double work = 1)
+{
+    return {kind, how, work, core::instant{60s}, 1s};
+}
+
+// Work of all attempts over that of first attempts when every attempt is lost after it ran.
+template <class Policy>
+double growth_when_all_are_slow()
+{
+    class_budgets budgets(std::make_unique<Policy>());
+    constexpr int requests = 2'000;
+    constexpr int most_attempts = 4;
+    int attempts = 0;
+    for (int request = 0; request < requests; ++request) {
+        budgets.first_attempt(name, {}, 1);
+        int tries = 1;
+        const auto asked = lost(core::work_kind::idempotent, may_have_run{});
+        while (tries < most_attempts &&
+               budgets.ask(name, asked, core::instant{}) == retry_verdict::retry) {
+            ++tries;
+        }
+        attempts += tries;
+    }
+    return static_cast<double>(attempts) / requests;
+}
+
+} // namespace
+
+TEST_CASE("a non-idempotent request that may have run is never tried again")
+{
+    class_budgets budgets(std::make_unique<no_budget>());
+    budgets.first_attempt(name, {}, 100);
+    const auto ask = [&](lost_attempt how) {
+        return budgets.ask(name, lost(core::work_kind::non_idempotent, how), core::instant{});
+    };
+    CHECK(ask(may_have_run{}) == retry_verdict::outcome_unknown);
+    CHECK(ask(not_run{}) == retry_verdict::retry);
+}
+
+TEST_CASE("extra work of a class stays within its target's percentage and one request")
+{
+    rc::prop("any mix of first attempts and losses", [] {
+        class_budgets budgets(std::make_unique<earned_budget>());
+        core::work_target target;
+        target.extra_work_percent = *rc::gen::inRange<std::uint32_t>(0, 101);
+        double first = 0;
+        double extra = 0;
+        double credit = 0;
+        for (int event = 0; event < 100; ++event) {
+            const double work = *rc::gen::inRange(1, 50);
+            if (*rc::gen::arbitrary<bool>()) {
+                budgets.first_attempt(name, target, work);
+                credit = first == 0 ? work : credit;
+                first += work;
+            }
+            else if (budgets.ask(name, lost(core::work_kind::idempotent, may_have_run{}, work),
+                                 core::instant{}) == retry_verdict::retry) {
+                extra += work;
+            }
+            RC_ASSERT(extra <= first * target.extra_work_percent * 0.01 + credit + 1e-6);
+        }
+    });
+}
+
+TEST_CASE("attempts do not grow when all endpoints are slow")
+{
+    CHECK(growth_when_all_are_slow<earned_budget>() <= 1.05);
+    CHECK(growth_when_all_are_slow<no_budget>() == 4.0);
+}
+
+TEST_CASE("an attempt that would end past the deadline is not made")
+{
+    class_budgets budgets(std::make_unique<no_budget>());
+    budgets.first_attempt(name, {}, 1);
+    const auto asked = lost(core::work_kind::idempotent, not_run{});
+    CHECK(budgets.ask(name, asked, core::instant{59s}) == retry_verdict::retry);
+    CHECK(budgets.ask(name, asked, core::instant{59s + 1ms}) == retry_verdict::past_deadline);
+}
+
+} // namespace ej::retry
