Suspects: bounded loss of endpoints to a request that crashes them

Cause: a request that crashes its endpoint and is sent again takes an endpoint each time: 50 sends, 50 deaths (test "without suspicion a crashing request takes an endpoint each time").

Ruled out: counting deaths alone, which refuses an innocent request that was beside two of them (test "counting deaths alone refuses an innocent that was beside two of them").

Change: deaths are shared as records that merge in any order; a request with one death is isolated (one attempt at a time, by the daemon that owns its digest); three deaths refuse it if two of them were alone, five in any case. Finishing clears it. A digest of workspace and body counts re-sends wherever they come in.

--- /dev/null
+++ b/libs/suspects/include/suspects/death_id.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/endpoint_id.h>
+#include <core/incarnation_id.h>
+
+#include <compare>
+
+namespace ej::suspects {
+
+/// Names one death: an incarnation of an endpoint dies once.
+struct death_id {
+    core::endpoint_id endpoint;
+    core::incarnation_id incarnation;
+
+    friend auto operator<=>(const death_id&, const death_id&) = default;
+};
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/include/suspects/death_record.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <suspects/death_id.h>
+#include <suspects/request_digest.h>
+
+#include <compare>
+#include <vector>
+
+namespace ej::suspects {
+
+/// A death of an endpoint and the requests that daemons had there. Daemons share it as a message.
+struct death_record {
+    death_id death;
+    std::vector<request_digest> running; ///< In order, without repeats.
+
+    friend auto operator<=>(const death_record&, const death_record&) = default;
+};
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/include/suspects/known_death.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <suspects/death_record.h>
+
+#include <core/instant.h>
+
+#include <compare>
+
+namespace ej::suspects {
+
+/// A death record and when it is dropped.
+struct known_death {
+    death_record record;
+    core::instant expires{};
+
+    friend auto operator<=>(const known_death&, const known_death&) = default;
+};
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/include/suspects/never_suspect.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <suspects/suspicion_policy.h>
+
+namespace ej::suspects {
+
+/// Runs every request.
+class never_suspect final : public suspicion_policy {
+public:
+    [[nodiscard]] verdict judge(const evidence& known) const override;
+};
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/src/merge.cpp
@@ -0,0 +1,15 @@
+#include <suspects/merge.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace ej::suspects {
+
+death_record merge(const death_record& left, const death_record& right)
+{
+    death_record both{left.death, {}};
+    std::ranges::set_union(left.running, right.running, std::back_inserter(both.running));
+    return both;
+}
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/src/suspect_table.cpp
@@ -0,0 +1,112 @@
+#include <suspects/suspect_table.h>
+
+#include <suspects/merge.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace ej::suspects {
+
+namespace {
+
+// Longer than callers go on sending a failed request again.
+constexpr std::chrono::minutes kept{15};
+
+} // namespace
+
+suspect_table::suspect_table(std::unique_ptr<const suspicion_policy> policy)
+    : policy_(std::move(policy))
+{
+}
+
+death_record suspect_table::note_death(const death_record& seen, core::instant now)
+{
+    // Requests newly named are those to look up; the others have this death in their history, or
+    // were cleared since.
+    std::vector<request_digest> added;
+    const death_record merged = deaths_.with(seen.death, [&](auto& deaths) {
+        known_death& known = deaths[seen.death];
+        std::ranges::set_difference(seen.running, known.record.running, std::back_inserter(added));
+        known.record.death = seen.death;
+        known.record = merge(known.record, seen);
+        known.expires = now + kept;
+        return known.record;
+    });
+    for (const request_digest request : added) {
+        note_suspect(request, seen.death, now);
+    }
+    return added.empty() ? death_record{seen.death, {}} : merged;
+}
+
+void suspect_table::note_suspect(request_digest request, const death_id& death, core::instant now)
+{
+    histories_.with(request, [&](auto& histories) {
+        history& known = histories[request];
+        const auto place = std::ranges::lower_bound(known.deaths, death);
+        if (place == known.deaths.end() || *place != death) {
+            known.deaths.insert(place, death);
+        }
+        known.expires = now + kept;
+    });
+}
+
+void suspect_table::clear(request_digest request)
+{
+    histories_.with(request, [&](auto& histories) { histories.erase(request); });
+}
+
+std::vector<death_id> suspect_table::deaths_of(request_digest request, core::instant now)
+{
+    return histories_.with(request, [&](auto& histories) -> std::vector<death_id> {
+        const auto found = histories.find(request);
+        if (found == histories.end() || found->second.expires <= now) {
+            return {};
+        }
+        return found->second.deaths;
+    });
+}
+
+verdict suspect_table::judge(request_digest request, core::instant now)
+{
+    evidence known;
+    // One lock at a time: the deaths are copied out of the request's shard first.
+    for (const death_id& death : deaths_of(request, now)) {
+        const bool alone = deaths_.with(death, [&](auto& deaths) {
+            const auto found = deaths.find(death);
+            return found != deaths.end() && found->second.record.running.size() == 1;
+        });
+        ++(alone ? known.alone : known.shared);
+    }
+    return policy_->judge(known);
+}
+
+bool suspect_table::begin_isolated(request_digest request)
+{
+    return histories_.with(request, [&](auto& histories) {
+        const auto found = histories.find(request);
+        // No history: it was cleared meanwhile and may run as any other.
+        return found == histories.end() || !std::exchange(found->second.isolated, true);
+    });
+}
+
+void suspect_table::end_isolated(request_digest request)
+{
+    histories_.with(request, [&](auto& histories) {
+        if (const auto found = histories.find(request); found != histories.end()) {
+            found->second.isolated = false;
+        }
+    });
+}
+
+void suspect_table::expire(core::instant now)
+{
+    const auto drop = [&](auto& entries) {
+        std::erase_if(entries, [&](const auto& entry) { return entry.second.expires <= now; });
+    };
+    histories_.for_each_shard(drop);
+    deaths_.for_each_shard(drop);
+}
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/src/suspicion_policies.cpp
@@ -0,0 +1,36 @@
+#include <suspects/count_deaths.h>
+#include <suspects/isolate_then_refuse.h>
+#include <suspects/never_suspect.h>
+
+namespace ej::suspects {
+
+namespace {
+
+// An endpoint may die by itself while it runs an innocent request, so that one death proves
+// nothing. A death that the request had to itself counts twice: three deaths refuse a request that
+// was isolated after the first, and five one that never was alone.
+constexpr std::uint32_t weight_alone = 2;
+constexpr std::uint32_t weight_to_refuse = 5;
+constexpr std::uint32_t deaths_to_refuse = 2;
+
+} // namespace
+
+verdict isolate_then_refuse::judge(const evidence& known) const
+{
+    if (weight_alone * known.alone + known.shared >= weight_to_refuse) {
+        return verdict::refuse;
+    }
+    return known.alone + known.shared > 0 ? verdict::isolate : verdict::run;
+}
+
+verdict count_deaths::judge(const evidence& known) const
+{
+    return known.alone + known.shared >= deaths_to_refuse ? verdict::refuse : verdict::run;
+}
+
+verdict never_suspect::judge(const evidence&) const
+{
+    return verdict::run;
+}
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/tests/suspects_test.cpp
@@ -0,0 +1,196 @@
+#include "fleet.h"
+
+#include <suspects/count_deaths.h>
+#include <suspects/digest_of.h>
+#include <suspects/isolate_then_refuse.h>
+#include <suspects/merge.h>
+#include <suspects/never_suspect.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <chrono>
+
+namespace ej::suspects {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t innocents = 6;
+
+std::size_t below(std::size_t bound)
+{
+    return *rc::gen::inRange<std::size_t>(0, bound);
+}
+
+// Callers send again whatever failed, the crasher's too, at any daemon and now and then several
+// copies at once; messages between daemons take up to eight events; one endpoint dies by itself.
+template <class Policy>
+fleet<Policy> any_history(int events)
+{
+    using fleet_type = fleet<Policy>;
+    fleet_type fleet;
+    int crashers = 0;
+    const int own_death = *rc::gen::inRange(0, events);
+    for (int event = 0; event < events; ++event) {
+        const std::size_t endpoint = below(fleet_type::endpoints);
+        const std::size_t daemon = below(fleet_type::daemons);
+        const request_digest innocent(1 + below(innocents));
+        switch (below(4)) {
+        case 0:
+            if (!fleet.in_flight(fleet_type::crasher) || ++crashers % 4 == 0) {
+                fleet.send(fleet_type::crasher, daemon, endpoint);
+            }
+            break;
+        case 1:
+            if (!fleet.in_flight(innocent) && !fleet.finished.contains(innocent)) {
+                fleet.send(innocent, daemon, endpoint);
+            }
+            break;
+        case 2:
+            fleet.execute(endpoint, event == own_death);
+            break;
+        default:
+            fleet.deliver(daemon);
+        }
+        if (event % 8 == 0) {
+            for (std::size_t to = 0; to < fleet_type::daemons; ++to) {
+                fleet.deliver(to);
+            }
+        }
+    }
+    return fleet;
+}
+
+// Sends the innocents again until all have finished, with the crasher beside them.
+template <class Policy>
+void finish_all(fleet<Policy>& fleet)
+{
+    for (std::uint64_t round = 0; round < 40; ++round) {
+        for (std::size_t at = 0; at < fleet.endpoints; ++at) {
+            fleet.execute(at);
+        }
+        for (std::size_t at = 0; at < fleet.daemons; ++at) {
+            fleet.deliver(at);
+        }
+        fleet.send(fleet.crasher, round % fleet.daemons, round % fleet.endpoints);
+        for (std::uint64_t number = 1; number <= innocents; ++number) {
+            const request_digest innocent(number);
+            if (!fleet.finished.contains(innocent) && !fleet.in_flight(innocent)) {
+                fleet.send(innocent, round % fleet.daemons, number % fleet.endpoints);
+            }
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("a request that crashes its endpoint takes a bounded number with it")
+{
+    rc::prop("any history of four daemons: seven at most, one of which dies by itself", [] {
+        auto fleet = any_history<isolate_then_refuse>(200);
+        finish_all(fleet);
+        RC_ASSERT(fleet.deaths <= 7);
+        RC_ASSERT(fleet.refused.contains(fleet.crasher));
+    });
+}
+
+TEST_CASE("no innocent request is refused or lost beside one that crashes its endpoint")
+{
+    rc::prop("any history of four daemons", [] {
+        auto fleet = any_history<isolate_then_refuse>(200);
+        finish_all(fleet);
+        RC_ASSERT(fleet.finished.size() == innocents);
+        fleet.refused.erase(fleet.crasher);
+        RC_ASSERT(fleet.refused.empty());
+    });
+}
+
+TEST_CASE("a request sent again and again, wherever, takes three endpoints in all")
+{
+    fleet<isolate_then_refuse> fleet;
+    for (std::size_t sent = 0; sent < 50; ++sent) {
+        // An innocent request of another daemon stands beside it each time.
+        fleet.send(request_digest(1 + sent), (sent + 1) % fleet.daemons, 0);
+        fleet.send(fleet.crasher, sent % fleet.daemons, 0);
+        for (std::size_t at = 0; at < fleet.endpoints; ++at) {
+            fleet.execute(at);
+        }
+        for (std::size_t at = 0; at < fleet.daemons; ++at) {
+            fleet.deliver(at);
+        }
+    }
+    CHECK(fleet.deaths == 3);
+    CHECK(fleet.finished.size() == 49);
+    CHECK(fleet.refused == std::set{fleet.crasher});
+}
+
+TEST_CASE("without suspicion a crashing request takes an endpoint each time")
+{
+    fleet<never_suspect> naive;
+    for (int sent = 0; sent < 50; ++sent) {
+        naive.send(naive.crasher, sent % naive.daemons, 0);
+        naive.execute(0);
+    }
+    CHECK(naive.deaths == 50);
+}
+
+TEST_CASE("counting deaths alone refuses an innocent that was beside two of them")
+{
+    const auto refused = [](auto fleet) {
+        for (int round = 0; round < 3; ++round) {
+            fleet.send(request_digest(1), 0, 0);
+            fleet.send(fleet.crasher, 0, 0);
+            fleet.execute(0);
+            fleet.execute(1);
+        }
+        fleet.send(request_digest(1), 0, 0);
+        return fleet.refused.contains(request_digest(1));
+    };
+    CHECK(refused(fleet<count_deaths>{}));
+    CHECK_FALSE(refused(fleet<isolate_then_refuse>{}));
+}
+
+TEST_CASE("records of one death merge to the same whatever the order and repeats")
+{
+    rc::prop("commutative, associative, idempotent", [] {
+        const auto any = [] {
+            const auto drawn = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 20));
+            const std::set<int> numbers(drawn.begin(), drawn.end());
+            death_record record;
+            for (const int number : numbers) {
+                record.running.emplace_back(static_cast<std::uint64_t>(number));
+            }
+            return record;
+        };
+        const auto a = any();
+        const auto b = any();
+        const auto c = any();
+        RC_ASSERT(merge(a, b) == merge(b, a));
+        RC_ASSERT(merge(a, merge(b, c)) == merge(merge(a, b), c));
+        RC_ASSERT(merge(a, a) == a);
+    });
+}
+
+TEST_CASE("a suspicion ends after a while and the table empties")
+{
+    suspect_table table(std::make_unique<isolate_then_refuse>());
+    const request_digest request(7);
+    const core::instant start{};
+    table.note_death({{core::endpoint_id("e"), core::incarnation_id("1")}, {request}}, start);
+    CHECK(table.judge(request, start) == verdict::isolate);
+    CHECK(table.judge(request, start + 1h) == verdict::run);
+    table.expire(start + 1h);
+    CHECK(table.size() == 0);
+}
+
+TEST_CASE("equal bodies of two workspaces have different digests")
+{
+    const core::workspace_id a("a");
+    CHECK(digest_of(a, "x") == digest_of(a, "x"));
+    CHECK(digest_of(a, "x") != digest_of(core::workspace_id("b"), "x"));
+    CHECK(digest_of(a, "x") != digest_of(a, "y"));
+}
+
+} // namespace ej::suspects
