Connections between daemons: websocketpp, CBOR frames, fleet secret, heartbeats

Cause: daemons have to exchange membership, configuration and forwarded actions, and an open connection can go silent for good while new ones work.

Weighed: a thread per connection (idle threads grow with the fleet), HTTP requests between daemons (no message from the end that accepted, a handshake each), one Asio thread over websocketpp. The last is taken.

A process that was paused finds its own heartbeat late and blames no peer for the silence; no test pauses a process yet.

--- /dev/null
+++ b/libs/peer/include/peer/drop_reason.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstddef>
+
+namespace ej::peer {
+
+/// Why a connection between daemons ended.
+enum class drop_reason {
+    closed,          ///< The other end closed it, or it failed.
+    idle,            ///< Nothing was sent on an on-demand connection.
+    silent,          ///< Heartbeats were not answered.
+    malformed,       ///< A frame could not be read.
+    too_large,       ///< A frame exceeded the bound.
+    unauthenticated, ///< The fleet's secret was not proven.
+    slow             ///< Its send buffer exceeded the bound.
+};
+
+inline constexpr std::size_t drop_reason_count = 7;
+
+/// The name used in messages and metrics.
+[[nodiscard]] const char* to_string(drop_reason reason);
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/include/peer/peer_identity.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <peer/peer_address.h>
+
+#include <string>
+#include <tuple>
+
+namespace ej::peer {
+
+/// Who is at the other end, proven by the fleet's secret.
+struct peer_identity {
+    std::string name;
+    peer_address address; ///< Where it listens.
+
+    friend bool operator==(const peer_identity& left, const peer_identity& right)
+    {
+        return std::tie(left.name, left.address) == std::tie(right.name, right.address);
+    }
+};
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/src/call.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "asio_settings.h"
+#include "session.h"
+
+#include <peer/call_result.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace ej::peer {
+
+/// A request without an answer.
+struct call {
+    std::function<void(call_result)> done;
+    std::unique_ptr<boost::asio::steady_timer> deadline;
+    session::ptr carrier;
+};
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/src/frame_kind.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace ej::peer {
+
+/// What a frame between daemons carries. The numbers are part of the protocol.
+enum class frame_kind {
+    challenge = 1, ///< payload: nonce; name and address of the sender.
+    proof = 2,     ///< payload: MAC over both nonces.
+    message = 3,
+    request = 4,
+    answer = 5
+};
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/src/handshake.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <peer/peer_identity.h>
+
+#include <string>
+
+namespace ej::peer {
+
+/// Bytes in a nonce.
+inline constexpr int nonce_bytes = 16;
+
+/// A fresh nonce from the system's random source.
+/// Throws std::runtime_error when that fails.
+[[nodiscard]] std::string make_nonce();
+
+/// HMAC-SHA-256 by which `sender` proves that it holds `secret`. `initiator` tells the two ends
+/// apart, so that a proof cannot be sent back to the one that made it.
+[[nodiscard]] std::string make_proof(const std::string& secret, bool initiator,
+                                     const peer_identity& sender, const std::string& own_nonce,
+                                     const std::string& other_nonce);
+
+/// Compares in a time that does not depend on the content.
+[[nodiscard]] bool equal_proofs(const std::string& left, const std::string& right);
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/src/peer_loop_sockets.cpp
@@ -0,0 +1,129 @@
+#include "peer_loop.h"
+
+#include "handshake.h"
+
+#include <stdexcept>
+
+namespace ej::peer {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+drop_reason reason_of(const session& link)
+{
+    if (link.reason) {
+        return *link.reason;
+    }
+    const auto code = local_close_code(link.socket);
+    return code == websocketpp::close::status::message_too_big ? drop_reason::too_large
+                                                               : drop_reason::closed;
+}
+
+} // namespace
+
+template <class Endpoint>
+void peer_loop::prepare(Endpoint& endpoint)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(context_.get());
+    endpoint.set_max_message_size(settings_.max_frame_bytes);
+    endpoint.set_tcp_post_init_handler([&endpoint](const websocketpp::connection_hdl& handle) {
+        boost::system::error_code ignored;
+        tcp_socket(endpoint.get_con_from_hdl(handle))
+            .set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    });
+    endpoint.set_open_handshake_timeout(settings_.handshake.count());
+}
+
+template void peer_loop::prepare(acceptor_endpoint&);
+template void peer_loop::prepare(initiator_endpoint&);
+
+void peer_loop::listen()
+{
+    websocketpp::lib::error_code failed;
+    acceptor_.set_reuse_addr(true);
+    acceptor_.listen(settings_.listen.host, std::to_string(settings_.listen.port), failed);
+    if (failed) {
+        throw std::runtime_error("cannot listen for peers: " + failed.message());
+    }
+    boost::system::error_code unbound;
+    self_.name = settings_.name;
+    self_.address.host =
+        settings_.host_shown.empty() ? settings_.listen.host : settings_.host_shown;
+    self_.address.port = acceptor_.get_local_endpoint(unbound).port();
+    // Adopted before the opening handshake, so that no early frame is missed.
+    acceptor_.set_validate_handler([this](const websocketpp::connection_hdl& handle) {
+        adopt(acceptor_.get_con_from_hdl(handle), std::make_shared<session>());
+        return true;
+    });
+    acceptor_.start_accept();
+}
+
+session::ptr peer_loop::link_to(const peer_address& to)
+{
+    const auto found = by_address_.find(to);
+    return found == by_address_.end() ? dial(to) : found->second;
+}
+
+session::ptr peer_loop::dial(const peer_address& to)
+{
+    auto link = std::make_shared<session>();
+    link->initiator = true;
+    link->dialled = to;
+    const auto uri = "ws://" + to.host + ':' + std::to_string(to.port) + "/peer";
+    websocketpp::lib::error_code failed;
+    const auto socket = initiator_.get_connection(uri, failed);
+    if (failed) {
+        link->ended = true;
+        return link;
+    }
+    by_address_[to] = link;
+    adopt(socket, link);
+    initiator_.connect(socket);
+    return link;
+}
+
+void peer_loop::adopt(const socket_connection& socket, const session::ptr& link)
+{
+    link->socket = socket;
+    link->own_nonce = make_nonce();
+    link->opened = clock::now();
+    link->last_heard = link->opened;
+    link->last_used = link->opened;
+    sessions_.insert(link);
+    // The socket refers to its session weakly: the session owns the socket.
+    using handle = websocketpp::connection_hdl;
+    const std::weak_ptr<session> owner = link;
+    socket->set_open_handler([this, owner](const handle& opened) {
+        const auto alive = owner.lock();
+        if (!alive || alive->ended) {
+            initiator_.get_con_from_hdl(opened)->terminate(websocketpp::lib::error_code{});
+            return;
+        }
+        greet(alive);
+    });
+    const auto on_end = [this, owner](const handle&) {
+        if (const auto alive = owner.lock()) {
+            end(alive, reason_of(*alive));
+        }
+    };
+    socket->set_fail_handler(on_end);
+    socket->set_close_handler(on_end);
+    const auto heard = [owner](const handle&, const std::string&) {
+        if (const auto alive = owner.lock()) {
+            alive->last_heard = clock::now();
+        }
+        return true;
+    };
+    socket->set_pong_handler(heard);
+    socket->set_ping_handler(heard);
+    socket->set_message_handler([this, owner](const handle&, const socket_message& message) {
+        if (const auto alive = owner.lock()) {
+            receive(alive, payload_of(message));
+        }
+    });
+}
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/src/session.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "frame.h"
+#include "socket_types.h"
+
+#include <peer/drop_reason.h>
+#include <peer/peer_identity.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ej::peer {
+
+/// One connection and where its handshake stands. Owned by the transport's thread.
+struct session {
+    using ptr = std::shared_ptr<session>;
+    using instant = std::chrono::steady_clock::time_point;
+
+    socket_connection socket;
+    bool initiator = false;
+    peer_address dialled; ///< Set when this end opened the connection.
+    std::string own_nonce;
+    std::string other_nonce;
+    peer_identity other;
+    bool authenticated = false;
+    bool ended = false;
+    std::optional<drop_reason> reason; ///< Why this end drops it.
+    instant opened;
+    instant last_heard;
+    instant last_used;             ///< A message, request or answer went either way.
+    std::vector<frame> waiting;    ///< To be sent once authenticated.
+    std::set<std::uint64_t> calls; ///< Requests without an answer.
+};
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/src/socket_types.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "asio_settings.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <functional>
+
+namespace ej::peer {
+
+// One configuration for both roles gives both the same type of connection. The client's is taken,
+// because it has the random source that masks a client's frames.
+using socket_config = websocketpp::config::asio_client;
+using acceptor_endpoint = websocketpp::server<socket_config>;
+using initiator_endpoint = websocketpp::client<socket_config>;
+using socket_connection = initiator_endpoint::connection_ptr;
+using socket_message = initiator_endpoint::message_ptr;
+
+/// Bytes handed to a connection that it has not sent.
+inline const auto buffered_bytes =
+    std::mem_fn(&initiator_endpoint::connection_type::get_buffered_amount);
+
+/// The close code that this end sent.
+inline const auto local_close_code =
+    std::mem_fn(&initiator_endpoint::connection_type::get_local_close_code);
+
+/// The TCP socket under a connection.
+inline const auto tcp_socket = std::mem_fn(&initiator_endpoint::connection_type::get_raw_socket);
+
+/// A message's bytes.
+inline const auto payload_of = std::mem_fn(&socket_message::element_type::get_payload);
+
+} // namespace ej::peer
--- /dev/null
+++ b/libs/peer/tests/handshake_test.cpp
@@ -0,0 +1,48 @@
+#include "frame.h"
+#include "handshake.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
+
+namespace ej::peer {
+
+TEST_CASE("a proof is bound to secret, role, sender and both nonces")
+{
+    const peer_identity sender{"a", {"127.0.0.1", 1}};
+    const auto proof = make_proof("secret", true, sender, "n1", "n2");
+    CHECK(equal_proofs(proof, make_proof("secret", true, sender, "n1", "n2")));
+    CHECK_FALSE(equal_proofs(proof, make_proof("other", true, sender, "n1", "n2")));
+    CHECK_FALSE(equal_proofs(proof, make_proof("secret", false, sender, "n1", "n2")));
+    CHECK_FALSE(equal_proofs(proof, make_proof("secret", true, {"b", sender.address}, "n1", "n2")));
+    CHECK_FALSE(equal_proofs(proof, make_proof("secret", true, sender, "n2", "n1")));
+    CHECK_FALSE(equal_proofs(proof, make_proof("secret", true, sender, "n", "1n2")));
+}
+
+TEST_CASE("a frame is read back as written, and no bytes break the reader")
+{
+    rc::prop("round trip", [](const std::string& payload, std::uint64_t number) {
+        const auto copy = decode(encode({frame_kind::request, number, payload, {}}));
+        RC_ASSERT(copy.has_value());
+        RC_ASSERT(copy->payload == payload);
+        RC_ASSERT(copy->call == number);
+    });
+    rc::prop("truncated or changed bytes are read or refused, never more",
+             [](const std::string& payload, std::size_t at, char change) {
+                 auto bytes = encode({frame_kind::challenge, 1, payload, {"a", {"h", 2}}});
+                 bytes[at % bytes.size()] = change;
+                 (void)decode(bytes);
+                 (void)decode(bytes.substr(0, at % bytes.size()));
+             });
+}
+
+TEST_CASE("unknown fields of a frame are skipped")
+{
+    auto object = nlohmann::json::from_cbor(encode({frame_kind::message, 0, "p", {}}));
+    object["later"] = {1, 2};
+    std::string bytes;
+    nlohmann::json::to_cbor(object, bytes);
+    CHECK(decode(bytes)->payload == "p");
+}
+
+} // namespace ej::peer
