Runtime: generations reach engines in the other failure domains

Cause: with one engine a domain, an engine's death ended with too_many_losses: the reach held the local domain only, so the dead engine was chosen again for 14 s. Ruled out: a wrong prefix (the engine had taken no second attempt). Change: reach_of lists the domains of the known endpoints after the local one.

--- a/libs/runtime/src/generation_session.cpp
+++ b/libs/runtime/src/generation_session.cpp
@@ -3,6 +3,7 @@
 #include "generation_session.h"
 
 #include "pause_for.h"
+#include "reach_of.h"
 
 #include <generation/policies.h>
 #include <logging/log.h>
@@ -149,7 +150,7 @@
     }
     routing::request_features features;
     features.work = start_.max_tokens - static_cast<double>(state_.next.value());
-    const routing::reach reach{shared_->settings.domain, {}};
+    const auto reach = reach_of(*shared_->endpoints.all(), shared_->settings.domain);
     const auto give_up_at = now() + start_.work_class.target.finish;
     while (!gone_ && now() < give_up_at) {
         const auto chosen = shared_->pools.acquire(start_.work_class.service, reach, features,
--- /dev/null
+++ b/libs/runtime/src/reach_of.cpp
@@ -0,0 +1,20 @@
+#include "reach_of.h"
+
+#include <iterator>
+#include <set>
+
+namespace ej::runtime {
+
+// A cut domain's endpoints fail to connect, which the pools take as failures of theirs.
+routing::reach reach_of(const endpoint_directory::map& endpoints,
+                        const core::failure_domain_id& local)
+{
+    std::set<core::failure_domain_id> others;
+    for (const auto& [name, endpoint] : endpoints) {
+        others.insert(endpoint.domain);
+    }
+    others.erase(local);
+    return {local, {others.begin(), others.end()}};
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/reach_of.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <routing/reach.h>
+
+#include "endpoint_directory.h"
+
+#include <core/failure_domain_id.h>
+
+namespace ej::runtime {
+
+/// The domain `local`, and after it every other in which `endpoints` has an endpoint.
+[[nodiscard]] routing::reach reach_of(const endpoint_directory::map& endpoints,
+                                      const core::failure_domain_id& local);
+
+} // namespace ej::runtime
