Demo: three failure domains whose engine and daemon die midway

Cause: someone who clones this has to see a long answer arrive whole. Ruled out: killing from a signal handler; a thread of its own waits for the signal and kills what runs. Change: make demo; callers send the delivered tokens as a list, as the daemon reads them. Process tests: 'an engine and its daemon die together...' passes now.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 
 clean:
 	rm -rf build build-thread build-address
+
+# Runs three failure domains as processes, kills an engine and a daemon, prints a table.
+demo: build
+	$(BUILD)/bin/demo
--- a/demo/src/main.cpp
+++ b/demo/src/main.cpp
@@ -1,4 +1,21 @@
+#include "interrupt_guard.h"
+#include "scenario.h"
+
+#include <exception>
+#include <iostream>
+
 int main()
 {
-    return 0;
+    const ej::demo::interrupt_guard guard;
+    try {
+        ej::demo::demo_fleet fleet;
+        std::cout << "3 failure domains, 6 daemons, 6 engines, 3 applications, 1 platform\n";
+        const bool whole = ej::demo::run_streams(fleet, std::cout);
+        const bool once = ej::demo::run_confirmation(fleet, std::cout);
+        return whole && once ? 0 : 1;
+    }
+    catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
 }
--- a/harness/include/harness/child_process.h
+++ b/harness/include/harness/child_process.h
@@ -19,6 +19,9 @@
     static absl::StatusOr<std::unique_ptr<child_process>>
     start(const std::string& program, const std::vector<std::string>& arguments);
 
+    /// Kills every started program that is not reaped yet, without waiting. Thread-safe.
+    static void kill_all();
+
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
--- a/harness/include/harness/fleet.h
+++ b/harness/include/harness/fleet.h
@@ -10,7 +10,6 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <map>
-#include <mutex>
 #include <string>
 #include <vector>
 
@@ -38,9 +37,6 @@
     /// Kills a process and waits for its end.
     void kill(const std::string& name);
 
-    /// Kills all at once without waiting; for a signal thread that ends the program.
-    void kill_all();
-
     /// Sends a signal to a process.
     void signal(const std::string& name, int number);
 
@@ -57,7 +53,6 @@
     node& start(const std::string& name, const std::string& program,
                 const std::vector<std::string>& arguments);
 
-    mutable std::mutex mutex_; // Guards the map; a node itself stays where it is.
     std::map<std::string, node> nodes_;
 };
 
--- a/harness/src/child_process.cpp
+++ b/harness/src/child_process.cpp
@@ -2,6 +2,8 @@
 
 #include "child_output.h"
 
+#include <concurrency/sharded.h>
+
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
@@ -21,6 +23,13 @@
 constexpr int signal_exit_base = 128;
 constexpr int log_mode = 0644;
 
+// Programs that are not reaped yet, for `kill_all`.
+concurrency::sharded<pid_t, bool>& running()
+{
+    static concurrency::sharded<pid_t, bool> pids;
+    return pids;
+}
+
 std::vector<char*> pointers_to(std::vector<std::string>& texts)
 {
     std::vector<char*> pointers;
@@ -75,6 +84,16 @@
 child_process::child_process(pid_t pid, int output_descriptor)
     : pid_(pid), output_(std::make_unique<child_output>(output_descriptor))
 {
+    running().with(pid, [pid](auto& pids) { pids.emplace(pid, true); });
+}
+
+void child_process::kill_all()
+{
+    running().for_each_shard([](const auto& pids) {
+        for (const auto& [pid, started] : pids) {
+            ::kill(pid, SIGKILL);
+        }
+    });
 }
 
 child_process::~child_process()
@@ -104,6 +123,7 @@
     int status = 0;
     if (!reaped_ && ::waitpid(pid_, &status, 0) == pid_) {
         reaped_ = true;
+        running().with(pid_, [this](auto& pids) { pids.erase(pid_); });
         exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : signal_exit_base + WTERMSIG(status);
     }
     return exit_code_;
--- a/harness/src/fleet.cpp
+++ b/harness/src/fleet.cpp
@@ -113,7 +113,6 @@
 
 const node& fleet::at(const std::string& name) const
 {
-    const std::scoped_lock lock(mutex_);
     const auto found = nodes_.find(name);
     if (found == nodes_.end()) {
         throw std::runtime_error("no process named " + name);
@@ -127,14 +126,6 @@
     wait(name);
 }
 
-void fleet::kill_all()
-{
-    const std::scoped_lock lock(mutex_);
-    for (const auto& [name, running] : nodes_) {
-        running.process->signal(SIGKILL);
-    }
-}
-
 void fleet::signal(const std::string& name, int number)
 {
     at(name).process->signal(number);
@@ -165,7 +156,6 @@
 {
     auto process =
         value_or_throw(child_process::start(program_folder + '/' + program, arguments), name);
-    const std::scoped_lock lock(mutex_);
     node& started = nodes_[name];
     started.name = name;
     started.process = std::move(process);
--- a/harness/src/generation_caller.cpp
+++ b/harness/src/generation_caller.cpp
@@ -1,5 +1,7 @@
 #include <harness/generation_caller.h>
 
+#include <stand_ins/token_text.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -147,8 +149,7 @@
     call.headers["Authorization"] = "Bearer " + call_.workspace_key;
     call.headers["Idempotency-Key"] = call_.idempotency_key;
     if (with_text) {
-        body["delivered_text"] = answer_.text;
-        body["delivered_tokens"] = answer_.tokens;
+        body["delivered"] = stand_ins::split_tokens(answer_.text);
         call.headers["Last-Event-ID"] = answer_.cursor;
     }
     call.body = body.dump();
