Admission: wait predicted from the rate of fair shares; the first output has a bound too

Large workspaces are overtaken by later requests of small ones, which the length of the queue does not show.

Change: fair_queue tells how far its virtual time has to go until a request's turn; class_queue measures the part of the capacity that the queue and each share get, so that a change of capacity counts at once. A claim carries start_by: what cannot begin in time is refused, and dropped when it waited too long.

--- a/libs/admission/include/admission/class_queue.h
+++ b/libs/admission/include/admission/class_queue.h
@@ -40,8 +40,8 @@
     /// Takes any request out without a decision on it; empty when none waits.
     std::optional<fairness::claim> take_any() { return queue_.pop(); }
 
-    /// Notes that a granted request finished at `now`.
-    void finished(const fairness::claim& done, core::instant now);
+    /// Notes that a granted request began its output at `first_output` and finished at `now`.
+    void finished(const fairness::claim& done, core::instant first_output, core::instant now);
 
     /// When the next request has to start to finish in time; empty when none waits.
     [[nodiscard]] std::optional<core::instant> latest_start(const capacity& capacity) const;
@@ -51,12 +51,15 @@
 
 private:
     refused_claim refuse(const fairness::claim& refused, const refusal& why, core::instant now);
-    [[nodiscard]] queue_state state_for(const fairness::claim& asked) const;
+    void advance_meters(const capacity& capacity, core::instant now);
+    [[nodiscard]] queue_state state_for(const fairness::claim& asked,
+                                        const capacity& capacity) const;
 
     core::work_class class_;
     std::shared_ptr<const admission_policy> policy_;
     fairness::fair_queue queue_;
     drain_meter drain_;
+    drain_meter share_;
     outcome_window outcomes_;
     target_report counted_;
 };
--- a/libs/admission/include/admission/class_queues.h
+++ b/libs/admission/include/admission/class_queues.h
@@ -44,8 +44,9 @@
     /// Takes a request out whose caller has gone; false if it does not wait.
     bool cancel(const core::class_id& name, const core::request_id& request);
 
-    /// Notes that a granted request finished.
-    void finished(const core::class_id& name, const fairness::claim& done, core::instant now);
+    /// Notes that a granted request began its output at `first_output` and finished at `now`.
+    void finished(const core::class_id& name, const fairness::claim& done,
+                  core::instant first_output, core::instant now);
 
     /// Whether each class meets its target, in order of their names.
     [[nodiscard]] std::vector<target_report> reports(core::instant now);
--- a/libs/admission/include/admission/drain_meter.h
+++ b/libs/admission/include/admission/drain_meter.h
@@ -4,23 +4,26 @@
 
 namespace ej::admission {
 
-/// Measures how fast work leaves a queue while requests wait in it. Not thread-safe.
+/// Measures which part of the endpoints' capacity a queue gets while requests wait in it. Taken as
+/// a part, it holds when the capacity changes. Not thread-safe.
 class drain_meter {
 public:
-    /// Notes that `work` left the queue at `now`.
+    /// Notes that `work` left the queue.
     void add(double work) { work_ += work; }
 
-    /// Notes whether requests wait at `now`; called with each event of the queue.
-    void advance(bool waiting, core::instant now);
+    /// Notes whether requests wait at `now` and the capacity in work per second; called with each
+    /// event of the queue.
+    void advance(bool waiting, double capacity, core::instant now);
 
-    /// Work per second; 0 when nothing has waited for long enough.
-    [[nodiscard]] double per_second() const { return rate_; }
+    /// Work per second at `capacity`; 0 until enough was measured.
+    [[nodiscard]] double per_second(double capacity) const;
 
 private:
     void restart(core::instant now);
 
     double work_ = 0;
-    double rate_ = 0;
+    double part_ = 0;
+    int windows_ = 0;
     core::instant window_start_{};
     core::instant last_waiting_{};
     bool waited_ = false;
--- a/libs/admission/src/class_queue.cpp
+++ b/libs/admission/src/class_queue.cpp
@@ -30,8 +30,8 @@
 submission class_queue::submit(const fairness::claim& asked, const capacity& capacity,
                                core::instant now)
 {
-    drain_.advance(queue_.workspaces() > 0, now);
-    if (const auto why = policy_->refuse(asked, state_for(asked), capacity, now)) {
+    advance_meters(capacity, now);
+    if (const auto why = policy_->refuse(asked, state_for(asked, capacity), capacity, now)) {
         refuse(asked, *why, now);
         return {why, std::nullopt};
     }
@@ -50,7 +50,7 @@
 
 grant class_queue::next(const capacity& capacity, core::instant now)
 {
-    drain_.advance(queue_.workspaces() > 0, now);
+    advance_meters(capacity, now);
     grant result{.work_class = class_.name, .granted = {}, .dropped = {}};
     while (const fairness::claim* const head = queue_.next()) {
         if (policy_->too_late(*head, capacity, now)) {
@@ -61,7 +61,9 @@
             result.dropped.push_back(refuse(*late, why, now));
             continue;
         }
+        const double share = queue_.virtual_time();
         result.granted = queue_.pop();
+        share_.add(queue_.virtual_time() - share);
         drain_.add(result.granted->work);
         break;
     }
@@ -79,9 +81,10 @@
     return queue_.cancel(request).has_value();
 }
 
-void class_queue::finished(const fairness::claim& done, core::instant now)
+void class_queue::finished(const fairness::claim& done, core::instant first_output,
+                           core::instant now)
 {
-    const bool on_time = now <= done.finish_by;
+    const bool on_time = now <= done.finish_by && first_output <= done.start_by;
     ++(on_time ? counted_.on_time : counted_.late);
     outcomes_.add(on_time, now);
     queue_.note_lateness(done.workspace,
@@ -95,7 +98,8 @@
         return std::nullopt;
     }
     const double service = capacity.slot_rate > 0 ? head->work / capacity.slot_rate : 0;
-    return head->finish_by - std::chrono::duration_cast<core::duration>(seconds(service));
+    return std::min(head->start_by,
+                    head->finish_by - std::chrono::duration_cast<core::duration>(seconds(service)));
 }
 
 target_report class_queue::report(core::instant now) const
@@ -119,11 +123,23 @@
     return {refused, why};
 }
 
-queue_state class_queue::state_for(const fairness::claim& asked) const
+void class_queue::advance_meters(const capacity& capacity, core::instant now)
+{
+    const bool waiting = queue_.workspaces() > 0;
+    drain_.advance(waiting, capacity.work_per_second, now);
+    share_.advance(waiting, capacity.work_per_second, now);
+}
+
+queue_state class_queue::state_for(const fairness::claim& asked, const capacity& capacity) const
 {
     const fairness::backlog own = queue_.waiting_of(asked.workspace);
-    return {queue_.waiting(), own, queue_.workspaces() + (own.count == 0 ? 1 : 0),
-            class_.target.max_waiting, drain_.per_second()};
+    return {queue_.waiting(),
+            own,
+            queue_.workspaces() + (own.count == 0 ? 1 : 0),
+            class_.target.max_waiting,
+            drain_.per_second(capacity.work_per_second),
+            queue_.distance_of(asked.workspace),
+            share_.per_second(capacity.work_per_second)};
 }
 
 } // namespace ej::admission
--- a/libs/admission/src/class_queues.cpp
+++ b/libs/admission/src/class_queues.cpp
@@ -106,11 +106,11 @@
 }
 
 void class_queues::finished(const core::class_id& name, const fairness::claim& done,
-                            core::instant now)
+                            core::instant first_output, core::instant now)
 {
     queues_.with(name, [&](auto& queues) {
         if (const auto found = queues.find(name); found != queues.end()) {
-            found->second.finished(done, now);
+            found->second.finished(done, first_output, now);
         }
     });
 }
--- a/libs/admission/src/predicted_finish.cpp
+++ b/libs/admission/src/predicted_finish.cpp
@@ -10,7 +10,9 @@
 using seconds = std::chrono::duration<double>;
 
 // Service rates are means; a margin on the wait covers what lies above them.
-constexpr double wait_margin = 1.25;
+constexpr double wait_margin = 1.1;
+// Those who come later and overtake make a wait at most this much longer.
+constexpr double most_overtaken = 4.0;
 constexpr double least_retry_seconds = 0.1;
 constexpr double most_retry_seconds = 60.0;
 constexpr double no_endpoint_retry_seconds = 1.0;
@@ -20,17 +22,31 @@
     return capacity.slot_rate > 0 ? asked.work / capacity.slot_rate : 0;
 }
 
-double seconds_left(const fairness::claim& asked, core::instant now)
+double seconds_until(core::instant then, core::instant now)
 {
-    return std::chrono::duration_cast<seconds>(asked.finish_by - now).count();
+    return std::chrono::duration_cast<seconds>(then - now).count();
 }
 
-// Under max-min shares a workspace waits for its own requests, each beside one of every other
-// workspace, and never for more than the whole queue.
-double work_ahead(const queue_state& queue)
+// Longest wait, in seconds, after which both targets can still be met.
+double seconds_to_start(const fairness::claim& asked, const capacity& capacity, core::instant now)
 {
+    return std::min(seconds_until(asked.finish_by, now) - service_seconds(asked, capacity),
+                    seconds_until(asked.start_by, now));
+}
+
+// Under max-min shares a request's turn comes when each workspace that waits has had as much. The
+// rate of that covers those who will overtake it; until it is known, all waiting count alike.
+double wait_seconds(const queue_state& queue, double drain)
+{
+    if (drain <= 0) {
+        return 0;
+    }
+    if (queue.share_per_second > 0) {
+        const double all = queue.all.work / drain;
+        return std::min(queue.own_distance / queue.share_per_second, most_overtaken * all);
+    }
     const auto workspaces = static_cast<double>(std::max<std::size_t>(queue.workspaces, 1));
-    return std::min(queue.all.work, queue.own.work * workspaces);
+    return std::min(queue.all.work, queue.own.work * workspaces) / drain;
 }
 
 bool over_fair_part(const queue_state& queue)
@@ -62,8 +78,8 @@
 std::optional<refusal> refuse_by_time(const fairness::claim& asked, const queue_state& queue,
                                       const capacity& capacity, double drain, core::instant now)
 {
-    const double wait = drain > 0 ? wait_margin * work_ahead(queue) / drain : 0;
-    const double late = wait + service_seconds(asked, capacity) - seconds_left(asked, now);
+    const double wait = wait_margin * wait_seconds(queue, drain);
+    const double late = wait - seconds_to_start(asked, capacity, now);
     if (late <= 0) {
         return std::nullopt;
     }
@@ -92,7 +108,7 @@
 bool predicted_finish::too_late(const fairness::claim& waiting, const capacity& capacity,
                                 core::instant now) const
 {
-    return service_seconds(waiting, capacity) > seconds_left(waiting, now);
+    return seconds_to_start(waiting, capacity, now) < 0;
 }
 
 } // namespace ej::admission
--- a/libs/admission/tests/admission_test.cpp
+++ b/libs/admission/tests/admission_test.cpp
@@ -148,6 +148,19 @@
     CHECK(more.refused->reason == core::refusal_reason::over_share);
 }
 
+TEST_CASE("a request that cannot begin in time is refused, and dropped when it waited too long")
+{
+    auto queue = make_queue(make_class("c", 60s));
+    core::instant now{100s};
+    auto asked = ask(1, now, 60s, 100);
+    asked.start_by = now + 1s;
+    CHECK(!queue.submit(asked, busy, now).refused);
+    asked.request = core::request_id("2");
+    CHECK(queue.submit(asked, busy, now).refused->reason ==
+          core::refusal_reason::target_unreachable);
+    CHECK(queue.next(busy, now + 2s).dropped.size() == 1);
+}
+
 TEST_CASE("a missed target shows before the queue is full")
 {
     auto queue = make_queue(make_class("c", 30s));
--- a/libs/admission/tests/naive_class_queue.h
+++ b/libs/admission/tests/naive_class_queue.h
@@ -26,6 +26,8 @@
                                 {waiting.size(), work},
                                 1,
                                 static_cast<std::uint32_t>(max_waiting),
+                                0,
+                                0,
                                 0};
         return !policy.refuse(asked, state, capacity, now);
     }
--- a/libs/fairness/include/fairness/fair_queue.h
+++ b/libs/fairness/include/fairness/fair_queue.h
@@ -48,6 +48,13 @@
     /// Number of workspaces with requests that wait.
     [[nodiscard]] std::size_t workspaces() const { return order_.size(); }
 
+    /// Fair share of work that each waiting workspace has had since the start; grows while requests
+    /// are served.
+    [[nodiscard]] double virtual_time() const { return virtual_time_; }
+
+    /// How far `virtual_time` has to advance until another request of `workspace` is served.
+    [[nodiscard]] double distance_of(const core::workspace_id& workspace) const;
+
     /// Arrival of the oldest request that waits.
     [[nodiscard]] std::optional<core::instant> oldest() const;
 
--- a/libs/fairness/src/fair_queue.cpp
+++ b/libs/fairness/src/fair_queue.cpp
@@ -94,6 +94,16 @@
     return {found->second.waiting.size(), found->second.work};
 }
 
+double fair_queue::distance_of(const core::workspace_id& workspace) const
+{
+    const auto found = flows_.find(workspace);
+    if (found == flows_.end()) {
+        return 0;
+    }
+    const flow& owner = found->second;
+    return std::max(owner.usage.start_tag - virtual_time_, 0.0) + owner.work;
+}
+
 std::optional<core::instant> fair_queue::oldest() const
 {
     if (arrivals_.empty()) {
