--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,10 @@
 sanitize: setup
 	tools/sanitize
 
+# Drives the decisions under load and writes docs/measurements/load.md.
+measure: build
+	measure/report $(BUILD) >docs/measurements/load.md
+
 format:
 	git ls-files '*.h' '*.cpp' | xargs clang-format-19 -i
 
--- /dev/null
+++ b/measure/job.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <core/instant.h>
+#include <core/refusal_reason.h>
+#include <fairness/claim.h>
+#include <routing/placement.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace ej::measure {
+
+/// One request and what became of it.
+struct job {
+    fairness::claim claim;
+    std::size_t kind = 0; ///< Index of its class.
+    double work = 0;      ///< Tokens of the whole answer.
+    double done = 0;      ///< Tokens that earlier attempts delivered.
+    std::size_t daemon = 0;
+    std::uint64_t daemon_run = 0;
+    std::optional<routing::placement> where{};
+    core::instant sent{};
+    std::optional<core::instant> first_output{};
+    std::optional<core::instant> ended{};
+    std::optional<core::refusal_reason> refused{};
+    bool failed = false;
+};
+
+} // namespace ej::measure
--- /dev/null
+++ b/measure/simulation.cpp
@@ -0,0 +1,385 @@
+#include "simulation.h"
+
+#include "settings.h"
+
+#include <admission/urgency.h>
+#include <limits/shares.h>
+
+#include <cmath>
+#include <numeric>
+
+namespace ej::measure {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+const core::service_id service("model");
+const routing::reach local{core::failure_domain_id("recife"), {}};
+const routing::pool_key pool{service, local.local};
+
+core::duration duration_of(double length)
+{
+    return std::chrono::duration_cast<core::duration>(seconds(length));
+}
+
+} // namespace
+
+simulation::simulation(const strategy& strategy, const scenario& scenario, std::uint64_t seed)
+    : strategy_(strategy), scenario_(scenario), arrivals_random_(seed), choices_random_(seed + 1),
+      daemons_(daemon_count)
+{
+    for (int at = 0; at < engines; ++at) {
+        const double speed = slowest * std::pow(fastest / slowest, at / (engines - 1.0));
+        core::endpoint described;
+        described.name = core::endpoint_id("engine" + std::to_string(at));
+        described.domain = local.local;
+        described.service = service;
+        described.slots = engine_slots;
+        engines_.push_back({described, fake_endpoint(engine_slots, speed)});
+        full_capacity_ += speed * engine_slots;
+    }
+    for (daemon& one : daemons_) {
+        start(one);
+    }
+    set_shares();
+}
+
+void simulation::start(daemon& started)
+{
+    started.queues =
+        std::make_unique<admission::class_queues>(strategy_.admission, strategy_.shares);
+    started.queues->set_classes(classes());
+    started.pools =
+        std::make_unique<routing::endpoint_pools>(strategy_.router(), strategy_.limiter());
+    started.budgets = std::make_unique<retry::class_budgets>(strategy_.budget());
+    ++started.run;
+}
+
+void simulation::set_shares()
+{
+    std::vector<limits::member_size> members;
+    for (std::size_t at = 0; at < daemons_.size(); ++at) {
+        if (daemons_[at].alive) {
+            members.push_back({core::vm_id(std::to_string(at)), daemon_size(at)});
+        }
+    }
+    for (std::size_t at = 0; at < daemons_.size(); ++at) {
+        daemon& one = daemons_[at];
+        one.pools->set_share(limits::share_of(members, core::vm_id(std::to_string(at))));
+        for (const engine& known : engines_) {
+            if (known.model.alive() && !one.pools->view(pool, known.described.name)) {
+                one.pools->add(known.described, events.now());
+            }
+        }
+    }
+}
+
+void simulation::run()
+{
+    for (std::size_t at = 0; at < engines_.size(); ++at) {
+        events.after(report_period * static_cast<int>(at) / static_cast<int>(engines),
+                     [this, at] { report(at); });
+    }
+    plan_arrivals(long_class);
+    plan_arrivals(short_class);
+    if (scenario_.script) {
+        scenario_.script(*this);
+    }
+    events.at(core::instant{} + window_start, [this] { note_capacity(); });
+    events.run_until(core::instant{} + window_start);
+    capacity_seconds_ = 0;
+    events.run_until(core::instant{} + window_end);
+    note_capacity();
+    events.run_until(core::instant{} + window_end + drain);
+}
+
+void simulation::plan_arrivals(std::size_t kind)
+{
+    const double part = kind == long_class ? scenario_.long_part : 1 - scenario_.long_part;
+    const double flood = kind == long_class ? flood_factor : 0;
+    const double base = scenario_.load * offered_factor * part;
+    const double rate = (base + flood) * full_capacity_ / mean_work(kind);
+    if (rate <= 0) {
+        events.after(report_period, [this, kind] { plan_arrivals(kind); });
+        return;
+    }
+    std::exponential_distribution<double> gap(rate);
+    events.after(duration_of(gap(arrivals_random_)), [this, kind, base, flood] {
+        const bool flooding = std::bernoulli_distribution(flood / (base + flood))(arrivals_random_);
+        std::discrete_distribution<std::size_t> workspaces(workspace_parts.begin(),
+                                                           workspace_parts.end());
+        arrive(kind, flooding ? flooding_workspace : workspaces(arrivals_random_));
+        plan_arrivals(kind);
+    });
+}
+
+void simulation::arrive(std::size_t kind, std::size_t workspace)
+{
+    const auto& target = classes()[kind].target;
+    std::lognormal_distribution<double> sizes(0, work_spread);
+    const double scale = std::exp(work_spread * work_spread / 2);
+    const double work = std::max(1.0, mean_work(kind) * sizes(arrivals_random_) / scale);
+    const double expected = work * std::uniform_real_distribution<double>(1, 1.3)(arrivals_random_);
+    const core::instant now = events.now();
+    job made{{core::request_id(std::to_string(jobs_.size())),
+              core::workspace_id(std::to_string(workspace)), expected, now, now + target.finish,
+              now + target.first_token},
+             kind,
+             work};
+    jobs_.push_back(made);
+    submit(jobs_.size() - 1);
+}
+
+void simulation::submit(std::size_t number)
+{
+    job& one = jobs_[number];
+    one.daemon = any_daemon();
+    daemon& at = daemons_[one.daemon];
+    one.daemon_run = at.run;
+    const auto& work_class = classes()[one.kind];
+    at.budgets->first_attempt(work_class.name, work_class.target, one.claim.work);
+    const auto result =
+        at.queues->submit(work_class.name, one.claim, capacity_of(at), events.now());
+    if (result.refused) {
+        refuse({one.claim, *result.refused});
+    }
+    if (result.evicted) {
+        refuse(*result.evicted);
+    }
+    pump(one.daemon);
+}
+
+void simulation::pump(std::size_t at)
+{
+    daemon& pumped = daemons_[at];
+    while (pumped.alive) {
+        const auto outlook = pumped.pools->outlook(service, local);
+        const auto room = outlook.open > 0          ? admission::room::any
+                          : outlook.urgent_open > 0 ? admission::room::urgent_only
+                                                    : admission::room::none;
+        const auto next = pumped.queues->next(service, room, capacity_of(pumped), events.now());
+        std::ranges::for_each(next.dropped, [&](const auto& late) { refuse(late); });
+        if (!next.granted) {
+            if (next.dropped.empty()) {
+                return;
+            }
+            continue;
+        }
+        const std::size_t number = number_of(*next.granted);
+        const bool urgent = admission::is_urgent(classes()[jobs_[number].kind].target);
+        const auto where = pumped.pools->acquire(
+            service, local, {next.granted->work, 0, urgent, next.granted->finish_by},
+            choices_random_(), events.now());
+        if (!where) {
+            pumped.queues->put_back(next.work_class, *next.granted);
+            return;
+        }
+        send(number, *where);
+    }
+}
+
+void simulation::send(std::size_t number, const routing::placement& where)
+{
+    job& one = jobs_[number];
+    const auto found = std::ranges::find(engines_, where.endpoint,
+                                         [](const engine& known) { return known.described.name; });
+    if (!found->model.alive()) {
+        daemon& at = daemons_[one.daemon];
+        at.pools->release(where, {routing::outcome_kind::failed, 0, {}}, events.now());
+        at.queues->put_back(classes()[one.kind].name, one.claim);
+        return;
+    }
+    one.where = where;
+    one.sent = events.now();
+    found->model.add(number, one.work - one.done, where.urgent, events.now());
+    engine_changed(*found);
+}
+
+void simulation::engine_changed(engine& changed)
+{
+    const auto first_token = duration_of(1 / changed.model.speed());
+    for (const std::size_t number : changed.model.begun()) {
+        job& one = jobs_[number];
+        one.first_output = one.first_output.value_or(events.now() + first_token);
+    }
+    const auto next = changed.model.next_finish();
+    const std::uint64_t version = ++changed.version;
+    if (next) {
+        const auto at = static_cast<std::size_t>(&changed - engines_.data());
+        events.after(*next, [this, at, version] {
+            if (engines_[at].version == version) {
+                engine_event(at);
+            }
+        });
+    }
+}
+
+void simulation::engine_event(std::size_t at)
+{
+    engine& one = engines_[at];
+    one.model.advance(events.now());
+    const auto finished = one.model.take_finished();
+    engine_changed(one);
+    std::ranges::for_each(finished, [&](std::size_t number) { finish(number); });
+}
+
+void simulation::finish(std::size_t number)
+{
+    job& one = jobs_[number];
+    one.ended = events.now();
+    if (!owned(one)) {
+        return;
+    }
+    daemon& at = daemons_[one.daemon];
+    const auto name = classes()[one.kind].name;
+    at.pools->release(
+        *one.where, {routing::outcome_kind::finished, one.work - one.done, events.now() - one.sent},
+        events.now());
+    at.queues->finished(name, one.claim, *one.first_output, events.now());
+    pump(one.daemon);
+}
+
+void simulation::report(std::size_t at)
+{
+    events.after(report_period, [this, at] { report(at); });
+    const fake_endpoint& model = engines_[at].model;
+    if (reports_stopped || !model.alive()) {
+        return;
+    }
+    const routing::load_report seen{engines_[at].described.name,
+                                    static_cast<std::uint32_t>(model.slots()),
+                                    static_cast<std::uint32_t>(model.running()),
+                                    static_cast<std::uint32_t>(model.waiting()), model.speed()};
+    events.after(report_lag, [this, seen] {
+        for (std::size_t to = 0; to < daemons_.size(); ++to) {
+            daemons_[to].pools->report(pool, seen);
+            pump(to);
+        }
+    });
+}
+
+void simulation::slow_all(double factor)
+{
+    note_capacity();
+    for (engine& one : engines_) {
+        one.model.slow(factor, events.now());
+        engine_changed(one);
+    }
+}
+
+void simulation::kill_engine(std::size_t number)
+{
+    note_capacity();
+    engine& killed = engines_[number];
+    const auto lost = killed.model.die(events.now());
+    ++killed.version;
+    std::ranges::for_each(lost, [&](const auto& task) { lose(task.job, task.left); });
+    // The platform's list shows the death only later; until then its refusals have to do.
+    events.after(list_lag, [this, number] {
+        for (daemon& one : daemons_) {
+            one.pools->remove(pool, engines_[number].described.name);
+        }
+    });
+}
+
+void simulation::lose(std::size_t number, double left)
+{
+    job& one = jobs_[number];
+    if (!owned(one)) {
+        one.failed = true;
+        return;
+    }
+    daemon& at = daemons_[one.daemon];
+    const auto& work_class = classes()[one.kind];
+    at.pools->release(*one.where, {routing::outcome_kind::failed, 0, {}}, events.now());
+    const double delivered = one.work - left;
+    const bool resumes = one.kind == long_class;
+    const retry::retry_request asked{resumes ? core::work_kind::generation
+                                             : core::work_kind::idempotent,
+                                     retry::may_have_run{delivered},
+                                     one.work,
+                                     one.claim.finish_by,
+                                     {}};
+    if (at.budgets->ask(work_class.name, asked, events.now()) != retry::retry_verdict::retry) {
+        one.failed = true;
+        return;
+    }
+    extra_work_ += resumes ? prefix_cost * delivered : delivered;
+    one.done = resumes ? delivered - prefix_cost * delivered : 0;
+    one.claim.work = std::max(1.0, one.claim.work - one.done);
+    one.claim.start_by = core::instant::max();
+    at.queues->put_back(work_class.name, one.claim);
+    events.after(detection, [this, daemon = one.daemon] { pump(daemon); });
+}
+
+void simulation::restart_daemon(std::size_t at)
+{
+    daemon& one = daemons_[at];
+    one.alive = false;
+    const std::uint64_t run = one.run;
+    start(one);
+    set_shares();
+    // Callers whose request had not begun come back through another daemon; what runs is taken up
+    // by another daemon at the endpoint and runs on.
+    for (std::size_t number = 0; number < jobs_.size(); ++number) {
+        const job& lost = jobs_[number];
+        if (lost.daemon == at && lost.daemon_run == run && !lost.where && !lost.refused) {
+            events.after(caller_retry, [this, number] { submit(number); });
+        }
+    }
+    events.after(restart_time, [this, at] {
+        daemons_[at].alive = true;
+        set_shares();
+    });
+}
+
+void simulation::refuse(const admission::refused_claim& refused)
+{
+    job& one = jobs_[number_of(refused.claim)];
+    one.refused = refused.why.reason;
+    one.ended = events.now();
+}
+
+void simulation::note_capacity()
+{
+    capacity_seconds_ += capacity() * seconds(events.now() - capacity_noted_).count();
+    capacity_noted_ = events.now();
+}
+
+admission::capacity simulation::capacity_of(daemon& at)
+{
+    const auto outlook = at.pools->outlook(service, local);
+    return {outlook.work_per_second, outlook.slot_rate, outlook.slots};
+}
+
+bool simulation::owned(const job& one) const
+{
+    return daemons_[one.daemon].run == one.daemon_run;
+}
+
+double simulation::capacity() const
+{
+    return std::transform_reduce(
+        engines_.begin(), engines_.end(), 0.0, std::plus{}, [](const engine& one) {
+            return one.model.alive() ? one.model.speed() * static_cast<double>(one.model.slots())
+                                     : 0;
+        });
+}
+
+std::size_t simulation::any_daemon()
+{
+    std::vector<double> parts;
+    parts.reserve(daemons_.size());
+    for (std::size_t at = 0; at < daemons_.size(); ++at) {
+        parts.push_back(daemons_[at].alive ? daemon_size(at) : 0);
+    }
+    return std::discrete_distribution<std::size_t>(parts.begin(), parts.end())(choices_random_);
+}
+
+std::size_t simulation::number_of(const fairness::claim& claim)
+{
+    return std::stoul(claim.request.text());
+}
+
+} // namespace ej::measure
