--- a/demo/src/demo_fleet.cpp
+++ b/demo/src/demo_fleet.cpp
@@ -34,7 +34,8 @@
 {
     for (const auto& domain : domains) {
         for (const auto& speed : tokens_per_second) {
-            engines_.push_back(domain + "-engine-" + speed);
+            engines_.push_back(domain);
+            engines_.back().append("-engine-").append(speed);
             processes_.start(harness::stand_in_settings{
                 "engine", engines_.back(), domain, "bell-signal", {"--tokens-per-second", speed}});
         }
