--- a/harness/include/harness/child_process.h
+++ b/harness/include/harness/child_process.h
@@ -32,6 +32,9 @@
     /// Sends a signal, as SIGSTOP, SIGCONT or SIGTERM; nothing once it was reaped.
     void signal(int number);
 
+    /// The process' number in the system.
+    [[nodiscard]] pid_t id() const { return pid_; }
+
     /// Waits until it has ended and returns its exit code, or 128 and the signal's number.
     int wait();
 
--- /dev/null
+++ b/measure/relay/process_usage.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace ej::measure {
+
+/// What a process has used so far.
+struct process_usage {
+    double processor_seconds = 0;
+    std::uint64_t resident_bytes = 0;
+    std::uint64_t wakeups = 0; ///< Voluntary context switches of all threads.
+
+    friend auto operator<=>(const process_usage&, const process_usage&) = default;
+};
+
+/// Reads the usage of `process` from /proc; zeros when it is gone.
+[[nodiscard]] process_usage usage_of(pid_t process);
+
+} // namespace ej::measure
