libs/operator_api: the operators' HTTP interface on threads of its own

Cause: operators need health, status, classes, workspaces and drain apart from callers' traffic. Ruled out: the callers' server (a stuck caller would take operators' threads); a change without the revision that the operator saw (the loser of a race would overwrite).

--- /dev/null
+++ b/libs/operator_api/include/operator_api/operator_server.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <operator_api/operator_backend.h>
+
+#include <core/address.h>
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <string>
+
+namespace ej::operator_api {
+
+/// Serves the operator interface over HTTP on threads of its own.
+class operator_server {
+public:
+    /// Listens on `listen` (port 0: a free one); `backend` outlives the server.
+    /// Error: Unavailable when the address cannot be bound.
+    static absl::StatusOr<std::unique_ptr<operator_server>>
+    start(const core::address& listen, operator_backend& backend, std::string key);
+
+    /// Answers what it has received and stops.
+    ~operator_server();
+    operator_server(const operator_server&) = delete;
+    operator_server& operator=(const operator_server&) = delete;
+    operator_server(operator_server&&) = delete;
+    operator_server& operator=(operator_server&&) = delete;
+
+    /// The bound address.
+    [[nodiscard]] core::address local() const;
+
+private:
+    struct parts;
+    explicit operator_server(std::unique_ptr<parts> state);
+    std::unique_ptr<parts> parts_;
+};
+
+} // namespace ej::operator_api
--- /dev/null
+++ b/libs/operator_api/src/query_number.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace ej::operator_api {
+
+/// The whole number given as `name` in "name=value&..."; none when it is missing or no number.
+[[nodiscard]] std::optional<std::uint64_t> query_number(std::string_view query,
+                                                        std::string_view name);
+
+} // namespace ej::operator_api
