endivejunction: operator commands for classes, workspaces, status, drain and restore

Cause: operators drive the system by changing targets; they need a command line for it. Ruled out: a command class for each object and verb (eight near-equal ones); sending a change without the revision seen.

--- /dev/null
+++ b/endivejunction/src/commands/change_object.cpp
@@ -0,0 +1,25 @@
+#include "change_object.h"
+
+#include "reply_text.h"
+#include "seen_revision.h"
+
+namespace ej::commands {
+
+operator_reply change_object::run(const operator_client& daemon,
+                                  const command_options& options) const
+{
+    const std::string path = path_of(type_, options.name);
+    const seen_revision seen = look_up(daemon, path, options.if_revision);
+    if (!seen.revision) {
+        return seen.reply;
+    }
+    return daemon.call("PUT", path + "?if_revision=" + std::to_string(*seen.revision),
+                       type_.body(options));
+}
+
+std::string change_object::text(const operator_reply& reply) const
+{
+    return "changed in " + revision_text(reply.body);
+}
+
+} // namespace ej::commands
--- /dev/null
+++ b/endivejunction/src/commands/change_object.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "command.h"
+#include "object_type.h"
+
+namespace ej::commands {
+
+/// Changes the given fields of a class or workspace; a conflict if someone else changes it
+/// meanwhile.
+class change_object : public command {
+public:
+    explicit change_object(const object_type& type) : type_(type) {}
+
+    [[nodiscard]] bool needs_name() const override { return true; }
+    [[nodiscard]] operator_reply run(const operator_client& daemon,
+                                     const command_options& options) const override;
+    [[nodiscard]] std::string text(const operator_reply& reply) const override;
+
+private:
+    const object_type& type_;
+};
+
+} // namespace ej::commands
--- /dev/null
+++ b/endivejunction/src/commands/command.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "command_options.h"
+#include "operator_client.h"
+#include "operator_reply.h"
+
+namespace ej::commands {
+
+/// One command of the operators' command line.
+class command {
+public:
+    command() = default;
+    virtual ~command() = default;
+    command(const command&) = delete;
+    command& operator=(const command&) = delete;
+    command(command&&) = delete;
+    command& operator=(command&&) = delete;
+
+    /// True if the command is about one object, whose name must be given.
+    [[nodiscard]] virtual bool needs_name() const { return false; }
+
+    /// Calls the daemon; the last reply says how it went.
+    [[nodiscard]] virtual operator_reply run(const operator_client& daemon,
+                                             const command_options& options) const = 0;
+
+    /// The reply's body as text for people.
+    [[nodiscard]] virtual std::string text(const operator_reply& reply) const = 0;
+};
+
+} // namespace ej::commands
--- /dev/null
+++ b/endivejunction/src/commands/seen_revision.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "operator_client.h"
+#include "operator_reply.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ej::commands {
+
+/// The revision of an object that a change builds on.
+struct seen_revision {
+    std::optional<std::uint64_t> revision; ///< None: the reply says why.
+    operator_reply reply;
+
+    friend auto operator<=>(const seen_revision&, const seen_revision&) = default;
+};
+
+/// `given` if there is one, else the present revision of the object at `path`.
+[[nodiscard]] seen_revision look_up(const operator_client& daemon, const std::string& path,
+                                    std::optional<std::uint64_t> given);
+
+} // namespace ej::commands
--- /dev/null
+++ b/endivejunction/src/commands/show_status.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "command.h"
+
+namespace ej::commands {
+
+/// Shows what one daemon reports of itself.
+class show_status : public command {
+public:
+    [[nodiscard]] operator_reply run(const operator_client& daemon,
+                                     const command_options& options) const override;
+    [[nodiscard]] std::string text(const operator_reply& reply) const override;
+};
+
+} // namespace ej::commands
