Process tests: red first by mutation; a caller that returns while its first daemon lives

Cause: each test of a failure has to be seen failing. Change: attempts counted where none may be started twice; a case for a caller that leaves a living or stopped daemon; the caller answers prefix_needed at any time.

--- a/harness/include/harness/generation_caller.h
+++ b/harness/include/harness/generation_caller.h
@@ -47,6 +47,7 @@
     [[nodiscard]] http_call submission(bool with_text) const;
 
     generation_call call_;
+    core::address daemon_; ///< The one that was asked last.
     received_answer answer_;
     std::optional<event_stream> stream_;
     stream_state state_ = stream_state::broken;
--- a/harness/src/generation_caller.cpp
+++ b/harness/src/generation_caller.cpp
@@ -34,14 +34,7 @@
     http_call call{"GET", "/v1/generations/" + answer_.request, {}, {}};
     call.headers["Authorization"] = "Bearer " + call_.workspace_key;
     call.headers["Last-Event-ID"] = answer_.cursor;
-    open(daemon, call);
-    // The daemon looks for the engine before it says that it needs the text.
-    const auto received = answer_.tokens;
-    read_until(received + 1);
-    if (state_ == stream_state::failed && answer_.error_reason == "prefix_needed") {
-        return resume_with_text(daemon);
-    }
-    return state_;
+    return open(daemon, call);
 }
 
 stream_state generation_caller::resume_with_text(const core::address& daemon)
@@ -56,6 +49,10 @@
     while (state_ == stream_state::flowing && answer_.tokens < tokens) {
         const auto event = stream_->next();
         state_ = event.ok() ? take(*event) : stream_state::broken;
+        // A stream that was taken up by its cursor may need the text at any time.
+        if (state_ == stream_state::failed && answer_.error_reason == "prefix_needed") {
+            resume_with_text(daemon_);
+        }
     }
     return state_;
 }
@@ -77,6 +74,7 @@
 stream_state generation_caller::open(const core::address& daemon, const http_call& call)
 {
     stream_.reset();
+    daemon_ = daemon;
     auto opened = event_stream::open(daemon, call);
     if (!opened.ok()) {
         return state_ = stream_state::broken;
--- a/tests/process/generation_loss_test.cpp
+++ b/tests/process/generation_loss_test.cpp
@@ -52,6 +52,7 @@
     REQUIRE(caller.read_to_end() == stream_state::ended);
     require_whole(caller, call);
     CHECK(system.engine_total("tokens_generated") == 200);
+    CHECK(system.engine_total("generations") == 1);
 }
 
 TEST_CASE("a resume at the wrong offset or with other text never reaches the caller")
@@ -95,6 +96,26 @@
     REQUIRE(caller.read_to_end(std::array{system.daemon("d2")}) == stream_state::ended);
     require_whole(caller, call);
     CHECK(system.engine_total("tokens_generated") == 200);
+    CHECK(system.engine_total("generations") == 1);
+}
+
+TEST_CASE("a caller that returns to another daemon while the first one lives gets the whole answer")
+{
+    const bool first_is_stopped = GENERATE(false, true);
+    deployment system(2);
+    const auto call = summary("bells of the night", 200);
+    generation_caller caller(call);
+    caller.start(system.daemon("d1"));
+    REQUIRE(caller.read_until(20) == stream_state::flowing);
+    if (first_is_stopped) {
+        system.fleet().signal("d1", SIGSTOP);
+    }
+    caller.leave();
+    caller.resume(system.daemon("d2"));
+    caller.read_until(60);
+    system.fleet().signal("d1", SIGCONT);
+    REQUIRE(caller.read_to_end() == stream_state::ended);
+    require_whole(caller, call);
 }
 
 TEST_CASE("a slow reader gets the whole answer although the engine dies meanwhile")
