Runtime: an idempotent request that may have run is never refused as not run

Cause: two new process tests were red: after three tries whose answers were lost the daemon said 'refused' although the call had run three times; with its application killed it found none, as the reach held the own failure domain only. Ruled out: a fault of the stand-in (its counts are exact). Change: the runner remembers whether a try may have run (anything but 'nothing was sent' and Not-Run: true) and then answers outcome_unknown; it reaches the other domains. Stand-in applications tell when a key runs, so that tests need not poll. Conclusion: the property holds for idempotent requests; others follow with their runner.

--- a/libs/runtime/src/idempotent_runner.cpp
+++ b/libs/runtime/src/idempotent_runner.cpp
@@ -4,6 +4,7 @@
 
 #include "application_call.h"
 #include "pause_for.h"
+#include "reach_of.h"
 #include "replies.h"
 
 #include <chrono>
@@ -22,11 +23,19 @@
     return std::chrono::steady_clock::now();
 }
 
+// True if the call is known not to have run: nothing was sent, or the endpoint says so.
+bool says_not_run(const absl::StatusOr<http::response>& answer)
+{
+    return answer.ok() ? answer->header_value("Not-Run") == "true"
+                       : absl::IsUnavailable(answer.status());
+}
+
 } // namespace
 
 asio::awaitable<http::response> idempotent_runner::run(short_call call)
 {
-    const routing::reach reach{shared_->settings.domain, {}};
+    const auto reach = reach_of(*shared_->endpoints.all(), shared_->settings.domain);
+    bool may_have_run = false;
     routing::request_features features;
     features.urgent = true;
     features.finish_by = call.deadline;
@@ -42,8 +51,12 @@
         if (answer.ok() && answer->status < first_server_error) {
             co_return done(answer->body);
         }
+        may_have_run = may_have_run || !says_not_run(answer);
         shared_->metrics.count("retries_total", {{"reason", "endpoint_failed"}});
     }
+    if (may_have_run) {
+        co_return outcome_unknown("endpoint_failed");
+    }
     co_return refusal(core::refusal_reason::no_endpoint);
 }
 
--- a/stand_ins/src/application.cpp
+++ b/stand_ins/src/application.cpp
@@ -11,6 +11,12 @@
 
 namespace ej::stand_ins {
 
+namespace {
+
+constexpr std::string_view executions_path = "/executions/";
+
+} // namespace
+
 application::application(const boost::asio::any_io_executor& /*executor*/, const options& settings,
                          std::string incarnation, std::shared_ptr<fault_control> control)
     : settings_(settings), incarnation_(std::move(incarnation)), control_(std::move(control)),
@@ -20,9 +26,10 @@
 
 boost::asio::awaitable<answer> application::handle(exchange& call)
 {
-    static constexpr std::array<route<application>, 3> routes{
+    static constexpr std::array<route<application>, 4> routes{
         {{"GET", "/load", &application::load},
          {"GET", "/executions", &application::executions},
+         {"GET", executions_path, &application::await_execution},
          {"POST", "/", &application::execute}}};
     co_return co_await dispatch(*this, routes, call);
 }
@@ -44,6 +51,19 @@
     co_return json_reply(200, executions_.to_json());
 }
 
+boost::asio::awaitable<answer> application::await_execution(exchange& call)
+{
+    const std::string key = call.request().path.substr(executions_path.size());
+    for (;;) {
+        const auto seen = executed_.version();
+        const auto counts = executions_.to_json();
+        if (counts.contains(key)) {
+            co_return json_reply(200, counts);
+        }
+        co_await executed_.wait(seen);
+    }
+}
+
 boost::asio::awaitable<answer> application::execute(exchange& call)
 {
     if (control_->current()->refuse) {
@@ -52,6 +72,7 @@
     co_await slots_.acquire(0);
     co_await control_->thaw();
     executions_.add(call.request().header("idempotency-key"));
+    executed_.notify();
     control_->crash_on(call.request().body);
     co_await pause(std::chrono::duration<double, std::milli>(settings_.service_ms *
                                                              control_->current()->slow));
--- a/stand_ins/src/application.h
+++ b/stand_ins/src/application.h
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "call_counts.h"
+#include "change_signal.h"
 #include "fault_control.h"
 #include "options.h"
 #include "service.h"
@@ -28,6 +29,7 @@
 private:
     boost::asio::awaitable<answer> load(exchange& call);
     boost::asio::awaitable<answer> executions(exchange& call);
+    boost::asio::awaitable<answer> await_execution(exchange& call);
     boost::asio::awaitable<answer> execute(exchange& call);
 
     options settings_;
@@ -35,6 +37,7 @@
     std::shared_ptr<fault_control> control_;
     slot_pool slots_;
     call_counts executions_;
+    change_signal executed_;
 };
 
 } // namespace ej::stand_ins
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -26,14 +26,24 @@
 
 } // namespace
 
-deployment::deployment(int engines, const std::vector<std::string>& engine_flags)
+deployment::deployment(int engines, const std::vector<std::string>& engine_flags, int applications)
 {
     for (int index = 0; index < engines; ++index) {
         engines_.push_back("e" + std::to_string(index + 1));
         fleet_.start(harness::stand_in_settings{
             "engine", engines_.back(), domains.at(index % domains.size()), service, engine_flags});
     }
-    const std::vector<std::string> classes{"--class", "summary:generation:" + service};
+    for (int index = 0; index < applications; ++index) {
+        applications_.push_back("a" + std::to_string(index + 1));
+        fleet_.start(harness::stand_in_settings{"application",
+                                                applications_.back(),
+                                                domains.at(index % domains.size()),
+                                                "dispatch",
+                                                {"--service-ms", "200"}});
+    }
+    const std::vector<std::string> classes{"--class", "summary:generation:" + service,
+                                           "--class", "berth:idempotent:dispatch",
+                                           "--class", "departure:non_idempotent:dispatch"};
     fleet_.start(harness::daemon_settings{"d1", domains.front(), classes});
     fleet_.start(harness::daemon_settings{"d2", domains.back(), classes});
 }
@@ -59,6 +69,20 @@
         [&](const std::string& engine) { return counter(fleet_.at(engine), name); });
 }
 
+std::uint64_t deployment::executions(const std::string& key) const
+{
+    return std::transform_reduce(
+        applications_.begin(), applications_.end(), std::uint64_t{0}, std::plus{},
+        [&](const std::string& application) {
+            return fleet_.read(application, "/stats").at("executions").value(key, std::uint64_t{0});
+        });
+}
+
+void deployment::wait_until_executed(const std::string& application, const std::string& key) const
+{
+    static_cast<void>(fleet_.read(application, "/executions/" + key));
+}
+
 void deployment::fault_others(const std::string& except, const nlohmann::json& faults)
 {
     for (const auto& engine : engines_) {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -9,12 +9,14 @@
 
 namespace ej::process_tests {
 
-/// Engines "e1", "e2", ... and two daemons "d1" and "d2" in two failure domains, with a class
-/// "summary" of generations. Ready when made.
+/// Engines "e1", ..., applications "a1", ... and daemons "d1" and "d2" in two failure domains.
+/// Classes "summary" (generations), "berth" (idempotent) and "departure" (not idempotent).
 class deployment {
 public:
-    /// Starts `engines` engines with `engine_flags`.
-    explicit deployment(int engines, const std::vector<std::string>& engine_flags = {});
+    /// Starts `engines` engines with `engine_flags`, and `applications` applications whose calls
+    /// take 200 ms.
+    explicit deployment(int engines, const std::vector<std::string>& engine_flags = {},
+                        int applications = 0);
 
     [[nodiscard]] harness::fleet& fleet() { return fleet_; }
     [[nodiscard]] const std::vector<std::string>& engines() const { return engines_; }
@@ -26,12 +28,21 @@
     /// Sum of a counter over the engines that live.
     [[nodiscard]] std::uint64_t engine_total(const std::string& counter) const;
 
+    [[nodiscard]] const std::vector<std::string>& applications() const { return applications_; }
+
+    /// Calls that the applications ran, by key.
+    [[nodiscard]] std::uint64_t executions(const std::string& key) const;
+
+    /// Returns once `application` runs a call with `key`, which has no characters to escape.
+    void wait_until_executed(const std::string& application, const std::string& key) const;
+
     /// Puts faults in force at every engine but `except`.
     void fault_others(const std::string& except, const nlohmann::json& faults);
 
 private:
     harness::fleet fleet_;
     std::vector<std::string> engines_;
+    std::vector<std::string> applications_;
 };
 
 /// A call of class "summary" by workspace "wharf".
--- /dev/null
+++ b/tests/process/short_request_test.cpp
@@ -0,0 +1,84 @@
+#include "deployment.h"
+
+#include <harness/http_client.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <string>
+
+#include <signal.h>
+
+namespace ej::process_tests {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const auto* key = "crossing-0740";
+
+harness::http_call request_of(const std::string& work_class, const std::string& text)
+{
+    harness::http_call call{"POST", "/v1/requests", {}, {}};
+    call.headers["Authorization"] = "Bearer wharf-key";
+    call.headers["Idempotency-Key"] = key;
+    call.body = json{{"class", work_class}, {"path", "/do"}, {"body", {{"text", text}}}}.dump();
+    return call;
+}
+
+std::future<json> submit(const deployment& system, const std::string& daemon,
+                         const harness::http_call& call)
+{
+    return std::async(std::launch::async, [where = system.daemon(daemon), call] {
+        const auto answer = harness::send(where, call);
+        return answer.ok() ? json::parse(answer->body) : json{{"outcome", "broken"}};
+    });
+}
+
+} // namespace
+
+TEST_CASE("an idempotent request whose application dies is run by another")
+{
+    deployment system(0, {}, 2);
+    auto answer = submit(system, "d1", request_of("berth", "status of berth 4"));
+    system.wait_until_executed("a1", key); // The one in the daemon's own failure domain.
+    system.fleet().kill("a1");
+    const auto result = answer.get();
+    CHECK(result.value("outcome", "") == "done");
+    CHECK(result.dump().find("status of berth 4") != std::string::npos);
+}
+
+TEST_CASE("a request that may have run is never refused as not run")
+{
+    deployment system(0, {}, 2);
+    for (const auto& application : system.applications()) {
+        system.fleet().fault(application, {{"lose_answers", 100}});
+    }
+    const auto result = submit(system, "d1", request_of("berth", "status")).get();
+    CHECK(system.executions(key) > 0);
+    CHECK(result.value("outcome", "") == "outcome_unknown");
+}
+
+TEST_CASE("a request that is refused did not run")
+{
+    deployment system(0, {}, 2);
+    for (const auto& application : system.applications()) {
+        system.fleet().fault(application, {{"refuse", true}});
+    }
+    const auto result = submit(system, "d1", request_of("berth", "status")).get();
+    CHECK(system.executions(key) == 0);
+    CHECK(result.value("outcome", "") == "refused");
+}
+
+TEST_CASE("a daemon that stops first finishes the request in flight")
+{
+    deployment system(0, {}, 1);
+    auto answer = submit(system, "d1", request_of("berth", "status"));
+    system.wait_until_executed("a1", key);
+    system.fleet().signal("d1", SIGTERM);
+    CHECK(answer.get().value("outcome", "") == "done");
+    CHECK(system.fleet().wait("d1") == 0);
+}
+
+} // namespace ej::process_tests
