A slow engine is waited for, not given up

Cause: 1,000 streams of an engine with 0.5 tokens a second were attached to again every third of a second and superseded after four attachments: silence on a sound connection of a live engine was taken for a silent connection. Ruled out: a longer silence bound (it is a third of the resume target and has to stay one). A policy that restarts unasked does so twice at most, then asks. A connection that gives no header in time counts as closed.

--- a/libs/generation/include/generation/cause.h
+++ b/libs/generation/include/generation/cause.h
@@ -21,11 +21,12 @@
     stale_attempt,
     repeated_tokens,
     no_endpoint,
+    no_progress,
     too_many_losses,
     caller_gone
 };
 
-inline constexpr std::size_t cause_count = 15;
+inline constexpr std::size_t cause_count = 16;
 
 /// The name used in messages and metrics.
 [[nodiscard]] std::string_view to_string(cause value);
--- a/libs/generation/include/generation/event.h
+++ b/libs/generation/include/generation/event.h
@@ -17,7 +17,8 @@
 struct event {
     event_kind kind = event_kind::closed;
     core::attempt_number attempt; ///< The attempt that it concerns.
-    core::token_offset offset;    ///< opened, tokens: where the text begins; finished: the total.
+    core::token_offset offset;    ///< opened, tokens: where the text begins; finished: the total;
+                                  ///< alive: tokens that the engine has.
     core::digest digest;          ///< opened: of the engine's text before `offset`.
     core::endpoint_id endpoint;   ///< placed.
     std::vector<std::string> tokens; ///< tokens.
--- a/libs/generation/include/generation/loss_policy.h
+++ b/libs/generation/include/generation/loss_policy.h
@@ -4,6 +4,8 @@
 
 #include <core/instant.h>
 
+#include <cstdint>
+
 namespace ej::generation {
 
 /// How to go on when a connection is lost or silent. The class's target chooses the policy:
@@ -18,7 +20,8 @@
     loss_policy& operator=(loss_policy&&) = delete;
 
     /// True: ask the engine over a new connection; false: start the next attempt at once.
-    [[nodiscard]] virtual bool asks_first(cause why) const = 0;
+    /// `restarts` attempts were given up before.
+    [[nodiscard]] virtual bool asks_first(cause why, std::uint32_t restarts) const = 0;
 
     /// Longest time without a line before the stream counts as silent; > 0.
     [[nodiscard]] virtual core::duration silence_bound() const = 0;
--- a/libs/generation/include/generation/state.h
+++ b/libs/generation/include/generation/state.h
@@ -22,6 +22,10 @@
     std::uint32_t losses = 0;        ///< Engines that stopped answering while they ran it.
     std::uint32_t restarts = 0;      ///< Attempts given up for any reason.
     std::uint32_t attaches = 0;      ///< Re-attachments since the last token.
+    std::uint32_t waits = 0;         ///< Silences since the last token that were no loss.
+    /// While checking: the phase to return to if the connection proves sound; `checking` when
+    /// there is no connection.
+    generation::phase before_check = generation::phase::checking;
 
     friend auto operator<=>(const state&, const state&) = default;
 };
--- a/libs/generation/src/ask_first.h
+++ b/libs/generation/src/ask_first.h
@@ -11,7 +11,7 @@
 public:
     explicit ask_first(const core::work_target& target);
 
-    [[nodiscard]] bool asks_first(cause why) const override;
+    [[nodiscard]] bool asks_first(cause why, std::uint32_t restarts) const override;
     [[nodiscard]] core::duration silence_bound() const override { return silence_bound_; }
     [[nodiscard]] core::duration answer_bound() const override { return answer_bound_; }
 
--- a/libs/generation/src/policies.cpp
+++ b/libs/generation/src/policies.cpp
@@ -20,6 +20,8 @@
 // From this much allowed extra work on, a silent engine is not asked first.
 constexpr std::uint32_t generous_extra_work_percent = 20;
 
+constexpr std::uint32_t max_restarts_unasked = 2;
+
 core::duration silence_of(const core::work_target& target)
 {
     return std::max<core::duration>(target.resume / silence_share, min_silence);
@@ -37,7 +39,7 @@
 {
 }
 
-bool ask_first::asks_first(cause) const
+bool ask_first::asks_first(cause, std::uint32_t) const
 {
     return true;
 }
@@ -47,10 +49,11 @@
 {
 }
 
-// A broken connection is answered within a round trip, so asking costs no time worth saving.
-bool restart_at_once::asks_first(cause why) const
+// A broken connection is answered within a round trip, so asking costs no time worth saving. After
+// two restarts the engines are slow rather than lost, and each further one would add to their work.
+bool restart_at_once::asks_first(cause why, std::uint32_t restarts) const
 {
-    return why == cause::connection_lost;
+    return why == cause::connection_lost || restarts >= max_restarts_unasked;
 }
 
 std::shared_ptr<const loss_policy> policy_for(const core::work_target& target)
--- a/libs/generation/src/restart_at_once.h
+++ b/libs/generation/src/restart_at_once.h
@@ -12,7 +12,7 @@
 public:
     explicit restart_at_once(const core::work_target& target);
 
-    [[nodiscard]] bool asks_first(cause why) const override;
+    [[nodiscard]] bool asks_first(cause why, std::uint32_t restarts) const override;
     [[nodiscard]] core::duration silence_bound() const override { return silence_bound_; }
     [[nodiscard]] core::duration answer_bound() const override { return answer_bound_; }
 
--- a/libs/generation/src/rules.cpp
+++ b/libs/generation/src/rules.cpp
@@ -132,6 +132,7 @@
     to.next = from.next.plus(delivery.tokens.size());
     to.text = extend(from.text, delivery.tokens);
     to.attaches = 0;
+    to.waits = 0;
     return {to, {std::move(delivery)}};
 }
 
@@ -172,21 +173,37 @@
     if (from.phase != phase::streaming && from.phase != phase::opening) {
         return dropped(from, cause::none);
     }
-    if (!policy_->asks_first(why)) {
+    if (!policy_->asks_first(why, from.restarts)) {
         return supersede(from, why);
     }
     state to = from;
     to.phase = phase::checking;
+    if (why == cause::silence) {
+        to.before_check = from.phase;
+        return {to, {make_effect(effect_kind::check, to, why)}};
+    }
+    to.before_check = phase::checking;
     return {to,
             {make_effect(effect_kind::close, to, why), make_effect(effect_kind::check, to, why)}};
 }
 
-transition rules::alive(const state& from, const event&) const
+// An engine that has no more tokens than were delivered is slow, and its silent connection may be
+// sound: attaching anew would gain nothing.
+transition rules::alive(const state& from, const event& what) const
 {
     if (from.phase != phase::checking) {
         return dropped(from, cause::none);
     }
-    return reattach(from, cause::none);
+    if (from.before_check == phase::checking || what.offset > from.next) {
+        return reattach(from, cause::none);
+    }
+    if (from.waits >= limits_.max_waits) {
+        return supersede(from, cause::no_progress);
+    }
+    state to = from;
+    to.phase = from.before_check;
+    ++to.waits;
+    return {to, {}};
 }
 
 transition rules::forgotten(const state& from, const event&) const
@@ -238,6 +255,8 @@
     to.losses += engine_lost ? 1 : 0;
     ++to.restarts;
     to.attaches = 0;
+    to.waits = 0;
+    to.before_check = phase::checking;
     to.attempt = from.attempt.next();
     to.phase = phase::placing;
     to.endpoint = {};
--- a/libs/generation/tests/rules_test.cpp
+++ b/libs/generation/tests/rules_test.cpp
@@ -138,6 +138,24 @@
     CHECK(played.answer() == text_of(4));
 }
 
+TEST_CASE("a slow engine is waited for on the same connection, within a bound")
+{
+    limits bounds;
+    bounds.max_waits = 2;
+    history played(rules_for(little_extra_work, bounds), text_of(9));
+    played.play(history_step::honest_line);
+    played.play(history_step::honest_line);
+    for (std::uint32_t wait = 0; wait < bounds.max_waits; ++wait) {
+        played.play(history_step::silent);
+        played.play(history_step::repeated_line); // Alive, and has no more tokens.
+        CHECK(played.state().phase == phase::streaming);
+        CHECK(played.state().attaches == 0);
+    }
+    played.play(history_step::silent);
+    played.play(history_step::repeated_line);
+    CHECK(played.state().attempt == core::attempt_number(2));
+}
+
 TEST_CASE("a class that allows much extra work starts anew on silence without asking")
 {
     history played(rules_for(much_extra_work), text_of(9));
--- a/libs/runtime/src/engine_link.cpp
+++ b/libs/runtime/src/engine_link.cpp
@@ -3,6 +3,7 @@
 #include "engine_link.h"
 
 #include <wire/engine_line.h>
+#include <wire/generation_status.h>
 
 #include <algorithm>
 #include <utility>
@@ -91,8 +92,8 @@
     co_return std::move(parsed).value();
 }
 
-asio::awaitable<event_kind> engine_link::check(core::endpoint engine,
-                                               wire::engine_position position, core::duration bound)
+asio::awaitable<event> engine_link::check(core::endpoint engine, wire::engine_position position,
+                                          core::duration bound)
 {
     http::request question;
     question.target =
@@ -100,13 +101,17 @@
     auto options = bounded(bound);
     options.reuse_connection = false;
     auto answer = co_await calls_->fetch(engine.where, std::move(question), options);
-    if (answer.ok() && answer->status == status_ok) {
-        co_return event_kind::alive;
-    }
+    event what;
+    what.attempt = position.attempt;
+    what.kind = event_kind::unreachable;
     if (answer.ok() && answer->status == status_not_found) {
-        co_return event_kind::forgotten;
+        what.kind = event_kind::forgotten;
+    }
+    if (answer.ok() && answer->status == status_ok) {
+        what.kind = event_kind::alive;
+        what.offset = wire::parse_generation_status(answer->body);
     }
-    co_return event_kind::unreachable;
+    co_return what;
 }
 
 asio::awaitable<void> engine_link::cancel(core::endpoint engine, wire::engine_position position)
--- a/libs/runtime/src/engine_link.h
+++ b/libs/runtime/src/engine_link.h
@@ -3,7 +3,6 @@
 #include <core/endpoint.h>
 #include <core/instant.h>
 #include <generation/event.h>
-#include <generation/event_kind.h>
 #include <http/client.h>
 #include <http/line_stream.h>
 #include <wire/engine_order.h>
@@ -35,9 +34,9 @@
     boost::asio::awaitable<generation::event> next(core::attempt_number attempt,
                                                    core::duration silence);
 
-    /// Asks over a new connection whether the engine has the attempt: alive, forgotten or
-    /// unreachable.
-    boost::asio::awaitable<generation::event_kind>
+    /// Asks over a new connection whether the engine has the attempt: alive with the tokens that
+    /// it has, forgotten or unreachable.
+    boost::asio::awaitable<generation::event>
     check(core::endpoint engine, wire::engine_position position, core::duration bound);
 
     /// Cancels an attempt; the answer does not matter.
--- a/libs/runtime/src/generation_session.cpp
+++ b/libs/runtime/src/generation_session.cpp
@@ -204,7 +204,7 @@
         absl::IsNotFound(opened)) {
         return make_event(event_kind::rejected);
     }
-    return make_event(absl::IsDeadlineExceeded(opened) ? event_kind::silent : event_kind::closed);
+    return make_event(event_kind::closed);
 }
 
 asio::awaitable<generation_session::optional_event> generation_session::check(effect what)
@@ -213,8 +213,8 @@
     if (!engine) {
         co_return make_event(event_kind::unreachable);
     }
-    const auto kind = co_await link_.check(*engine, position(what), policy_->answer_bound());
-    co_return make_event(kind);
+    auto answer = co_await link_.check(*engine, position(what), policy_->answer_bound());
+    co_return answer;
 }
 
 asio::awaitable<generation_session::optional_event> generation_session::close(effect what)
