Messages between daemons as CBOR; a connection closed for want of use accuses nobody

Cause: membership has to tell a peer that closes an idle connection from one that fails, and needs to know a peer's failure domain as soon as it is connected. Its entries need an encoding.

Change: the proof covers the sender's failure domain; an idle connection is closed in due form, and both ends count it as idle. libs/peer_wire encodes typed messages by tables of member pointers: a version, a kind, a body; unknown fields, kinds and versions are skipped, faults are collected with their place.

--- a/libs/peer/include/peer/drop_reason.h
+++ b/libs/peer/include/peer/drop_reason.h
@@ -7,7 +7,7 @@
 /// Why a connection between daemons ended.
 enum class drop_reason {
     closed,          ///< The other end closed it, or it failed.
-    idle,            ///< Nothing was sent on an on-demand connection.
+    idle,            ///< An end closed it on purpose, for want of use.
     silent,          ///< Heartbeats were not answered.
     malformed,       ///< A frame could not be read.
     too_large,       ///< A frame exceeded the bound.
--- a/libs/peer/include/peer/peer_identity.h
+++ b/libs/peer/include/peer/peer_identity.h
@@ -10,11 +10,13 @@
 /// Who is at the other end, proven by the fleet's secret.
 struct peer_identity {
     std::string name;
+    std::string domain;   ///< Its failure domain.
     peer_address address; ///< Where it listens.
 
     friend bool operator==(const peer_identity& left, const peer_identity& right)
     {
-        return std::tie(left.name, left.address) == std::tie(right.name, right.address);
+        return std::tie(left.name, left.domain, left.address) ==
+               std::tie(right.name, right.domain, right.address);
     }
 };
 
--- a/libs/peer/include/peer/peer_settings.h
+++ b/libs/peer/include/peer/peer_settings.h
@@ -11,6 +11,7 @@
 /// How a daemon talks to its peers.
 struct peer_settings {
     std::string name;       ///< This daemon's name; not empty.
+    std::string domain;     ///< Its failure domain; not empty.
     peer_address listen;    ///< Port 0: chosen by the system.
     std::string secret;     ///< Shared by the fleet; at least 16 bytes.
     std::string host_shown; ///< IP number that peers connect to; empty: that of `listen`.
--- a/libs/peer/src/frame.cpp
+++ b/libs/peer/src/frame.cpp
@@ -24,6 +24,7 @@
 peer_identity sender_of(const json& object)
 {
     return {text_of(object, "name"),
+            text_of(object, "domain"),
             {text_of(object, "host"), object.at("port").get<std::uint16_t>()}};
 }
 
@@ -39,6 +40,7 @@
     }
     if (value.kind == frame_kind::challenge) {
         object["name"] = value.sender.name;
+        object["domain"] = value.sender.domain;
         object["host"] = value.sender.address.host;
         object["port"] = value.sender.address.port;
     }
--- a/libs/peer/src/handshake.cpp
+++ b/libs/peer/src/handshake.cpp
@@ -37,6 +37,7 @@
     std::string text;
     append_part(text, initiator ? "initiator" : "acceptor");
     append_part(text, sender.name);
+    append_part(text, sender.domain);
     append_part(text, sender.address.host);
     append_part(text, std::to_string(sender.address.port));
     append_part(text, own_nonce);
--- a/libs/peer/src/peer_loop.cpp
+++ b/libs/peer/src/peer_loop.cpp
@@ -33,6 +33,7 @@
       calls_(*context_)
 {
     require(!settings_.name.empty(), "a daemon's name is needed");
+    require(!settings_.domain.empty(), "a daemon's failure domain is needed");
     require(settings_.secret.size() >= min_secret_bytes, "the fleet's secret is too short");
     prepare(acceptor_);
     prepare(initiator_);
@@ -120,13 +121,18 @@
 
 void peer_loop::drop(const session::ptr& link, drop_reason reason)
 {
-    if (link->ended || link->reason) {
+    if (link->ended) {
+        return;
+    }
+    // Ended and counted first: the other end may notice at once.
+    end(link, reason);
+    if (reason == drop_reason::idle) {
+        websocketpp::lib::error_code failed;
+        link->socket->close(websocketpp::close::status::normal, {}, failed);
         return;
     }
-    link->reason = reason;
     // Not a closing handshake: a bad or silent peer need not take part in it.
     link->socket->terminate(websocketpp::lib::error_code{});
-    boost::asio::post(*context_, [this, link, reason] { end(link, reason); });
 }
 
 void peer_loop::end(const session::ptr& link, drop_reason reason)
--- a/libs/peer/src/peer_loop_frames.cpp
+++ b/libs/peer/src/peer_loop_frames.cpp
@@ -22,7 +22,7 @@
 
 void peer_loop::receive(const session::ptr& link, const std::string& bytes)
 {
-    if (link->ended || link->reason) {
+    if (link->ended) {
         return;
     }
     link->last_heard = clock::now();
--- a/libs/peer/src/peer_loop_sockets.cpp
+++ b/libs/peer/src/peer_loop_sockets.cpp
@@ -12,12 +12,13 @@
 
 drop_reason reason_of(const session& link)
 {
-    if (link.reason) {
-        return *link.reason;
-    }
     const auto code = local_close_code(link.socket);
-    return code == websocketpp::close::status::message_too_big ? drop_reason::too_large
-                                                               : drop_reason::closed;
+    if (code == websocketpp::close::status::message_too_big) {
+        return drop_reason::too_large;
+    }
+    // Only an end that has no more use for the connection closes it in due form.
+    const bool orderly = remote_close_code(link.socket) == websocketpp::close::status::normal;
+    return orderly ? drop_reason::idle : drop_reason::closed;
 }
 
 } // namespace
@@ -50,6 +51,7 @@
     }
     boost::system::error_code unbound;
     self_.name = settings_.name;
+    self_.domain = settings_.domain;
     self_.address.host =
         settings_.host_shown.empty() ? settings_.listen.host : settings_.host_shown;
     self_.address.port = acceptor_.get_local_endpoint(unbound).port();
--- a/libs/peer/src/session.h
+++ b/libs/peer/src/session.h
@@ -3,12 +3,10 @@
 #include "frame.h"
 #include "socket_types.h"
 
-#include <peer/drop_reason.h>
 #include <peer/peer_identity.h>
 
 #include <chrono>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,7 +26,6 @@
     peer_identity other;
     bool authenticated = false;
     bool ended = false;
-    std::optional<drop_reason> reason; ///< Why this end drops it.
     instant opened;
     instant last_heard;
     instant last_used;             ///< A message, request or answer went either way.
--- a/libs/peer/src/socket_types.h
+++ b/libs/peer/src/socket_types.h
@@ -26,6 +26,10 @@
 inline const auto local_close_code =
     std::mem_fn(&initiator_endpoint::connection_type::get_local_close_code);
 
+/// The close code that the other end sent.
+inline const auto remote_close_code =
+    std::mem_fn(&initiator_endpoint::connection_type::get_remote_close_code);
+
 /// The TCP socket under a connection.
 inline const auto tcp_socket = std::mem_fn(&initiator_endpoint::connection_type::get_raw_socket);
 
--- a/libs/peer/tests/handshake_test.cpp
+++ b/libs/peer/tests/handshake_test.cpp
@@ -9,12 +9,15 @@
 
 TEST_CASE("a proof is bound to secret, role, sender and both nonces")
 {
-    const peer_identity sender{"a", {"127.0.0.1", 1}};
+    const peer_identity sender{"a", "d", {"127.0.0.1", 1}};
     const auto proof = make_proof("secret", true, sender, "n1", "n2");
     CHECK(equal_proofs(proof, make_proof("secret", true, sender, "n1", "n2")));
     CHECK_FALSE(equal_proofs(proof, make_proof("other", true, sender, "n1", "n2")));
     CHECK_FALSE(equal_proofs(proof, make_proof("secret", false, sender, "n1", "n2")));
-    CHECK_FALSE(equal_proofs(proof, make_proof("secret", true, {"b", sender.address}, "n1", "n2")));
+    CHECK_FALSE(
+        equal_proofs(proof, make_proof("secret", true, {"b", "d", sender.address}, "n1", "n2")));
+    CHECK_FALSE(
+        equal_proofs(proof, make_proof("secret", true, {"a", "e", sender.address}, "n1", "n2")));
     CHECK_FALSE(equal_proofs(proof, make_proof("secret", true, sender, "n2", "n1")));
     CHECK_FALSE(equal_proofs(proof, make_proof("secret", true, sender, "n", "1n2")));
 }
@@ -29,7 +32,7 @@
     });
     rc::prop("truncated or changed bytes are read or refused, never more",
              [](const std::string& payload, std::size_t at, char change) {
-                 auto bytes = encode({frame_kind::challenge, 1, payload, {"a", {"h", 2}}});
+                 auto bytes = encode({frame_kind::challenge, 1, payload, {"a", "d", {"h", 2}}});
                  bytes[at % bytes.size()] = change;
                  (void)decode(bytes);
                  (void)decode(bytes.substr(0, at % bytes.size()));
--- a/libs/peer/tests/peer_node_test.cpp
+++ b/libs/peer/tests/peer_node_test.cpp
@@ -16,6 +16,7 @@
 {
     peer_settings settings;
     settings.name = name;
+    settings.domain = "d";
     settings.listen = {"127.0.0.1", 0};
     settings.secret = "the secret of this fleet";
     settings.heartbeat = std::chrono::milliseconds(50);
@@ -134,9 +135,11 @@
     peer_node client(impatient, report_disconnects(closed));
     peer_address where;
     {
-        peer_node idle(settings_of("b"), echo());
+        mailbox<drop_reason> closed_there;
+        peer_node idle(settings_of("b"), report_disconnects(closed_there, echo()));
         CHECK(ask(client, idle.address(), "x").status == call_status::answered);
         CHECK(closed.take() == drop_reason::idle);
+        CHECK(closed_there.take() == drop_reason::idle);
         where = idle.address();
     }
     client.keep({where});
@@ -146,7 +149,7 @@
     auto same = settings_of("b");
     same.listen = where;
     peer_node restarted(same, at_server);
-    CHECK(again.take() == peer_identity{"a", client.address()});
+    CHECK(again.take() == peer_identity{"a", "d", client.address()});
 }
 
 TEST_CASE("a peer that stops answering heartbeats is dropped as silent")
--- /dev/null
+++ b/libs/peer_wire/tests/codec_test.cpp
@@ -0,0 +1,93 @@
+#include "../../membership/tests/entries.h"
+
+#include <peer_wire/codec.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
+
+namespace ej::peer_wire {
+
+namespace {
+
+using nlohmann::json;
+
+std::string cbor(const json& value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+std::optional<message> read_back(const message& value)
+{
+    core::findings found;
+    auto copy = parse_message(encode(value), found);
+    REQUIRE(found.empty());
+    return copy;
+}
+
+} // namespace
+
+TEST_CASE("messages between daemons are read back as written")
+{
+    rc::prop("deltas", [](const std::vector<membership::member_entry>& members,
+                          const std::vector<membership::endpoint_entry>& endpoints,
+                          const std::vector<membership::domain_summary>& summaries) {
+        const message sent = membership::delta{members, endpoints, summaries};
+        RC_ASSERT(read_back(sent) == sent);
+    });
+    rc::prop("opaque payloads and digests",
+             [](const std::string& payload, std::uint64_t hash, bool wanted) {
+                 const message sent = opaque_message{message_kind::action_forward, payload};
+                 RC_ASSERT(read_back(sent) == sent);
+                 membership::digest_table table;
+                 table.members = hash;
+                 table.endpoints.back() = ~hash;
+                 table.answer_wanted = wanted;
+                 RC_ASSERT(read_back(table) == message(table));
+             });
+}
+
+TEST_CASE("unknown fields, kinds and versions are skipped without a finding")
+{
+    core::findings found;
+    auto object = json::from_cbor(encode(membership::delta{}));
+    object["later"] = {1, 2};
+    object["b"]["later"] = true;
+    CHECK(parse_message(cbor(object), found) == message(membership::delta{}));
+    object["k"] = 1'000;
+    CHECK(parse_message(cbor(object), found) == std::nullopt);
+    object["k"] = 1;
+    object["v"] = 2;
+    CHECK(parse_message(cbor(object), found) == std::nullopt);
+    CHECK(found.empty());
+}
+
+TEST_CASE("every fault of a message is found, each with its place")
+{
+    core::findings found;
+    const json entry = {{"n", 7}, {"s", 9}, {"w", {{"h", "::1"}, {"p", 70'000}}}};
+    const auto bytes = cbor({{"v", 1}, {"k", 1}, {"b", {{"m", {entry}}, {"e", 1}}}});
+    CHECK(parse_message(bytes, found) == std::nullopt);
+    std::vector<std::string> places;
+    for (const auto& fault : found.list()) {
+        places.push_back(fault.place);
+    }
+    CHECK(places ==
+          std::vector<std::string>{"b.m[0].n", "b.m[0].s", "b.m[0].d", "b.m[0].w.p", "b.e"});
+}
+
+TEST_CASE("changed or cut bytes are read or refused, never more")
+{
+    rc::prop("no bytes break the reader", [](const std::vector<membership::endpoint_entry>& entries,
+                                             std::size_t at, char change) {
+        core::findings found;
+        auto bytes = encode(membership::delta{{}, entries, {}});
+        (void)parse_message(bytes.substr(0, at % bytes.size()), found);
+        bytes[at % bytes.size()] = change;
+        (void)parse_message(bytes, found);
+    });
+}
+
+} // namespace ej::peer_wire
