--- a/libs/actions/tests/lane_rules_test.cpp
+++ b/libs/actions/tests/lane_rules_test.cpp
@@ -75,6 +75,7 @@
          wanted(2), event_of(lane_event_kind::turn_came), event_of(lane_event_kind::write_refused),
          event_of(lane_event_kind::turn_came), event_of(lane_event_kind::read_answered, 8)});
     REQUIRE(given_up.effects.size() == 1);
+    CHECK(given_up.effects.front().kind == lane_effect_kind::settle);
     CHECK(given_up.effects.front().verdict.kind == verdict_kind::failed);
 }
 
