Actions in the daemon: tickets, claims, attempts and forwarding

Ruled out: connections kept for the next call (one gone silent would leave an action in doubt) and one deadline timer an action beside the caller's own (the waiting coroutine reports the deadline). Change: action_driver and claim_driver carry out effects by tables of member pointers; action_runner is the runner of non-idempotent classes; ticket_api answers POST /v1/tickets; claims stand behind claim_store, peers behind action_forwarder. Conclusion: ready to be wired; the forwarder over libs/peer is left.

--- /dev/null
+++ b/libs/runtime/src/action_attempt.cpp
@@ -0,0 +1,87 @@
+#include "asio.h"
+
+#include "action_attempt.h"
+
+#include "application_call.h"
+#include "pause_for.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace ej::runtime {
+
+namespace {
+
+using actions::action_event;
+using actions::event_kind;
+
+constexpr core::duration wait_for_endpoint = std::chrono::milliseconds(20);
+
+core::instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// Only an error before the first byte, and the application's own word, prove that it did not run.
+action_event event_of(const absl::StatusOr<http::response>& answer)
+{
+    action_event event;
+    if (!answer.ok()) {
+        event.kind = absl::IsUnavailable(answer.status()) ? event_kind::answered_not_run
+                                                          : event_kind::connection_lost;
+        return event;
+    }
+    if (answer->header_value("Not-Run") == "true") {
+        event.kind = event_kind::answered_not_run;
+        return event;
+    }
+    event.kind = event_kind::answered;
+    event.result = {static_cast<std::uint16_t>(answer->status),
+                    answer->header_value("Content-Type").value_or(std::string()), answer->body};
+    return event;
+}
+
+} // namespace
+
+asio::awaitable<std::optional<routing::placement>>
+place_action(std::shared_ptr<services> shared, std::shared_ptr<const short_call> call)
+{
+    const routing::reach reach{shared->settings.domain, {}};
+    routing::request_features features;
+    features.urgent = true;
+    features.finish_by = call->deadline;
+    while (now() < call->deadline) {
+        const auto placed = shared->pools.acquire(call->work_class.service, reach, features,
+                                                  shared->ids.next_seed(), now());
+        if (placed) {
+            co_return *placed;
+        }
+        co_await pause_for(wait_for_endpoint);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<action_event> send_action(std::shared_ptr<services> shared,
+                                          routing::placement where,
+                                          std::shared_ptr<const short_call> call)
+{
+    const auto began = now();
+    const auto endpoint = shared->endpoints.find(where.endpoint);
+    absl::StatusOr<http::response> answer = absl::UnavailableError("endpoint is gone");
+    if (endpoint) {
+        answer = co_await call_application(shared->calls, endpoint->where, *call, false);
+    }
+    const action_event event = event_of(answer);
+    const auto kind = event.kind == event_kind::answered ? routing::outcome_kind::finished
+                                                         : routing::outcome_kind::failed;
+    shared->pools.release(where, {kind, 1, now() - began}, now());
+    co_return event;
+}
+
+void release_unused(services& shared, const routing::placement& where)
+{
+    shared.pools.release(where, {routing::outcome_kind::cancelled, 1, {}}, now());
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/claim_driver.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "claim_store.h"
+
+#include <actions/claim_batcher.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace ej::runtime {
+
+/// Carries out the effects of a `claim_batcher` on a store. Thread-safe.
+class claim_driver : public std::enable_shared_from_this<claim_driver> {
+public:
+    using verdict_handler = std::function<void(const actions::claim_verdict&)>;
+
+    claim_driver(boost::asio::any_io_executor executor, std::shared_ptr<claim_store> store,
+                 const actions::claim_limits& limits);
+
+    /// Called with the end of each claim; set before the first claim.
+    void on_verdict(verdict_handler handle) { on_verdict_ = std::move(handle); }
+
+    /// Has `wanted` bound with the next write of its bucket.
+    void bind(const actions::claim& wanted);
+
+private:
+    using bucket_number = actions::bucket_number;
+    using handler = void (claim_driver::*)(bucket_number, actions::lane_effect);
+
+    void apply(bucket_number bucket, actions::lane_event event);
+    void schedule(bucket_number bucket, actions::lane_effect effect);
+    void read(bucket_number bucket, actions::lane_effect effect);
+    void write(bucket_number bucket, actions::lane_effect effect);
+    void settle(bucket_number bucket, actions::lane_effect effect);
+
+    boost::asio::any_io_executor executor_;
+    std::shared_ptr<claim_store> store_;
+    actions::claim_batcher batcher_;
+    verdict_handler on_verdict_;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/claim_store.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <actions/bucket_number.h>
+#include <actions/claim_bucket.h>
+#include <actions/lane_event.h>
+
+#include <core/revision.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace ej::runtime {
+
+/// Where claim buckets are kept. Thread-safe; each call answers with the event to report, whose
+/// times are not filled in.
+class claim_store {
+public:
+    claim_store() = default;
+    virtual ~claim_store() = default;
+    claim_store(const claim_store&) = delete;
+    claim_store& operator=(const claim_store&) = delete;
+    claim_store(claim_store&&) = delete;
+    claim_store& operator=(claim_store&&) = delete;
+
+    /// `read_answered` or `read_failed`.
+    virtual boost::asio::awaitable<actions::lane_event> read(actions::bucket_number bucket) = 0;
+
+    /// `write_accepted`, `write_refused` or `write_failed`.
+    virtual boost::asio::awaitable<actions::lane_event>
+    write(actions::bucket_number bucket, actions::claim_bucket value, core::revision expected) = 0;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/outcome_slot.cpp
@@ -0,0 +1,29 @@
+#include "asio.h"
+
+#include "outcome_slot.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace ej::runtime {
+
+void outcome_slot::tell(std::shared_ptr<outcome_slot> slot, actions::action_outcome outcome)
+{
+    auto strand = slot->timer_.get_executor();
+    asio::post(strand, [slot = std::move(slot), outcome = std::move(outcome)]() mutable {
+        slot->told_ = std::move(outcome);
+        slot->timer_.cancel();
+    });
+}
+
+asio::awaitable<void> outcome_slot::wait_until(core::instant deadline)
+{
+    timer_.expires_at(deadline);
+    if (!told_) {
+        boost::system::error_code error;
+        co_await timer_.async_wait(no_throw(error));
+    }
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/outcome_slot.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <actions/action_outcome.h>
+#include <core/instant.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace ej::runtime {
+
+/// Hands an outcome to a coroutine that waits for it. All but `tell` on the coroutine's strand.
+class outcome_slot {
+public:
+    explicit outcome_slot(const boost::asio::any_io_executor& strand) : timer_(strand) {}
+
+    /// Hands in the outcome, from any thread.
+    static void tell(std::shared_ptr<outcome_slot> slot, actions::action_outcome outcome);
+
+    /// Returns when the outcome is there, or at `deadline`.
+    boost::asio::awaitable<void> wait_until(core::instant deadline);
+
+    /// The outcome, once there.
+    [[nodiscard]] const std::optional<actions::action_outcome>& told() const { return told_; }
+
+private:
+    boost::asio::steady_timer timer_;
+    std::optional<actions::action_outcome> told_;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/tests/action_fleet.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "action_runner.h"
+
+#include <http/server.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ej::runtime {
+
+/// A claim store in memory whose answers can be withheld.
+class memory_claim_store final : public claim_store {
+public:
+    boost::asio::awaitable<actions::lane_event> read(actions::bucket_number bucket) override;
+    boost::asio::awaitable<actions::lane_event> write(actions::bucket_number bucket,
+                                                      actions::claim_bucket value,
+                                                      core::revision expected) override;
+
+    std::atomic<bool> outage{false};
+    std::atomic<int> lose_answers{0}; ///< Writes that take effect without an answer.
+
+private:
+    std::mutex mutex_;
+    std::map<actions::bucket_number, std::pair<actions::claim_bucket, core::revision>> values_;
+};
+
+/// Two daemons' action runners, their application and store, joined in one process.
+class action_fleet {
+public:
+    action_fleet();
+    ~action_fleet();
+    action_fleet(const action_fleet&) = delete;
+    action_fleet& operator=(const action_fleet&) = delete;
+    action_fleet(action_fleet&&) = delete;
+    action_fleet& operator=(action_fleet&&) = delete;
+
+    /// Starts a request with `key` at `daemon`.
+    std::future<http::response> run(std::size_t daemon, const std::string& key,
+                                    const std::string& body = "{}",
+                                    core::duration time = std::chrono::seconds(20));
+
+    /// A ticket of `daemon`.
+    std::string ticket(std::size_t daemon);
+
+    std::shared_ptr<memory_claim_store> store = std::make_shared<memory_claim_store>();
+    std::atomic<int> executions{0};
+    std::atomic<int> refuse{0};      ///< Requests that the application says it did not run.
+    std::atomic<bool> silent{false}; ///< The application runs requests and never answers.
+    std::atomic<bool> peers_cut{false};
+
+private:
+    class in_process_forwarder;
+    struct member;
+
+    boost::asio::awaitable<void> serve(std::shared_ptr<http::exchange> call);
+
+    boost::asio::io_context context_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::unique_ptr<http::server> application_;
+    std::vector<std::unique_ptr<member>> members_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/tests/action_runner_test.cpp
@@ -0,0 +1,79 @@
+#include "action_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+
+namespace ej::runtime {
+
+namespace {
+
+constexpr unsigned conflict = 409;
+constexpr unsigned gateway_timeout = 504;
+
+} // namespace
+
+TEST_CASE("a ticket runs once, at its daemon and by way of another")
+{
+    action_fleet fleet;
+    const auto key = fleet.ticket(0);
+    auto first = fleet.run(0, key);
+    auto second = fleet.run(1, key);
+    const auto told = first.get();
+    CHECK(told.status == 200);
+    CHECK(second.get() == told);
+    CHECK(fleet.run(1, key).get() == told);
+    CHECK(fleet.run(0, key, "{\"other\":1}").get().status == conflict);
+    CHECK(fleet.executions == 1);
+}
+
+TEST_CASE("a caller's key at two daemons at once runs once, also when a write's answer is lost")
+{
+    action_fleet fleet;
+    fleet.store->lose_answers = 1;
+    auto first = fleet.run(0, "booking-1");
+    auto second = fleet.run(1, "booking-1");
+    const auto told = first.get();
+    CHECK(told.status == 200);
+    CHECK(second.get() == told);
+    CHECK(fleet.executions == 1);
+}
+
+TEST_CASE("in an outage a ticket goes through and a claim is told unknown, then runs once")
+{
+    action_fleet fleet;
+    fleet.store->outage = true;
+    CHECK(fleet.run(0, fleet.ticket(0)).get().status == 200);
+    CHECK(fleet.run(0, "booking-1").get().status == gateway_timeout);
+    CHECK(fleet.executions == 1);
+    fleet.store->outage = false;
+    CHECK(fleet.run(1, "booking-1").get().status == 200);
+    CHECK(fleet.run(0, "booking-1").get().status == 200);
+    CHECK(fleet.executions == 2);
+}
+
+TEST_CASE("a ticket whose daemon is cut off is told unknown elsewhere and not run")
+{
+    action_fleet fleet;
+    fleet.peers_cut = true;
+    const auto key = fleet.ticket(0);
+    CHECK(fleet.run(1, key).get().status == gateway_timeout);
+    CHECK(fleet.executions == 0);
+    CHECK(fleet.run(0, key).get().status == 200);
+}
+
+TEST_CASE("only a request that the application says did not run is sent again")
+{
+    action_fleet fleet;
+    fleet.refuse = 2;
+    CHECK(fleet.run(0, fleet.ticket(0)).get().status == 200);
+    CHECK(fleet.executions == 1);
+    fleet.silent = true;
+    const auto key = fleet.ticket(0);
+    CHECK(fleet.run(0, key, "{}", std::chrono::milliseconds(300)).get().status == gateway_timeout);
+    fleet.silent = false;
+    CHECK(fleet.run(0, key).get().status == gateway_timeout);
+    CHECK(fleet.executions == 2);
+}
+
+} // namespace ej::runtime
