libs/runtime: carries out the configuration's decisions at a daemon

Cause: follower and submission decide, nothing yet called the platform or put a configuration in force. Ruled out: a strand for the follower (operators' threads read its state too); classes put in force without comparing revisions (two answers can come on two threads in either order). Messages to peers go through config_peers, a strategy that the transport implements.

--- a/libs/operator_api/tests/operator_api_test.cpp
+++ b/libs/operator_api/tests/operator_api_test.cpp
@@ -7,6 +7,8 @@
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <mutex>
 
@@ -67,11 +69,14 @@
 {
     fake_backend backend;
     const operator_routes routes(backend, operator_key("secret"));
-    for (const auto* path : {"/status", "/classes", "/classes/a", "/workspaces", "/workspaces/a"}) {
-        for (const auto* key : {"", "secre", "secret ", "SECRET"}) {
-            CHECK(routes.answer({"GET", path, "", key, "", ""}).status == 401);
-        }
-    }
+    const auto refused = [&](const char* path) {
+        return std::ranges::all_of(
+            std::array{"", "secre", "secret ", "SECRET"}, [&](const char* key) {
+                return routes.answer({"GET", path, "", key, "", ""}).status == 401;
+            });
+    };
+    CHECK(std::ranges::all_of(
+        std::array{"/status", "/classes", "/classes/a", "/workspaces", "/workspaces/a"}, refused));
     CHECK(routes.answer({"POST", "/drain", "", "", "", ""}).status == 401);
     CHECK_FALSE(backend.draining);
     CHECK(routes.answer({"GET", "/healthz", "", "", "", ""}).status == 200);
--- /dev/null
+++ b/libs/runtime/src/config_link.cpp
@@ -0,0 +1,157 @@
+#include "asio.h"
+
+#include "config_link.h"
+
+#include <config_wire/peer_codec.h>
+#include <logging/log.h>
+
+#include <algorithm>
+
+namespace ej::runtime {
+
+namespace {
+
+constexpr std::chrono::milliseconds watch_wait(1500);
+
+core::instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+asio::awaitable<absl::StatusOr<std::optional<config::stored_tail>>> ask(config_store& store,
+                                                                        core::revision after)
+{
+    if (after.value() > 0) {
+        co_return co_await store.watch_tail(after, watch_wait);
+    }
+    // A watch would wait for an absent key to appear; a read tells at once that there is none.
+    auto stored = co_await store.read_tail();
+    if (!stored.ok()) {
+        co_return stored.status();
+    }
+    co_return std::optional<config::stored_tail>(*std::move(stored));
+}
+
+} // namespace
+
+config_link::config_link(asio::any_io_executor executor, config::follower_settings settings,
+                         std::uint64_t seed, config_store& store, config_peers& peers,
+                         apply_function apply)
+    : executor_(std::move(executor)), store_(store), peers_(peers), apply_(std::move(apply)),
+      follower_(std::move(settings), now(), seed)
+{
+}
+
+void config_link::start()
+{
+    asio::co_spawn(executor_, tick(weak_from_this()), asio::detached);
+}
+
+void config_link::set_members(std::vector<config::member> members)
+{
+    handle(config::members_changed{std::move(members)});
+}
+
+absl::Status config_link::hear(const core::vm_id& from, std::string_view payload)
+{
+    auto message = config_wire::parse_peer_message(payload);
+    if (!message.ok()) {
+        return message.status();
+    }
+    handle(config::peer_heard{from, *std::move(message)});
+    return absl::OkStatus();
+}
+
+void config_link::accepted(config::configuration made, config::stored_tail stored)
+{
+    handle(config::change_accepted{std::move(made), std::move(stored)});
+}
+
+config::configuration config_link::in_force() const
+{
+    const std::scoped_lock lock(mutex_);
+    return follower_.in_force();
+}
+
+config::follower_status config_link::status() const
+{
+    const std::scoped_lock lock(mutex_);
+    return follower_.status(now());
+}
+
+core::instant config_link::next_wake() const
+{
+    const std::scoped_lock lock(mutex_);
+    return follower_.next_wake();
+}
+
+void config_link::handle(const config::follower_event& event)
+{
+    std::vector<config::follower_effect> effects;
+    {
+        const std::scoped_lock lock(mutex_);
+        effects = follower_.handle(event, now());
+    }
+    std::ranges::for_each(effects, [this](const config::follower_effect& effect) {
+        std::visit([this](const auto& what) { carry_out(what); }, effect);
+    });
+}
+
+void config_link::carry_out(const config::watch_tail& effect)
+{
+    asio::co_spawn(executor_, watch(shared_from_this(), effect), asio::detached);
+}
+
+void config_link::carry_out(const config::read_base& /*effect*/)
+{
+    asio::co_spawn(executor_, fetch_base(shared_from_this()), asio::detached);
+}
+
+void config_link::carry_out(const config::apply_configuration& effect)
+{
+    apply_(effect.next);
+}
+
+void config_link::carry_out(const config::send_to_peer& effect)
+{
+    peers_.send(effect.to, config_wire::encode_peer_message(effect.message));
+}
+
+asio::awaitable<void> config_link::tick(std::weak_ptr<config_link> link)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;) {
+        const std::shared_ptr<config_link> present = link.lock();
+        if (!present) {
+            co_return;
+        }
+        present->handle(config::tick{});
+        timer.expires_at(present->next_wake());
+        boost::system::error_code error;
+        co_await timer.async_wait(no_throw(error));
+    }
+}
+
+asio::awaitable<void> config_link::watch(std::shared_ptr<config_link> link,
+                                         config::watch_tail asked)
+{
+    auto answer = co_await ask(link->store_, asked.after);
+    if (answer.ok()) {
+        link->handle(config::watch_answered{asked.ask, *std::move(answer)});
+        co_return;
+    }
+    logging::log(logging::level::warn, "configuration is not to be had from the platform",
+                 {{"error", answer.status().ToString()}});
+    link->handle(config::watch_failed{asked.ask});
+}
+
+asio::awaitable<void> config_link::fetch_base(std::shared_ptr<config_link> link)
+{
+    auto base = co_await link->store_.read_base();
+    // Without an answer the follower asks for the log again, and so for this.
+    if (base.ok()) {
+        link->handle(*std::move(base));
+    }
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/config_service.cpp
@@ -0,0 +1,55 @@
+#include "asio.h"
+
+#include "config_service.h"
+
+#include <logging/log.h>
+
+namespace ej::runtime {
+
+namespace {
+
+// Classes from the daemon's own settings stay until the configuration names them.
+services::class_map classes_in_force(const services& shared, const config::configuration& accepted)
+{
+    services::class_map classes;
+    for (const core::work_class& given : shared.settings.classes) {
+        classes[given.name] = given;
+    }
+    for (const auto& [name, entry] : accepted.classes()) {
+        classes[name] = entry.value;
+    }
+    return classes;
+}
+
+config_link::apply_function put_in_force(std::shared_ptr<services> shared)
+{
+    auto newest =
+        std::make_shared<concurrency::snapshot<config::configuration>>(config::configuration());
+    return [shared = std::move(shared), newest](const config::configuration& next) {
+        newest->update([&](const config::configuration& present) {
+            return next.revision() > present.revision() ? next : present;
+        });
+        // Updates come one after another, so that the last one made sees the newest.
+        shared->classes.update([&](const services::class_map& /*before*/) {
+            return classes_in_force(*shared, *newest->load());
+        });
+        const auto revision = newest->load()->revision();
+        shared->metrics.set("configuration_revision", {}, static_cast<double>(revision.value()));
+        logging::log(logging::level::info, "configuration in force",
+                     {{"revision", std::to_string(next.revision().value())}});
+    };
+}
+
+} // namespace
+
+config_service::config_service(const asio::any_io_executor& executor,
+                               std::shared_ptr<services> shared, config_peers& peers,
+                               const config::follower_settings& settings, std::uint64_t seed)
+    : shared_(std::move(shared)), calls_(*shared_->calls, {shared_->settings.platform}),
+      store_(calls_), link_(std::make_shared<config_link>(executor, settings, seed, store_, peers,
+                                                          put_in_force(shared_))),
+      submitter_(store_, *link_, {}, seed)
+{
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/config_submitter.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "config_link.h"
+#include "config_store.h"
+#include "submission_run.h"
+
+#include <config/change.h>
+#include <config/snapshot_write.h>
+#include <config/submission_effect.h>
+#include <config/submission_event.h>
+#include <config/submission_result.h>
+#include <config/tail_limits.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+namespace ej::runtime {
+
+/// Has changes accepted by the platform and keeps its log short. Thread-safe.
+class config_submitter {
+public:
+    /// `store` and `link` outlive the submitter; `seed` spreads the delays of those that collide.
+    config_submitter(config_store& store, config_link& link, config::tail_limits limits,
+                     std::uint64_t seed);
+
+    /// Ends within 10 s. An accepted change is in force here when this returns.
+    boost::asio::awaitable<config::submission_result> submit(config::change wanted);
+
+    /// Writes the configuration in force here to a platform that holds older data. True when that
+    /// is known to have taken effect.
+    boost::asio::awaitable<bool> restore();
+
+private:
+    boost::asio::awaitable<config::submission_result> drive(std::unique_ptr<submission_run> run);
+    boost::asio::awaitable<config::submission_event>
+    carry_out(const config::submission_effect& effect);
+    boost::asio::awaitable<config::submission_event> write_log(config::write_tail wanted);
+    boost::asio::awaitable<config::submission_event> read_snapshot();
+    boost::asio::awaitable<config::submission_event> read_log(core::duration delay);
+    boost::asio::awaitable<bool> write_snapshot(config::snapshot_write decision);
+    boost::asio::awaitable<void> compact(config::configuration seen, config::stored_tail stored);
+
+    config_store& store_;
+    config_link& link_;
+    config::tail_limits limits_;
+    std::atomic<std::uint64_t> next_seed_;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/daemon_operator.cpp
@@ -0,0 +1,74 @@
+#include "asio.h"
+
+#include "daemon_operator.h"
+
+#include <boost/asio/use_future.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace ej::runtime {
+
+daemon_operator::daemon_operator(asio::any_io_executor executor, std::shared_ptr<services> shared,
+                                 config_service& config, std::uint64_t seed)
+    : executor_(std::move(executor)), shared_(std::move(shared)), config_(config), seed_(seed)
+{
+}
+
+bool daemon_operator::ready()
+{
+    return !shared_->flights.draining() && config_.link().status().ready;
+}
+
+operator_api::daemon_status daemon_operator::status()
+{
+    operator_api::daemon_status status;
+    status.vm = shared_->settings.vm;
+    status.domain = shared_->settings.domain;
+    status.ready = ready();
+    status.draining = shared_->flights.draining();
+    status.in_flight = shared_->flights.size();
+    status.configuration = config_.link().status();
+    const auto classes = shared_->classes.load();
+    std::ranges::transform(*classes, std::back_inserter(status.classes), [](const auto& one) {
+        operator_api::class_status row;
+        row.name = one.first;
+        return row;
+    });
+    return status;
+}
+
+std::string daemon_operator::metrics_text()
+{
+    return shared_->metrics.text();
+}
+
+config::configuration daemon_operator::configuration_in_force()
+{
+    return config_.link().in_force();
+}
+
+config::change_id daemon_operator::new_change_id()
+{
+    return config::change_id(shared_->settings.vm.text() + '-' + std::to_string(seed_) + '-' +
+                             std::to_string(changes_.fetch_add(1)));
+}
+
+config::submission_result daemon_operator::submit(config::change wanted)
+{
+    return asio::co_spawn(executor_, config_.submitter().submit(std::move(wanted)),
+                          asio::use_future)
+        .get();
+}
+
+bool daemon_operator::restore_platform()
+{
+    return asio::co_spawn(executor_, config_.submitter().restore(), asio::use_future).get();
+}
+
+void daemon_operator::drain()
+{
+    shared_->flights.drain();
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/tests/config_service_test.cpp
@@ -0,0 +1,223 @@
+#include "asio.h"
+
+#include "config_service.h"
+#include "daemon_operator.h"
+
+#include <http/server.h>
+
+#include <boost/asio/thread_pool.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace ej::runtime {
+
+namespace {
+
+/// A key-value service in memory whose next writes can lose their answers.
+class fake_platform {
+public:
+    explicit fake_platform(const asio::any_io_executor& executor)
+        : server_(http::server::start(executor, {"127.0.0.1", 0}, {},
+                                      [this](std::shared_ptr<http::exchange> call) {
+                                          return handle(this, std::move(call));
+                                      })
+                      .value())
+    {
+    }
+
+    [[nodiscard]] core::address address() const { return server_->local(); }
+
+    void lose_answers(int count)
+    {
+        const std::scoped_lock lock(mutex_);
+        lost_ = count;
+    }
+
+    bool has(const std::string& key)
+    {
+        const std::scoped_lock lock(mutex_);
+        return entries_.contains(key);
+    }
+
+private:
+    static asio::awaitable<void> handle(fake_platform* platform,
+                                        std::shared_ptr<http::exchange> call)
+    {
+        http::response answer = platform->answer(call->received());
+        if (answer.status != 0) {
+            (void)co_await call->respond(std::move(answer));
+        }
+    }
+
+    http::response answer(const http::request& asked)
+    {
+        const std::scoped_lock lock(mutex_);
+        const std::string path = asked.target.substr(0, asked.target.find('?'));
+        const std::string key = path.substr(std::string_view("/kv/").size());
+        auto& entry = entries_[key];
+        http::response reply;
+        if (asked.method == "PUT") {
+            return write(entry, asked);
+        }
+        const bool watch = asked.target.find("after=") != std::string::npos;
+        if (entry.second == 0 || (watch && number(asked.target) >= entry.second)) {
+            reply.status = watch ? 304 : 404;
+            return reply;
+        }
+        reply.body = nlohmann::json{{"value", entry.first}, {"revision", entry.second}}.dump();
+        return reply;
+    }
+
+    http::response write(std::pair<std::string, std::uint64_t>& entry, const http::request& asked)
+    {
+        http::response reply;
+        if (number(asked.target) != entry.second) {
+            reply.status = 409;
+        }
+        else {
+            entry = {asked.body, ++revision_};
+        }
+        reply.body = nlohmann::json{{"revision", entry.second}}.dump();
+        if (lost_ > 0) {
+            --lost_;
+            reply.status = 0;
+        }
+        return reply;
+    }
+
+    static std::uint64_t number(const std::string& target)
+    {
+        std::uint64_t value = 0;
+        const auto* const begin = target.data() + target.find('=') + 1;
+        std::from_chars(begin, target.data() + target.size(), value);
+        return value;
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, std::pair<std::string, std::uint64_t>> entries_;
+    std::uint64_t revision_ = 0;
+    int lost_ = 0;
+    std::unique_ptr<http::server> server_;
+};
+
+/// Hands messages straight to the other daemons.
+class direct_peers : public config_peers {
+public:
+    direct_peers(std::string self, std::map<std::string, config_link*>& links)
+        : self_(std::move(self)), links_(links)
+    {
+    }
+    void send(const core::vm_id& to, std::string payload) override
+    {
+        if (links_.contains(to.text())) {
+            CHECK(links_.at(to.text())->hear(core::vm_id(self_), payload).ok());
+        }
+    }
+
+private:
+    std::string self_;
+    std::map<std::string, config_link*>& links_;
+};
+
+/// One daemon's configuration.
+struct node {
+    node(const asio::any_io_executor& executor, const std::string& vm,
+         const core::address& platform, std::map<std::string, config_link*>& links)
+        : shared(std::make_shared<services>(settings(vm, platform),
+                                            std::make_shared<http::client>(executor))),
+          peers(vm, links), service(executor, shared, peers, follower(vm), 1),
+          operators(executor, shared, service, 1)
+    {
+    }
+
+    static daemon_settings settings(const std::string& vm, const core::address& platform)
+    {
+        daemon_settings made;
+        made.vm = core::vm_id(vm);
+        made.platform = platform;
+        made.fleet_secrets.list.push_back({"0123456789abcdef"});
+        return made;
+    }
+    static config::follower_settings follower(const std::string& vm)
+    {
+        config::follower_settings made;
+        made.self = {core::vm_id(vm), core::failure_domain_id("recife")};
+        made.watchers = 1;
+        return made;
+    }
+
+    std::shared_ptr<services> shared;
+    direct_peers peers;
+    config_service service;
+    daemon_operator operators;
+};
+
+template <class Predicate>
+void wait_until(Predicate holds)
+{
+    while (!holds()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+}
+
+config::change workspace(const std::string& id, const std::string& name, std::uint64_t expected)
+{
+    return {config::change_id(id), core::revision(expected),
+            config::put_workspace{{core::workspace_id(name), 10}}};
+}
+
+} // namespace
+
+TEST_CASE("a daemon cut off from the platform has a change in force that another accepted")
+{
+    asio::thread_pool pool(3);
+    {
+        fake_platform platform(pool.get_executor());
+        std::map<std::string, config_link*> links;
+        node reaches(pool.get_executor(), "a", platform.address(), links);
+        // Nothing listens on port 1.
+        node cut_off(pool.get_executor(), "b", {"127.0.0.1", 1}, links);
+        links = {{"a", &reaches.service.link()}, {"b", &cut_off.service.link()}};
+        const std::vector<config::member> members{
+            {core::vm_id("a"), core::failure_domain_id("recife")},
+            {core::vm_id("b"), core::failure_domain_id("recife")}};
+        for (node* one : {&reaches, &cut_off}) {
+            one->service.link().set_members(members);
+            one->service.start();
+        }
+        wait_until([&] { return reaches.operators.ready() && cut_off.operators.ready(); });
+
+        using config::submission_outcome;
+        const auto first = reaches.operators.submit(workspace("c1", "w0", 0));
+        CHECK(first.outcome == submission_outcome::accepted);
+        platform.lose_answers(1);
+        const auto unanswered = reaches.operators.submit(workspace("c2", "w1", 0));
+        CHECK(unanswered.outcome == submission_outcome::accepted);
+        CHECK(unanswered.revision == core::revision(2));
+        const auto loser = reaches.operators.submit(workspace("c3", "w1", 0));
+        CHECK(loser.outcome == submission_outcome::conflict);
+        CHECK(loser.revision == core::revision(2));
+        CHECK(cut_off.operators.submit(workspace("c4", "w2", 0)).outcome ==
+              submission_outcome::unavailable);
+        for (std::uint64_t i = 3; i <= 30; ++i) {
+            const std::string number = std::to_string(i);
+            CHECK(reaches.operators.submit(workspace("d" + number, "w" + number, 0)).outcome ==
+                  submission_outcome::accepted);
+        }
+        CHECK(platform.has("config/base"));
+        wait_until([&] {
+            return cut_off.operators.configuration_in_force() ==
+                   reaches.operators.configuration_in_force();
+        });
+        CHECK(cut_off.operators.status().configuration.in_force == core::revision(30));
+        pool.stop();
+        pool.join();
+    }
+}
+
+} // namespace ej::runtime
