--- a/libs/config/include/config/config_follower.h
+++ b/libs/config/include/config/config_follower.h
@@ -6,6 +6,7 @@
 #include <config/follower_event.h>
 #include <config/follower_settings.h>
 #include <config/follower_status.h>
+#include <config/member_revisions.h>
 #include <config/watch_schedule.h>
 
 #include <core/instant.h>
@@ -34,6 +35,9 @@
     /// The configuration in force; revision 0 until one is known.
     [[nodiscard]] const configuration& in_force() const { return in_force_; }
 
+    /// The revision last heard from each member.
+    [[nodiscard]] const member_revisions& members() const { return members_; }
+
     /// How far this daemon is.
     [[nodiscard]] follower_status status(core::instant now) const;
 
@@ -85,6 +89,7 @@
     bool ready_ = false;  ///< Never false again: a daemon that lags still serves.
 
     dissemination place_;
+    member_revisions members_;
     core::revision newest_known_;
     bool heard_peer_ = false;
     bool diverged_ = false;
--- a/libs/config/src/config_follower.cpp
+++ b/libs/config/src/config_follower.cpp
@@ -33,6 +33,7 @@
 
 void config_follower::on(const members_changed& event)
 {
+    members_.replace(event.members);
     place_ = place_in_tree(settings_.self, event.members, settings_.watchers, settings_.fanout);
 }
 
@@ -111,6 +112,7 @@
 
 void config_follower::hear(const revision_digest& message, const core::vm_id& from)
 {
+    members_.hear(from, message.revision);
     newest_known_ = std::max(newest_known_, message.revision);
     if (message.contact_age) {
         note_contact(now_ - *message.contact_age);
--- a/libs/runtime/src/config_link.cpp
+++ b/libs/runtime/src/config_link.cpp
@@ -73,6 +73,12 @@
     return follower_.in_force();
 }
 
+std::vector<config::member_revision> config_link::members() const
+{
+    const std::scoped_lock lock(mutex_);
+    return follower_.members().list();
+}
+
 config::follower_status config_link::status() const
 {
     const std::scoped_lock lock(mutex_);
--- a/libs/runtime/src/config_link.h
+++ b/libs/runtime/src/config_link.h
@@ -44,6 +44,9 @@
     /// The configuration in force.
     [[nodiscard]] config::configuration in_force() const;
 
+    /// The revision last heard from each member.
+    [[nodiscard]] std::vector<config::member_revision> members() const;
+
     /// How far this daemon is.
     [[nodiscard]] config::follower_status status() const;
 
--- a/libs/runtime/src/daemon_operator.cpp
+++ b/libs/runtime/src/daemon_operator.cpp
@@ -35,6 +35,11 @@
         row.name = one.first;
         return row;
     });
+    std::ranges::transform(config_.link().members(), std::back_inserter(status.members),
+                           [](const config::member_revision& one) {
+                               return operator_api::member_status{one.who.vm, one.who.domain,
+                                                                  one.in_force};
+                           });
     return status;
 }
 
--- a/libs/runtime/tests/config_service_test.cpp
+++ b/libs/runtime/tests/config_service_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <charconv>
 #include <map>
 #include <mutex>
@@ -115,10 +116,13 @@
     void send(const core::vm_id& to, std::string payload) override
     {
         if (links_.contains(to.text())) {
-            CHECK(links_.at(to.text())->hear(core::vm_id(self_), payload).ok());
+            const auto heard = links_.at(to.text())->hear(core::vm_id(self_), payload);
+            unreadable += heard.ok() ? 0 : 1;
         }
     }
 
+    std::atomic<int> unreadable = 0; ///< Catch2's checks are for the test's own thread only.
+
 private:
     std::string self_;
     std::map<std::string, config_link*>& links_;
@@ -215,6 +219,10 @@
                    reaches.operators.configuration_in_force();
         });
         CHECK(cut_off.operators.status().configuration.in_force == core::revision(30));
+        wait_until([&] {
+            return reaches.operators.status().members.at(1).in_force == core::revision(30);
+        });
+        CHECK(reaches.peers.unreadable + cut_off.peers.unreadable == 0);
         pool.stop();
         pool.join();
     }
