--- a/tests/process/short_request_test.cpp
+++ b/tests/process/short_request_test.cpp
@@ -1,12 +1,6 @@
-#include "deployment.h"
-
-#include <harness/http_client.h>
+#include "short_requests.h"
 
 #include <catch2/catch.hpp>
-#include <nlohmann/json.hpp>
-
-#include <future>
-#include <string>
 
 #include <signal.h>
 
@@ -14,34 +8,14 @@
 
 namespace {
 
-using json = nlohmann::json;
-
-constexpr const auto* key = "crossing-0740";
-
-harness::http_call request_of(const std::string& work_class, const std::string& text)
-{
-    harness::http_call call{"POST", "/v1/requests", {}, {}};
-    call.headers["Authorization"] = "Bearer wharf-key";
-    call.headers["Idempotency-Key"] = key;
-    call.body = json{{"class", work_class}, {"path", "/do"}, {"body", {{"text", text}}}}.dump();
-    return call;
-}
-
-std::future<json> submit(const deployment& system, const std::string& daemon,
-                         const harness::http_call& call)
-{
-    return std::async(std::launch::async, [where = system.daemon(daemon), call] {
-        const auto answer = harness::send(where, call);
-        return answer.ok() ? json::parse(answer->body) : json{{"outcome", "broken"}};
-    });
-}
+constexpr const auto* key = short_request_key;
 
 } // namespace
 
 TEST_CASE("an idempotent request whose application dies is run by another")
 {
     deployment system(0, {}, 2);
-    auto answer = submit(system, "d1", request_of("berth", "status of berth 4"));
+    auto answer = submit(system, "d1", "berth", "status of berth 4");
     system.wait_until_executed("a1", key); // The one in the daemon's own failure domain.
     system.fleet().kill("a1");
     const auto result = answer.get();
@@ -55,7 +29,7 @@
     for (const auto& application : system.applications()) {
         system.fleet().fault(application, {{"lose_answers", 100}});
     }
-    const auto result = submit(system, "d1", request_of("berth", "status")).get();
+    const auto result = submit(system, "d1", "berth", "status").get();
     CHECK(system.executions(key) > 0);
     CHECK(result.value("outcome", "") == "outcome_unknown");
 }
@@ -66,7 +40,7 @@
     for (const auto& application : system.applications()) {
         system.fleet().fault(application, {{"refuse", true}});
     }
-    const auto result = submit(system, "d1", request_of("berth", "status")).get();
+    const auto result = submit(system, "d1", "berth", "status").get();
     CHECK(system.executions(key) == 0);
     CHECK(result.value("outcome", "") == "refused");
 }
@@ -74,7 +48,7 @@
 TEST_CASE("a daemon that stops first finishes the request in flight")
 {
     deployment system(0, {}, 1);
-    auto answer = submit(system, "d1", request_of("berth", "status"));
+    auto answer = submit(system, "d1", "berth", "status");
     system.wait_until_executed("a1", key);
     system.fleet().signal("d1", SIGTERM);
     CHECK(answer.get().value("outcome", "") == "done");
