Requests wait in their class's queue; no polling for an endpoint

Cause: a generation without an engine asked the pools again every 50 ms, a short call every 20 ms, without a bound on how many wait, in no order and with no refusal before the whole target had passed.

Ruled out: a condition variable per pool, which wakes all for one slot.

Change: runtime::admission_gate puts admission, routing and fairness in the path: a request waits on its own strand until a release, the list of endpoints, its deadline or its caller's leaving ends the wait. A generation that has begun is not refused for its lateness and goes first in its workspace. Short calls are retried within their class's budget. Refusals carry their reason and the time to try again. Before the first list of endpoints requests wait; afterwards a service without endpoints refuses at once. pool::outlook ends blocks that have run out, so that a lone endpoint is tried again.

Seen red: without the pump after a release "a request waits for the endpoint's slot and gets it as the one before leaves" failed (1 of 2 entries).

Conclusion: both tests of the gate pass.

--- a/libs/routing/include/routing/endpoint_pools.h
+++ b/libs/routing/include/routing/endpoint_pools.h
@@ -55,7 +55,8 @@
                                                     const core::endpoint_id& name);
 
     /// What the reachable pools of `service` can do together.
-    [[nodiscard]] pool_outlook outlook(const core::service_id& service, const reach& reach);
+    [[nodiscard]] pool_outlook outlook(const core::service_id& service, const reach& reach,
+                                       core::instant now);
 
 private:
     std::optional<core::endpoint_id> acquire_in(const pool_key& key,
--- a/libs/routing/include/routing/pool.h
+++ b/libs/routing/include/routing/pool.h
@@ -49,7 +49,7 @@
     [[nodiscard]] std::optional<endpoint_view> view(const core::endpoint_id& name) const;
 
     /// What the pool can do now.
-    [[nodiscard]] pool_outlook outlook() const;
+    [[nodiscard]] pool_outlook outlook(core::instant now);
 
 private:
     void replace(std::uint32_t index, endpoint_view next);
--- a/libs/routing/src/endpoint_pools.cpp
+++ b/libs/routing/src/endpoint_pools.cpp
@@ -97,11 +97,12 @@
     return pools_.with(key, [&](auto& pools) { return pools[key].view(name); });
 }
 
-pool_outlook endpoint_pools::outlook(const core::service_id& service, const reach& reach)
+pool_outlook endpoint_pools::outlook(const core::service_id& service, const reach& reach,
+                                     core::instant now)
 {
     const auto of = [&](const core::failure_domain_id& domain) {
         const pool_key key{service, domain};
-        return pools_.with(key, [&](auto& pools) { return pools[key].outlook(); });
+        return pools_.with(key, [&](auto& pools) { return pools[key].outlook(now); });
     };
     return std::transform_reduce(reach.remote.begin(), reach.remote.end(), of(reach.local), joined,
                                  of);
--- a/libs/routing/src/pool.cpp
+++ b/libs/routing/src/pool.cpp
@@ -88,8 +88,9 @@
     return views_[found->second];
 }
 
-pool_outlook pool::outlook() const
+pool_outlook pool::outlook(core::instant now)
 {
+    unblock_due(now);
     const double mean = work_per_second_ > 0 ? squared_rates_ / work_per_second_ : 0;
     return {std::max(work_per_second_, 0.0), mean, static_cast<std::uint32_t>(slots_),
             static_cast<std::uint32_t>(open_.members().size()),
--- a/libs/routing/tests/routing_test.cpp
+++ b/libs/routing/tests/routing_test.cpp
@@ -128,6 +128,20 @@
     CHECK(failures_of(two_choices{}, 400) <= 12);
 }
 
+TEST_CASE("an endpoint that was blocked has room again after a second, without a choice")
+{
+    pool engines;
+    const limits::spare_share limiter;
+    engines.add(engine(0, 2), limiter, {}, core::instant{});
+    core::instant now{10s};
+    for (int failure = 0; failure < 2; ++failure) {
+        const auto chosen = engines.acquire({}, two_choices{}, 1, now);
+        engines.release(*chosen, {outcome_kind::failed, 0, 1ms}, false, now);
+    }
+    CHECK(engines.outlook(now).open == 0);
+    CHECK(engines.outlook(now + 1s).open == 1);
+}
+
 TEST_CASE("other failure domains serve only what the local pool has no room for")
 {
     endpoint_pools pools(std::make_unique<two_choices>(), std::make_unique<limits::spare_share>());
--- /dev/null
+++ b/libs/runtime/src/admission_gate.cpp
@@ -0,0 +1,202 @@
+#include <utility>
+
+#include "asio.h"
+
+#include "admission_gate.h"
+
+#include <admission/predicted_finish.h>
+#include <admission/urgency.h>
+#include <fairness/max_min_share.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace ej::runtime {
+
+namespace {
+
+constexpr std::chrono::seconds retry_after_wait{1};
+
+core::instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+admission::room room_of(const routing::pool_outlook& outlook)
+{
+    if (outlook.open > 0) {
+        return admission::room::any;
+    }
+    return outlook.urgent_open > 0 ? admission::room::urgent_only : admission::room::none;
+}
+
+gate_entry refused(core::refusal_reason reason)
+{
+    return {std::nullopt, {reason, retry_after_wait}};
+}
+
+} // namespace
+
+admission_gate::admission_gate(routing::endpoint_pools& pools,
+                               std::function<routing::reach()> reach,
+                               std::function<std::uint64_t()> seed)
+    : pools_(pools), reach_(std::move(reach)), seed_(std::move(seed)),
+      queues_(std::make_shared<admission::predicted_finish>(),
+              std::make_shared<fairness::max_min_share>()),
+      services_(std::set<core::service_id>{})
+{
+}
+
+void admission_gate::set_classes(std::vector<core::work_class> classes)
+{
+    std::set<core::service_id> services;
+    std::ranges::transform(classes, std::inserter(services, services.end()),
+                           &core::work_class::service);
+    services_.store(std::move(services));
+    const auto gone = queues_.set_classes(std::move(classes));
+    std::ranges::for_each(gone, [&](const auto& one) { refuse(one); });
+}
+
+asio::awaitable<gate_entry> admission_gate::enter(core::work_class work_class,
+                                                  fairness::claim asked)
+{
+    const auto strand = co_await asio::this_coro::executor;
+    // Before the submission: another thread may grant it at once.
+    auto waiting = add_waiter(work_class, asked, strand);
+    const auto result =
+        queues_.submit(work_class.name, asked,
+                       capacity_of(pools_.outlook(work_class.service, reach_(), now())), now());
+    if (result.evicted) {
+        refuse(*result.evicted);
+    }
+    if (result.refused) {
+        take_waiter(asked.request);
+        co_return gate_entry{std::nullopt, *result.refused};
+    }
+    co_return co_await wait(std::move(work_class), std::move(asked), std::move(waiting));
+}
+
+asio::awaitable<gate_entry> admission_gate::enter_again(core::work_class work_class,
+                                                        fairness::claim asked)
+{
+    const auto strand = co_await asio::this_coro::executor;
+    auto waiting = add_waiter(work_class, asked, strand);
+    queues_.put_back(work_class.name, asked);
+    co_return co_await wait(std::move(work_class), std::move(asked), std::move(waiting));
+}
+
+asio::awaitable<gate_entry> admission_gate::wait(core::work_class work_class, fairness::claim asked,
+                                                 waiter waiting)
+{
+    pump(work_class.service);
+    const auto entry = co_await waiting->wait(std::min(asked.start_by, asked.finish_by));
+    if (entry) {
+        co_return *entry;
+    }
+    queues_.cancel(work_class.name, asked.request);
+    take_waiter(asked.request);
+    co_return refused(core::refusal_reason::waited_too_long);
+}
+
+void admission_gate::cancel(const core::class_id& name, const core::request_id& request)
+{
+    queues_.cancel(name, request);
+    if (const auto waiting = take_waiter(request)) {
+        waiting->complete(refused(core::refusal_reason::expired));
+    }
+}
+
+void admission_gate::leave(const routing::placement& where, const routing::outcome& outcome)
+{
+    pools_.release(where, outcome, now());
+    pump(where.pool.service);
+}
+
+void admission_gate::finished(const core::class_id& name, const fairness::claim& done,
+                              core::instant first_output)
+{
+    queues_.finished(name, done, first_output, now());
+}
+
+void admission_gate::pump(const core::service_id& service)
+{
+    while (place_next(service)) {
+    }
+}
+
+void admission_gate::endpoints_listed()
+{
+    listed_ = true;
+    const auto services = services_.load();
+    std::ranges::for_each(*services, [&](const auto& service) { pump(service); });
+}
+
+admission::capacity admission_gate::capacity_of(const routing::pool_outlook& outlook) const
+{
+    const std::uint32_t slots = listed_ ? outlook.slots : std::max(outlook.slots, 1U);
+    return {outlook.work_per_second, outlook.slot_rate, slots};
+}
+
+std::vector<admission::target_report> admission_gate::reports()
+{
+    return queues_.reports(now());
+}
+
+admission_gate::waiter admission_gate::add_waiter(const core::work_class& work_class,
+                                                  const fairness::claim& asked,
+                                                  asio::any_io_executor strand)
+{
+    const auto unused = [this](const routing::placement& where) {
+        leave(where, {routing::outcome_kind::cancelled, 0, {}});
+    };
+    auto added = std::make_shared<gate_waiter>(std::move(strand),
+                                               admission::is_urgent(work_class.target), unused);
+    waiters_.with(asked.request, [&](auto& waiters) { waiters[asked.request] = added; });
+    return added;
+}
+
+admission_gate::waiter admission_gate::take_waiter(const core::request_id& request)
+{
+    return waiters_.with(request, [&](auto& waiters) -> waiter {
+        auto found = waiters.extract(request);
+        return found.empty() ? nullptr : std::move(found.mapped());
+    });
+}
+
+void admission_gate::refuse(const admission::refused_claim& refused)
+{
+    if (const auto waiting = take_waiter(refused.claim.request)) {
+        waiting->complete({std::nullopt, refused.why});
+    }
+}
+
+// Returns true if there may be more to place.
+bool admission_gate::place_next(const core::service_id& service)
+{
+    const auto outlook = pools_.outlook(service, reach_(), now());
+    const auto next = queues_.next(service, room_of(outlook), capacity_of(outlook), now());
+    std::ranges::for_each(next.dropped, [&](const auto& one) { refuse(one); });
+    return next.granted ? place(service, next) : !next.dropped.empty();
+}
+
+bool admission_gate::place(const core::service_id& service, const admission::grant& next)
+{
+    const auto waiting = take_waiter(next.granted->request);
+    if (!waiting) {
+        return true;
+    }
+    const routing::request_features features{next.granted->work, 0, waiting->urgent(),
+                                             next.granted->finish_by};
+    const auto placed = pools_.acquire(service, reach_(), features, seed_(), now());
+    if (placed) {
+        waiting->complete({placed, {}});
+        return true;
+    }
+    waiters_.with(next.granted->request,
+                  [&](auto& waiters) { waiters[next.granted->request] = waiting; });
+    queues_.put_back(next.work_class, *next.granted);
+    return false;
+}
+
+} // namespace ej::runtime
--- a/libs/runtime/src/endpoint_watch.cpp
+++ b/libs/runtime/src/endpoint_watch.cpp
@@ -3,6 +3,7 @@
 #include "endpoint_watch.h"
 
 #include "pause_for.h"
+#include "reach_of.h"
 
 #include <logging/log.h>
 #include <wire/vm_list.h>
@@ -36,6 +37,8 @@
             shared.pools.add(endpoint, std::chrono::steady_clock::now());
         }
     }
+    shared.reach.store(reach_of(next, shared.settings.domain));
+    shared.gate.endpoints_listed();
 }
 
 } // namespace
--- /dev/null
+++ b/libs/runtime/src/gate_entry.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <admission/refusal.h>
+#include <routing/placement.h>
+
+#include <compare>
+#include <optional>
+
+namespace ej::runtime {
+
+/// How a request's wait ended: at an endpoint, or refused.
+struct gate_entry {
+    std::optional<routing::placement> placed;
+    admission::refusal refused; ///< Holds when `placed` is empty.
+
+    friend auto operator<=>(const gate_entry&, const gate_entry&) = default;
+};
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/src/gate_waiter.cpp
@@ -0,0 +1,46 @@
+#include <utility>
+
+#include "asio.h"
+
+#include "gate_waiter.h"
+
+#include <boost/asio/post.hpp>
+
+namespace ej::runtime {
+
+gate_waiter::gate_waiter(asio::any_io_executor strand, bool urgent, unused_handler unused)
+    : strand_(std::move(strand)), timer_(strand_), urgent_(urgent), unused_(std::move(unused))
+{
+}
+
+// On the strand of `wait`, so that an entry never comes between its check and its wait.
+void gate_waiter::complete(gate_entry entry)
+{
+    asio::post(strand_,
+               [self = shared_from_this(), entry = std::move(entry)] { self->accept(entry); });
+}
+
+void gate_waiter::accept(const gate_entry& entry)
+{
+    if (!ended_ && !entry_) {
+        entry_ = entry;
+        timer_.cancel();
+        return;
+    }
+    if (entry.placed) {
+        unused_(*entry.placed);
+    }
+}
+
+asio::awaitable<std::optional<gate_entry>> gate_waiter::wait(asio::steady_timer::time_point until)
+{
+    if (!entry_) {
+        timer_.expires_at(until);
+        boost::system::error_code error;
+        co_await timer_.async_wait(no_throw(error));
+    }
+    ended_ = true;
+    co_return entry_;
+}
+
+} // namespace ej::runtime
--- a/libs/runtime/src/generation_session.cpp
+++ b/libs/runtime/src/generation_session.cpp
@@ -2,8 +2,7 @@
 
 #include "generation_session.h"
 
-#include "pause_for.h"
-#include "reach_of.h"
+#include "generation_wait.h"
 
 #include <generation/policies.h>
 #include <logging/log.h>
@@ -25,7 +24,6 @@
 using generation::event;
 using generation::event_kind;
 
-constexpr core::duration place_retry_interval = std::chrono::milliseconds(50);
 constexpr std::chrono::milliseconds retry_after{1'000};
 
 core::instant now()
@@ -39,7 +37,7 @@
                                        std::shared_ptr<http::exchange> caller,
                                        generation_start start)
     : shared_(std::move(shared)), caller_(std::move(caller)), start_(std::move(start)),
-      policy_(generation::policy_for(start_.work_class.target)),
+      ticket_(shared_->ids.next()), policy_(generation::policy_for(start_.work_class.target)),
       rules_(policy_, generation::limits{}), link_(shared_->calls), state_(start_.state),
       began_at_(now())
 {
@@ -130,6 +128,7 @@
 {
     gone_ = true;
     link_.close();
+    shared_->gate.cancel(start_.work_class.name, ticket_);
 }
 
 event generation_session::make_event(event_kind kind) const
@@ -148,23 +147,19 @@
         state_.phase = generation::phase::ended;
         co_return std::nullopt;
     }
-    routing::request_features features;
-    features.work = start_.max_tokens - static_cast<double>(state_.next.value());
-    const auto reach = reach_of(*shared_->endpoints.all(), shared_->settings.domain);
-    const auto give_up_at = now() + start_.work_class.target.finish;
-    while (!gone_ && now() < give_up_at) {
-        const auto chosen = shared_->pools.acquire(start_.work_class.service, reach, features,
-                                                   shared_->ids.next_seed(), now());
-        if (chosen) {
-            placement_ = chosen;
-            placed_at_ = now();
-            engine_ = shared_->endpoints.find(chosen->endpoint);
-            auto placed = make_event(event_kind::placed);
-            placed.endpoint = chosen->endpoint;
-            co_return placed;
-        }
-        co_await pause_for(place_retry_interval);
+    auto asked = claim_of(start_, state_, ticket_, began_at_);
+    const auto entry = co_await wait_for_engine(*shared_, start_.work_class, std::move(asked),
+                                                state_.next > core::token_offset() ||
+                                                    state_.attempt > core::attempt_number(1));
+    if (entry.placed) {
+        placement_ = entry.placed;
+        placed_at_ = now();
+        engine_ = shared_->endpoints.find(entry.placed->endpoint);
+        auto placed = make_event(event_kind::placed);
+        placed.endpoint = entry.placed->endpoint;
+        co_return placed;
     }
+    refused_ = entry.refused;
     (void)what;
     co_return make_event(event_kind::unplaceable);
 }
@@ -254,6 +249,7 @@
         shared_->metrics.observe("first_token_seconds", {}, at - began_at_);
     }
     last_token_at_ = at;
+    first_token_at_ = first_token_at_.value_or(at);
     delivered_here_ += what.tokens.size();
     const auto id = cursor::cursor_codec::event_id(sealed_place_, state_.next, state_.text);
     auto text = wire::tokens_event(id, what.offset, what.tokens);
@@ -270,6 +266,8 @@
 asio::awaitable<generation_session::optional_event> generation_session::finish(effect what)
 {
     release_engine(true);
+    shared_->gate.finished(start_.work_class.name, claim_of(start_, state_, ticket_, began_at_),
+                           first_token_at_.value_or(now()));
     shared_->metrics.count("generations_total", {{"outcome", "whole"}});
     co_await caller_->write(wire::end_event(what.offset));
     co_return std::nullopt;
@@ -278,8 +276,9 @@
 asio::awaitable<generation_session::optional_event> generation_session::fail(effect what)
 {
     const bool refused = what.cause == cause::no_endpoint && delivered_here_ == 0;
-    co_return co_await fail_with(refused ? "refused" : "failed",
-                                 std::string(generation::to_string(what.cause)));
+    const auto reason =
+        refused && refused_ ? core::to_string(refused_->reason) : generation::to_string(what.cause);
+    co_return co_await fail_with(refused ? "refused" : "failed", std::string(reason));
 }
 
 asio::awaitable<generation_session::optional_event>
@@ -290,7 +289,10 @@
     shared_->metrics.count("generations_total", {{"outcome", kind}});
     logging::log(logging::level::warn, "generation ended without a whole answer",
                  {{"request", start_.request.text()}, {"outcome", kind}, {"reason", reason}});
-    co_await caller_->write(wire::error_event(kind, reason, retry_after));
+    const auto try_again = refused_
+                               ? std::chrono::ceil<std::chrono::milliseconds>(refused_->retry_after)
+                               : retry_after;
+    co_await caller_->write(wire::error_event(kind, reason, try_again));
     co_return std::nullopt;
 }
 
@@ -303,8 +305,8 @@
                       : gone_  ? routing::outcome_kind::cancelled
                                : routing::outcome_kind::failed;
     const routing::outcome outcome{kind, static_cast<double>(delivered_here_), now() - placed_at_};
-    shared_->pools.release(*placement_, outcome, now());
-    placement_.reset();
+    const auto where = *std::exchange(placement_, std::nullopt);
+    shared_->gate.leave(where, outcome);
 }
 
 wire::engine_order generation_session::order() const
--- a/libs/runtime/src/generation_session.h
+++ b/libs/runtime/src/generation_session.h
@@ -61,6 +61,7 @@
     std::shared_ptr<services> shared_;
     std::shared_ptr<http::exchange> caller_;
     generation_start start_;
+    core::request_id ticket_; ///< Names this session's waits; a request may have two sessions.
     std::shared_ptr<const generation::loss_policy> policy_;
     generation::rules rules_;
     engine_link link_;
@@ -73,6 +74,8 @@
     core::instant began_at_;
     std::optional<core::instant> last_token_at_;
     std::optional<core::instant> lost_at_;
+    std::optional<core::instant> first_token_at_;
+    std::optional<admission::refusal> refused_;
     std::uint64_t delivered_here_ = 0;
     bool gone_ = false;
 };
--- /dev/null
+++ b/libs/runtime/src/generation_wait.cpp
@@ -0,0 +1,33 @@
+#include <utility>
+
+#include "asio.h"
+
+#include "generation_wait.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace ej::runtime {
+
+fairness::claim claim_of(const generation_start& start, const generation::state& state,
+                         core::request_id ticket, core::instant began)
+{
+    const auto& target = start.work_class.target;
+    const double left = start.max_tokens - static_cast<double>(state.next.value());
+    return {std::move(ticket),     start.workspace,           std::max(left, 1.0), began,
+            began + target.finish, began + target.first_token};
+}
+
+// The caller gets the whole answer also when it comes late.
+asio::awaitable<gate_entry> wait_for_engine(services& shared, core::work_class work_class,
+                                            fairness::claim asked, bool begun)
+{
+    if (!begun) {
+        co_return co_await shared.gate.enter(std::move(work_class), std::move(asked));
+    }
+    asked.start_by = core::instant::max();
+    asked.finish_by = std::chrono::steady_clock::now() + work_class.target.finish;
+    co_return co_await shared.gate.enter_again(std::move(work_class), std::move(asked));
+}
+
+} // namespace ej::runtime
--- a/libs/runtime/src/idempotent_runner.cpp
+++ b/libs/runtime/src/idempotent_runner.cpp
@@ -3,19 +3,17 @@
 #include "idempotent_runner.h"
 
 #include "application_call.h"
-#include "pause_for.h"
 #include "replies.h"
 
 #include <chrono>
+#include <string>
 #include <utility>
 
 namespace ej::runtime {
 
 namespace {
 
-constexpr int max_tries = 3;
 constexpr unsigned first_server_error = 500;
-constexpr core::duration wait_for_endpoint = std::chrono::milliseconds(20);
 
 core::instant now()
 {
@@ -26,25 +24,48 @@
 
 asio::awaitable<http::response> idempotent_runner::run(short_call call)
 {
-    const routing::reach reach{shared_->settings.domain, {}};
-    routing::request_features features;
-    features.urgent = true;
-    features.finish_by = call.deadline;
-    for (int tries = 0; tries < max_tries && now() < call.deadline;) {
-        const auto placed = shared_->pools.acquire(call.work_class.service, reach, features,
-                                                   shared_->ids.next_seed(), now());
-        if (!placed) {
-            co_await pause_for(wait_for_endpoint);
-            continue;
-        }
-        ++tries;
-        auto answer = co_await try_once(call, *placed);
+    const auto asked = claim_of(call);
+    shared_->budgets.first_attempt(call.work_class.name, call.work_class.target, asked.work);
+    auto entry = co_await shared_->gate.enter(call.work_class, asked);
+    while (entry.placed) {
+        const auto began = now();
+        auto answer = co_await try_once(call, *entry.placed);
         if (answer.ok() && answer->status < first_server_error) {
+            shared_->gate.finished(call.work_class.name, asked, began);
             co_return done(answer->body);
         }
+        if (retry_after(call, answer) != retry::retry_verdict::retry) {
+            co_return refusal(core::refusal_reason::no_endpoint);
+        }
         shared_->metrics.count("retries_total", {{"reason", "endpoint_failed"}});
+        entry = co_await shared_->gate.enter_again(call.work_class, asked);
+    }
+    shared_->metrics.count("refusals_total",
+                           {{"reason", std::string(core::to_string(entry.refused.reason))}});
+    co_return refusal(entry.refused);
+}
+
+fairness::claim idempotent_runner::claim_of(const short_call& call) const
+{
+    fairness::claim asked;
+    asked.request = shared_->ids.next();
+    asked.workspace = call.workspace;
+    asked.arrived = now();
+    asked.finish_by = call.deadline;
+    return asked;
+}
+
+retry::retry_verdict
+idempotent_runner::retry_after(const short_call& call,
+                               const absl::StatusOr<http::response>& answer) const
+{
+    retry::retry_request lost;
+    lost.kind = core::work_kind::idempotent;
+    lost.finish_by = call.deadline;
+    if (answer.ok() || !absl::IsUnavailable(answer.status())) {
+        lost.lost = retry::may_have_run{};
     }
-    co_return refusal(core::refusal_reason::no_endpoint);
+    return shared_->budgets.ask(call.work_class.name, lost, now());
 }
 
 asio::awaitable<absl::StatusOr<http::response>>
@@ -59,7 +80,7 @@
     const bool finished = answer.ok() && answer->status < first_server_error;
     const auto kind = finished ? routing::outcome_kind::finished : routing::outcome_kind::failed;
     const routing::outcome outcome{kind, 1, now() - began};
-    shared_->pools.release(where, outcome, now());
+    shared_->gate.leave(where, outcome);
     co_return answer;
 }
 
--- a/libs/runtime/src/idempotent_runner.h
+++ b/libs/runtime/src/idempotent_runner.h
@@ -3,6 +3,8 @@
 #include "services.h"
 #include "short_call_runner.h"
 
+#include <fairness/claim.h>
+#include <retry/retry_verdict.h>
 #include <routing/placement.h>
 
 #include <memory>
@@ -19,6 +21,9 @@
 private:
     boost::asio::awaitable<absl::StatusOr<http::response>> try_once(const short_call& call,
                                                                     routing::placement where);
+    [[nodiscard]] retry::retry_verdict
+    retry_after(const short_call& call, const absl::StatusOr<http::response>& answer) const;
+    [[nodiscard]] fairness::claim claim_of(const short_call& call) const;
 
     std::shared_ptr<services> shared_;
 };
--- a/libs/runtime/src/replies.cpp
+++ b/libs/runtime/src/replies.cpp
@@ -4,6 +4,7 @@
 #include <wire/refusal_body.h>
 
 #include <array>
+#include <chrono>
 #include <utility>
 
 namespace ej::runtime {
@@ -17,17 +18,28 @@
 constexpr std::array<unsigned, core::refusal_reason_count> statuses{
     401, 400, 413, 404, 503, 503, 503, 429, 503, 422, 503, 503, 409, 408};
 
-} // namespace
-
-http::response refusal(refusal_reason reason, std::string_view detail)
+http::response refusal(refusal_reason reason, std::string_view detail,
+                       std::chrono::milliseconds try_again)
 {
     http::response answer;
     answer.status = statuses.at(static_cast<std::size_t>(reason));
     answer.headers = {{"Content-Type", "application/json"}};
-    answer.body = wire::refusal_body(core::to_string(reason), detail, retry_after);
+    answer.body = wire::refusal_body(core::to_string(reason), detail, try_again);
     return answer;
 }
 
+} // namespace
+
+http::response refusal(refusal_reason reason, std::string_view detail)
+{
+    return refusal(reason, detail, retry_after);
+}
+
+http::response refusal(const admission::refusal& why)
+{
+    return refusal(why.reason, {}, std::chrono::ceil<std::chrono::milliseconds>(why.retry_after));
+}
+
 http::response done(std::string_view result)
 {
     return {200, {{"Content-Type", "application/json"}}, wire::done_body(result)};
--- a/libs/runtime/src/replies.h
+++ b/libs/runtime/src/replies.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <admission/refusal.h>
 #include <core/refusal_reason.h>
 #include <http/response.h>
 
@@ -12,6 +13,9 @@
 /// A refusal: the request did not run.
 [[nodiscard]] http::response refusal(core::refusal_reason reason, std::string_view detail = {});
 
+/// The same with the time to try again.
+[[nodiscard]] http::response refusal(const admission::refusal& why);
+
 /// The answer of a call that was done, with the application's `result`.
 [[nodiscard]] http::response done(std::string_view result);
 
--- a/libs/runtime/src/services.cpp
+++ b/libs/runtime/src/services.cpp
@@ -1,6 +1,7 @@
 #include "services.h"
 
 #include <limits/spare_share.h>
+#include <retry/earned_budget.h>
 #include <routing/two_choices.h>
 
 #include <algorithm>
@@ -23,8 +24,12 @@
 services::services(daemon_settings given, std::shared_ptr<http::client> client)
     : settings(std::move(given)), keys(settings.workspace_keys), cursors(settings.fleet_secrets),
       calls(std::move(client)), classes(by_name(settings.classes)),
-      pools(std::make_unique<routing::two_choices>(), std::make_unique<limits::spare_share>())
+      reach(routing::reach{settings.domain, {}}),
+      pools(std::make_unique<routing::two_choices>(), std::make_unique<limits::spare_share>()),
+      budgets(std::make_unique<retry::earned_budget>()),
+      gate(pools, [this] { return *reach.load(); }, [this] { return ids.next_seed(); })
 {
+    gate.set_classes(settings.classes);
 }
 
 } // namespace ej::runtime
--- a/libs/runtime/src/services.h
+++ b/libs/runtime/src/services.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission_gate.h"
 #include "endpoint_directory.h"
 #include "flight_count.h"
 #include "request_ids.h"
@@ -13,7 +14,9 @@
 #include <cursor/cursor_codec.h>
 #include <http/client.h>
 #include <metrics/registry.h>
+#include <retry/class_budgets.h>
 #include <routing/endpoint_pools.h>
+#include <routing/reach.h>
 
 #include <map>
 #include <memory>
@@ -33,9 +36,12 @@
     metrics::registry metrics;
     concurrency::snapshot<class_map> classes;
     endpoint_directory endpoints;
+    concurrency::snapshot<routing::reach> reach; ///< Kept in step with `endpoints`.
     routing::endpoint_pools pools;
     flight_count flights;
     request_ids ids;
+    retry::class_budgets budgets;
+    admission_gate gate;
 };
 
 } // namespace ej::runtime
--- /dev/null
+++ b/libs/runtime/tests/admission_gate_test.cpp
@@ -0,0 +1,115 @@
+#include <utility>
+
+#include "asio.h"
+
+#include "admission_gate.h"
+
+#include <limits/spare_share.h>
+#include <routing/two_choices.h>
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace ej::runtime {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const core::service_id service("model");
+
+// One endpoint with one slot, driven by one thread until nothing is left to do.
+class gate_fixture {
+public:
+    gate_fixture()
+    {
+        core::work_class made;
+        made.name = core::class_id("summary");
+        made.service = service;
+        made.target.first_token = 1h;
+        made.target.finish = 1h;
+        classes_.push_back(made);
+        gate.set_classes(classes_);
+        core::endpoint engine;
+        engine.name = core::endpoint_id("e1");
+        engine.domain = core::failure_domain_id("here");
+        engine.service = service;
+        pools.add(engine, std::chrono::steady_clock::now());
+        gate.endpoints_listed();
+    }
+
+    void start(const std::string& request, core::duration within)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const fairness::claim asked{core::request_id(request), core::workspace_id("w"), 1, now,
+                                    now + within};
+        asio::co_spawn(
+            asio::make_strand(context),
+            [this, asked]() -> asio::awaitable<void> { co_await enter(asked); }, asio::detached);
+    }
+
+    void run_ready()
+    {
+        context.restart();
+        context.poll();
+    }
+
+    asio::io_context context;
+    routing::endpoint_pools pools{std::make_unique<routing::two_choices>(),
+                                  std::make_unique<limits::spare_share>()};
+    admission_gate gate{pools, [] { return routing::reach{core::failure_domain_id("here"), {}}; },
+                        [] { return std::uint64_t{7}; }};
+    std::vector<std::pair<std::string, gate_entry>> entries;
+
+private:
+    asio::awaitable<void> enter(fairness::claim asked)
+    {
+        auto entry = co_await gate.enter(classes_.front(), asked);
+        entries.emplace_back(asked.request.text(), std::move(entry));
+    }
+
+    std::vector<core::work_class> classes_;
+};
+
+} // namespace
+
+TEST_CASE("a request waits for the endpoint's slot and gets it as the one before leaves")
+{
+    gate_fixture fixture;
+    fixture.start("a", 1h);
+    fixture.start("b", 1h);
+    fixture.run_ready();
+    REQUIRE(fixture.entries.size() == 1);
+    REQUIRE(fixture.entries.front().second.placed);
+    CHECK(fixture.gate.reports().front().waiting == 1);
+    fixture.gate.leave(*fixture.entries.front().second.placed, {});
+    fixture.run_ready();
+    REQUIRE(fixture.entries.size() == 2);
+    CHECK(fixture.entries.back().second.placed);
+}
+
+TEST_CASE("a wait ends at its deadline and by its caller's leaving, as not run")
+{
+    gate_fixture fixture;
+    fixture.start("a", 1h);
+    fixture.start("b", 1h);
+    fixture.run_ready();
+    fixture.gate.cancel(core::class_id("summary"), core::request_id("b"));
+    fixture.run_ready();
+    REQUIRE(fixture.entries.size() == 2);
+    CHECK(fixture.entries.back().second.refused.reason == core::refusal_reason::expired);
+    fixture.start("c", 20ms);
+    fixture.context.restart();
+    fixture.context.run();
+    REQUIRE(fixture.entries.size() == 3);
+    CHECK(fixture.entries.back().second.refused.reason == core::refusal_reason::waited_too_long);
+    CHECK(fixture.gate.reports().front().waiting == 0);
+}
+
+} // namespace ej::runtime
--- a/measure/simulation.cpp
+++ b/measure/simulation.cpp
@@ -154,7 +154,7 @@
 {
     daemon& pumped = daemons_[at];
     while (pumped.alive) {
-        const auto outlook = pumped.pools->outlook(service, local);
+        const auto outlook = pumped.pools->outlook(service, local, events.now());
         const auto room = outlook.open > 0          ? admission::room::any
                           : outlook.urgent_open > 0 ? admission::room::urgent_only
                                                     : admission::room::none;
@@ -349,7 +349,7 @@
 
 admission::capacity simulation::capacity_of(daemon& at)
 {
-    const auto outlook = at.pools->outlook(service, local);
+    const auto outlook = at.pools->outlook(service, local, events.now());
     return {outlook.work_per_second, outlook.slot_rate, outlook.slots};
 }
 
