--- a/harness/include/harness/child_process.h
+++ b/harness/include/harness/child_process.h
@@ -19,6 +19,9 @@
     static absl::StatusOr<std::unique_ptr<child_process>>
     start(const std::string& program, const std::vector<std::string>& arguments);
 
+    /// Kills every started program that is not reaped yet, without waiting. Thread-safe.
+    static void kill_all();
+
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
@@ -32,6 +35,9 @@
     /// Sends a signal, as SIGSTOP, SIGCONT or SIGTERM; nothing once it was reaped.
     void signal(int number);
 
+    /// The process' number in the system.
+    [[nodiscard]] pid_t id() const { return pid_; }
+
     /// Waits until it has ended and returns its exit code, or 128 and the signal's number.
     int wait();
 
