--- a/libs/membership/include/membership/endpoint_directory.h
+++ b/libs/membership/include/membership/endpoint_directory.h
@@ -7,6 +7,9 @@
 #include <concurrency/sharded.h>
 #include <core/endpoint_id.h>
 
+#include <algorithm>
+#include <concepts>
+#include <iterator>
 #include <optional>
 #include <vector>
 
@@ -46,6 +49,35 @@
     /// Every incarnation known, sorted.
     [[nodiscard]] std::vector<endpoint_entry> all();
 
+    /// Every incarnation of the endpoints whose names `wanted` accepts, sorted.
+    template <std::predicate<const core::endpoint_id&> Wanted>
+    [[nodiscard]] std::vector<endpoint_entry> all_of(Wanted wanted)
+    {
+        std::vector<endpoint_entry> entries;
+        records_.for_each_shard([&](const auto& records) {
+            for (const auto& [name, record] : records) {
+                if (wanted(name)) {
+                    std::ranges::copy(record.incarnations(), std::back_inserter(entries));
+                }
+            }
+        });
+        std::ranges::sort(entries);
+        return entries;
+    }
+
+    /// Calls `action(entry)` for each present incarnation, under a shard's lock and in no order.
+    template <std::invocable<const endpoint_entry&> Action>
+    void for_each_present(Action action)
+    {
+        records_.for_each_shard([&](const auto& records) {
+            for (const auto& [name, record] : records) {
+                if (const auto* entry = record.present()) {
+                    action(*entry);
+                }
+            }
+        });
+    }
+
 private:
     using record_map = concurrency::sharded<core::endpoint_id, endpoint_record>;
 
--- a/libs/membership/include/membership/endpoint_record.h
+++ b/libs/membership/include/membership/endpoint_record.h
@@ -38,11 +38,11 @@
     /// Forgets incarnations that have been gone or superseded for long. True when none is left.
     bool forget(core::instant now, const endpoint_settings& settings);
 
-    /// The present incarnation; none when it is gone.
-    [[nodiscard]] std::optional<endpoint_entry> present() const;
+    /// The present incarnation; null when it is gone. Valid until the next event.
+    [[nodiscard]] const endpoint_entry* present() const;
 
-    /// The present incarnation, if it may get new work now.
-    [[nodiscard]] std::optional<endpoint_entry> usable(core::instant now) const;
+    /// The present incarnation, if it may get new work now; else null. Valid until the next event.
+    [[nodiscard]] const endpoint_entry* usable(core::instant now) const;
 
     /// Every incarnation known.
     [[nodiscard]] const std::vector<endpoint_entry>& incarnations() const { return entries_; }
--- a/libs/membership/include/membership/gossip.h
+++ b/libs/membership/include/membership/gossip.h
@@ -66,6 +66,7 @@
     void hasten_summary(const std::vector<endpoint_entry>& changes, core::instant now);
     void probe_dead(effects& out);
     void spread_summary(const domain_summary& summary, const core::vm_id& except);
+    [[nodiscard]] core::instant due(const outbox& box) const;
     void flush(core::instant now, effects& out);
     void rewire(effects& out);
     void exchange(core::instant now, effects& out);
--- a/libs/membership/include/membership/outbox.h
+++ b/libs/membership/include/membership/outbox.h
@@ -32,14 +32,17 @@
     [[nodiscard]] const core::address& to() const { return to_; }
     [[nodiscard]] bool same_domain() const { return same_domain_; }
 
-    /// Earliest time of the next message.
-    [[nodiscard]] core::instant next_send() const { return next_send_; }
+    /// True when it holds more than summaries, which may wait to be sent together.
+    [[nodiscard]] bool urgent() const { return !members_.empty() || !endpoints_.empty(); }
 
-    /// Sets the earliest time of the next message.
-    void hold_until(core::instant time) { next_send_ = time; }
+    /// When a message was last taken for sending.
+    [[nodiscard]] core::instant last_sent() const { return last_sent_; }
+
+    /// Notes that a message was taken for sending.
+    void sent(core::instant now) { last_sent_ = now; }
 
 private:
-    core::instant next_send_;
+    core::instant last_sent_;
     core::address to_;
     bool same_domain_ = true;
     std::map<core::vm_id, member_entry> members_;
--- a/libs/membership/src/endpoint_directory.cpp
+++ b/libs/membership/src/endpoint_directory.cpp
@@ -109,7 +109,7 @@
     std::vector<core::endpoint> endpoints;
     records_.for_each_shard([&](const auto& records) {
         for (const auto& [name, record] : records) {
-            if (const auto entry = record.usable(now)) {
+            if (const auto* entry = record.usable(now)) {
                 endpoints.push_back(entry->endpoint);
             }
         }
@@ -121,25 +121,14 @@
 std::vector<endpoint_entry> endpoint_directory::present()
 {
     std::vector<endpoint_entry> entries;
-    records_.for_each_shard([&](const auto& records) {
-        for (const auto& [name, record] : records) {
-            append(entries, record.present());
-        }
-    });
+    for_each_present([&](const endpoint_entry& entry) { entries.push_back(entry); });
     std::ranges::sort(entries);
     return entries;
 }
 
 std::vector<endpoint_entry> endpoint_directory::all()
 {
-    std::vector<endpoint_entry> entries;
-    records_.for_each_shard([&](const auto& records) {
-        for (const auto& [name, record] : records) {
-            std::ranges::copy(record.incarnations(), std::back_inserter(entries));
-        }
-    });
-    std::ranges::sort(entries);
-    return entries;
+    return all_of([](const core::endpoint_id&) { return true; });
 }
 
 } // namespace ej::membership
--- a/libs/membership/src/endpoint_record.cpp
+++ b/libs/membership/src/endpoint_record.cpp
@@ -32,8 +32,8 @@
         unlisted_ = now;
     }
     // An endpoint that no list had is new to a lagging list, unless connections to it fail.
-    const auto current = present();
-    if (!current || (!unlisted_ && health_.failures == 0)) {
+    const auto* const current = present();
+    if (current == nullptr || (!unlisted_ && health_.failures == 0)) {
         return std::nullopt;
     }
     const auto silent_since = std::max(health_.last_contact, unlisted_.value_or(changed_));
@@ -61,8 +61,9 @@
     next.leaving = (known && known->leaving) || said.leaving;
     if (!stale) {
         health_ = after_contact(health_, now);
-        const auto current = present();
-        const bool is_present = current && current->endpoint.incarnation == said.incarnation;
+        const auto* const current = present();
+        const bool is_present =
+            current != nullptr && current->endpoint.incarnation == said.incarnation;
         next.seen = is_present ? current->seen : entries_.front().seen.next();
         next.gone = false;
         next.endpoint.incarnation = said.incarnation;
@@ -92,26 +93,24 @@
     if (now - changed_ < settings.forget_after) {
         return false;
     }
-    const auto current = present();
-    std::erase_if(entries_, [&](const endpoint_entry& entry) { return entry != current; });
+    if (present() == nullptr) {
+        entries_.clear();
+    }
+    else {
+        entries_.resize(1);
+    }
     return entries_.empty();
 }
 
-std::optional<endpoint_entry> endpoint_record::present() const
+const endpoint_entry* endpoint_record::present() const
 {
-    if (entries_.empty() || entries_.front().gone) {
-        return std::nullopt;
-    }
-    return entries_.front();
+    return entries_.empty() || entries_.front().gone ? nullptr : &entries_.front();
 }
 
-std::optional<endpoint_entry> endpoint_record::usable(core::instant now) const
+const endpoint_entry* endpoint_record::usable(core::instant now) const
 {
-    auto current = present();
-    if (!current || current->leaving || now < health_.retry_at) {
-        return std::nullopt;
-    }
-    return current;
+    const auto* const current = present();
+    return current == nullptr || current->leaving || now < health_.retry_at ? nullptr : current;
 }
 
 std::optional<endpoint_entry> endpoint_record::replace(const endpoint_entry& next,
--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -31,7 +31,7 @@
     auto wake = std::min(schedule->next_exchange, schedule->next_summary);
     outboxes_.for_each_shard([&](const auto& outboxes) {
         for (const auto& [vm, box] : outboxes) {
-            wake = box.empty() ? wake : std::min(wake, box.next_send());
+            wake = box.empty() ? wake : std::min(wake, due(box));
         }
     });
     return wake;
@@ -40,7 +40,6 @@
 void gossip::on(const tick& /*happened*/, core::instant now, effects& out)
 {
     spread(members_.expire(now), name_);
-    endpoints_.forget(now);
     rewire(out);
     exchange(now, out);
     summarize(now);
@@ -189,14 +188,19 @@
 template void gossip::spread(const std::vector<member_entry>&, const core::vm_id&);
 template void gossip::spread(const std::vector<endpoint_entry>&, const core::vm_id&);
 
+core::instant gossip::due(const outbox& box) const
+{
+    return box.last_sent() + (box.urgent() ? settings_.message_gap : settings_.summary_gap);
+}
+
 void gossip::flush(core::instant now, effects& out)
 {
     outboxes_.for_each_shard([&](auto& outboxes) {
         for (auto& [vm, box] : outboxes) {
-            if (box.empty() || now < box.next_send()) {
+            if (box.empty() || now < due(box)) {
                 continue;
             }
-            box.hold_until(now + settings_.message_gap);
+            box.sent(now);
             out.emplace_back(send_delta{box.to(), box.take(settings_.max_entries)});
         }
     });
--- a/libs/membership/src/gossip_digests.cpp
+++ b/libs/membership/src/gossip_digests.cpp
@@ -3,7 +3,6 @@
 #include <membership/fingerprint.h>
 
 #include <algorithm>
-#include <functional>
 
 namespace ej::membership {
 
@@ -17,9 +16,9 @@
     for (const auto& entry : members_.reachable()) {
         table.members ^= fingerprint(entry);
     }
-    for (const auto& entry : endpoints_.present()) {
+    endpoints_.for_each_present([&](const endpoint_entry& entry) {
         table.endpoints.at(bucket_of(entry.endpoint.name)) ^= fingerprint(entry);
-    }
+    });
     return table;
 }
 
@@ -29,18 +28,19 @@
         return;
     }
     const auto own = digest(false);
-    const auto differs = [&](const endpoint_entry& entry) {
-        const auto bucket = bucket_of(entry.endpoint.name);
-        return own.endpoints.at(bucket) != happened.table.endpoints.at(bucket);
+    const auto& other = happened.table;
+    if (own.members == other.members && own.endpoints == other.endpoints) {
+        return;
+    }
+    if (own.members != other.members) {
+        tell(members_.all(), happened.from);
+    }
+    const auto differs = [&](const core::endpoint_id& name) {
+        const auto bucket = bucket_of(name);
+        return own.endpoints.at(bucket) != other.endpoints.at(bucket);
     };
-    const bool members_differ = own.members != happened.table.members;
-    const auto members = members_differ ? members_.all() : std::vector<member_entry>{};
-    auto endpoints = endpoints_.all();
-    std::erase_if(endpoints, std::not_fn(differs));
-    tell(members, happened.from);
-    tell(endpoints, happened.from);
-    const bool differ = members_differ || own.endpoints != happened.table.endpoints;
-    if (!differ || !happened.table.answer_wanted) {
+    tell(endpoints_.all_of(differs), happened.from);
+    if (!other.answer_wanted) {
         return;
     }
     outboxes_.with(happened.from, [&](const auto& outboxes) {
@@ -60,6 +60,7 @@
         next.next_exchange = now + settings_.exchange;
         return next;
     });
+    endpoints_.forget(now);
     std::vector<core::address> peers;
     outboxes_.for_each_shard([&](const auto& outboxes) {
         for (const auto& [vm, box] : outboxes) {
--- a/libs/membership/src/gossip_domains.cpp
+++ b/libs/membership/src/gossip_domains.cpp
@@ -50,7 +50,8 @@
     const auto spot = XXH3_64bits(name_.text().data(), name_.text().size());
     domains_.for_each_shard([&](const auto& domains) {
         for (const auto& [domain, record] : domains) {
-            if (domain == domain_) {
+            // One side of each pair of domains connects; summaries go both ways.
+            if (domain <= domain_) {
                 continue;
             }
             const bool named = record.summary && !record.summary->bridges.empty();
@@ -191,7 +192,9 @@
         }
     });
     std::ranges::sort(peers);
-    const auto key = std::to_string(draw());
+    // The same neighbours for a while, so that several summaries share a message.
+    const auto window = schedule_.load()->draws;
+    const auto key = std::to_string(seed_) + '/' + std::to_string(window);
     for (const auto& vm : choose_by_rendezvous(key, peers, settings_.summary_fanout)) {
         tell(std::vector{summary}, vm);
     }
--- a/libs/peer/src/peer_loop.cpp
+++ b/libs/peer/src/peer_loop.cpp
@@ -206,8 +206,11 @@
         drop(link, drop_reason::idle);
         return;
     }
-    websocketpp::lib::error_code failed;
-    link->socket->ping("", failed);
+    // The other end hears the pings; it needs none of its own.
+    if (link->initiator) {
+        websocketpp::lib::error_code failed;
+        link->socket->ping("", failed);
+    }
 }
 
 bool peer_loop::wanted(const session& link) const
--- a/libs/peer_wire/src/field.h
+++ b/libs/peer_wire/src/field.h
@@ -6,8 +6,8 @@
 /// missing one is left at its default, unless it is required.
 template <class Owner, class Member>
 struct field {
-    const char* key;
-    Member Owner::* member;
+    const char* key = nullptr;
+    Member Owner::* member = nullptr;
     bool required = false;
 };
 
