--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,16 @@
 sanitize: setup
 	tools/sanitize
 
+# Drives the decisions under load and writes docs/measurements/load.md.
+measure: build
+	measure/report $(BUILD) >docs/measurements/load.md
+
 format:
 	git ls-files '*.h' '*.cpp' | xargs clang-format-19 -i
 
 clean:
 	rm -rf build build-thread build-address
+
+# Runs three failure domains as processes, kills an engine and a daemon, prints a table.
+demo: build
+	$(BUILD)/bin/demo
