The daemon is whole: membership, configuration, actions and operators on one path

Cause: the libraries stood beside the daemon and were not part of it. Change: daemon_parts composes services, membership over the connections between daemons, configuration with its peers, tickets, claims and forwarding, callers' and operators' interfaces, in the order in which each needs the one before; message_router hands peers' messages on; endpoints come from membership's view, the platform's list is a hint. Operator commands are part of the binary; the bare VM list poll is gone. Ruled out: one class for all (daemon.cpp stays a thin front). Result, as processes (platform, application, two daemons): a class created through one daemon is in force at both within a second; a confirmation sent three times through both daemons runs once, by ticket and by the caller's own key; both daemons exit 0 on SIGTERM.

--- a/endivejunction/src/main.cpp
+++ b/endivejunction/src/main.cpp
@@ -1,4 +1,5 @@
 #include "check.h"
+#include "commands/run_command.h"
 #include "serve.h"
 
 #include <algorithm>
@@ -35,6 +36,7 @@
     std::ranges::for_each(commands, [](const command& one) {
         std::cerr << "  " << one.name << "  " << one.brief << '\n';
     });
+    std::cerr << "  class, workspace, status, drain, restore  operator commands\n";
     return exit_usage;
 }
 
@@ -46,6 +48,9 @@
     if (arguments.size() < 2) {
         return usage();
     }
+    if (ej::commands::is_operator_command(arguments[1])) {
+        return ej::commands::run_command(std::span(arguments).subspan(1), std::cout, std::cerr);
+    }
     const auto* const found = std::ranges::find(commands, arguments[1], &command::name);
     if (found == commands.end()) {
         return usage();
--- a/endivejunction/src/serve.cpp
+++ b/endivejunction/src/serve.cpp
@@ -82,7 +82,9 @@
     }
     const auto daemon = std::move(started).value();
     const signal_drain signals(*daemon);
-    std::cout << "listening caller=" << daemon->caller_address() << std::endl;
+    std::cout << "listening caller=" << daemon->caller_address()
+              << " operator=" << daemon->operator_address() << " peer=" << daemon->peer_address()
+              << std::endl;
     daemon->wait_until_drained();
     logging::log(logging::level::info, "drained");
     return 0;
--- a/harness/include/harness/fleet.h
+++ b/harness/include/harness/fleet.h
@@ -50,6 +50,7 @@
     [[nodiscard]] nlohmann::json read(const std::string& name, const std::string& target) const;
 
 private:
+    void list_daemon(const daemon_settings& settings, const std::string& peer_side) const;
     node& start(const std::string& name, const std::string& program,
                 const std::vector<std::string>& arguments);
 
--- a/harness/src/fleet.cpp
+++ b/harness/src/fleet.cpp
@@ -105,9 +105,8 @@
     auto sides = parse_listening(
         value_or_throw(started.process->wait_for_line("listening "), settings.name));
     started.caller = address_or_throw(sides["caller"]);
-    if (sides.contains("operator")) {
-        started.operator_side = address_or_throw(sides["operator"]);
-    }
+    started.operator_side = address_or_throw(sides["operator"]);
+    list_daemon(settings, sides["peer"]);
     return started;
 }
 
@@ -151,6 +150,18 @@
     return nlohmann::json::parse(value_or_throw(send(at(name).caller, call), name + target).body);
 }
 
+void fleet::list_daemon(const daemon_settings& settings, const std::string& peer_side) const
+{
+    const nlohmann::json entry{
+        {"vm", settings.name},  {"domain", settings.domain},    {"role", "daemon"},
+        {"address", peer_side}, {"incarnation", settings.name}, {"state", "live"}};
+    const http_call call{"POST", "/vms", {}, entry.dump()};
+    const auto answer = value_or_throw(send(at(platform_name).caller, call), platform_name);
+    if (answer.status != 200) {
+        throw std::runtime_error("the platform does not list " + settings.name);
+    }
+}
+
 node& fleet::start(const std::string& name, const std::string& program,
                    const std::vector<std::string>& arguments)
 {
--- /dev/null
+++ b/libs/actions_wire/include/actions_wire/forward_codec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <actions_wire/forwarded_call.h>
+
+#include <actions/action_outcome.h>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace ej::actions_wire {
+
+/// The question of one daemon to another, as JSON.
+[[nodiscard]] std::string encode(const forwarded_call& call);
+
+/// Reads what `encode` wrote; unknown fields are skipped. Error: InvalidArgument.
+[[nodiscard]] absl::StatusOr<forwarded_call> decode_forwarded_call(std::string_view text);
+
+/// The answer, as JSON.
+[[nodiscard]] std::string encode(const actions::action_outcome& outcome);
+
+/// Reads what `encode` wrote; unknown fields are skipped. Error: InvalidArgument.
+[[nodiscard]] absl::StatusOr<actions::action_outcome> decode_outcome(std::string_view text);
+
+} // namespace ej::actions_wire
--- a/libs/runtime/include/runtime/daemon.h
+++ b/libs/runtime/include/runtime/daemon.h
@@ -10,6 +10,8 @@
 
 namespace ej::runtime {
 
+class daemon_parts;
+
 /// One running daemon: its threads, servers and state.
 class daemon {
 public:
@@ -26,6 +28,12 @@
     /// Where callers connect.
     [[nodiscard]] core::address caller_address() const;
 
+    /// Where operators connect.
+    [[nodiscard]] core::address operator_address() const;
+
+    /// Where other daemons connect.
+    [[nodiscard]] core::address peer_address() const;
+
     /// Takes no new requests and goes on with those in flight. May be called again.
     void drain();
 
@@ -33,9 +41,9 @@
     void wait_until_drained();
 
 private:
-    struct parts;
-    explicit daemon(std::unique_ptr<parts> state);
-    std::unique_ptr<parts> parts_;
+    explicit daemon(std::unique_ptr<daemon_parts> parts);
+
+    std::unique_ptr<daemon_parts> parts_;
 };
 
 } // namespace ej::runtime
--- a/libs/runtime/src/caller_api.cpp
+++ b/libs/runtime/src/caller_api.cpp
@@ -26,8 +26,9 @@
 
 const caller_api::route* caller_api::find_route(const http::request& call)
 {
-    static constexpr std::array<route, 3> routes{
+    static constexpr std::array<route, 4> routes{
         {{"POST", "/v1/requests", false, &caller_api::run_short_call},
+         {"POST", "/v1/tickets", false, &caller_api::issue_ticket},
          {"POST", "/v1/generations", false, &caller_api::start_generation},
          {"GET", "/v1/generations/", true, &caller_api::resume_generation}}};
     const auto* const found = std::ranges::find_if(routes, [&](const route& one) {
@@ -102,4 +103,10 @@
     co_await short_calls_->handle(std::move(call), std::move(workspace));
 }
 
+asio::awaitable<void> caller_api::issue_ticket(std::shared_ptr<http::exchange> call,
+                                               core::workspace_id workspace) const
+{
+    co_await tickets_->handle(std::move(call), std::move(workspace));
+}
+
 } // namespace ej::runtime
--- a/libs/runtime/src/caller_api.h
+++ b/libs/runtime/src/caller_api.h
@@ -2,6 +2,7 @@
 
 #include "services.h"
 #include "short_call_api.h"
+#include "ticket_api.h"
 
 #include <http/exchange.h>
 
@@ -14,8 +15,10 @@
 /// Answers callers' requests. Thread-safe; each call runs on its connection's strand.
 class caller_api {
 public:
-    caller_api(std::shared_ptr<services> shared, std::shared_ptr<short_call_api> short_calls)
-        : shared_(std::move(shared)), short_calls_(std::move(short_calls))
+    caller_api(std::shared_ptr<services> shared, std::shared_ptr<short_call_api> short_calls,
+               std::shared_ptr<ticket_api> tickets)
+        : shared_(std::move(shared)), short_calls_(std::move(short_calls)),
+          tickets_(std::move(tickets))
     {
     }
 
@@ -37,8 +40,12 @@
     boost::asio::awaitable<void> run_short_call(std::shared_ptr<http::exchange> call,
                                                 core::workspace_id workspace) const;
 
+    boost::asio::awaitable<void> issue_ticket(std::shared_ptr<http::exchange> call,
+                                              core::workspace_id workspace) const;
+
     std::shared_ptr<services> shared_;
     std::shared_ptr<short_call_api> short_calls_;
+    std::shared_ptr<ticket_api> tickets_;
 };
 
 } // namespace ej::runtime
--- a/libs/runtime/src/config_service.h
+++ b/libs/runtime/src/config_service.h
@@ -29,6 +29,7 @@
     void start() { link_->start(); }
 
     [[nodiscard]] config_link& link() { return *link_; }
+    [[nodiscard]] std::shared_ptr<config_link> shared_link() const { return link_; }
     [[nodiscard]] config_submitter& submitter() { return submitter_; }
     [[nodiscard]] const platform::client& calls() const { return calls_; }
 
--- /dev/null
+++ b/libs/runtime/src/daemon_parts.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "asio.h"
+
+#include <runtime/daemon_settings.h>
+
+#include "action_driver.h"
+#include "action_runner.h"
+#include "caller_api.h"
+#include "claim_driver.h"
+#include "config_service.h"
+#include "daemon_operator.h"
+#include "member_config_peers.h"
+#include "member_service.h"
+#include "member_watch.h"
+#include "message_router.h"
+#include "services.h"
+#include "short_call_api.h"
+#include "ticket_api.h"
+
+#include <http/server.h>
+#include <operator_api/operator_server.h>
+#include <platform/client.h>
+
+#include <absl/status/status.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace ej::runtime {
+
+/// All that a daemon is made of, in the order in which each needs the one before.
+class daemon_parts {
+public:
+    /// Throws std::runtime_error when the peer address is taken.
+    explicit daemon_parts(daemon_settings settings);
+
+    /// Stops the threads, then ends what still runs.
+    ~daemon_parts();
+    daemon_parts(const daemon_parts&) = delete;
+    daemon_parts& operator=(const daemon_parts&) = delete;
+    daemon_parts(daemon_parts&&) = delete;
+    daemon_parts& operator=(daemon_parts&&) = delete;
+
+    /// Binds the other addresses and starts the threads. Error: Unavailable.
+    absl::Status start();
+
+    [[nodiscard]] services& shared() { return *shared_; }
+    [[nodiscard]] member_service& members() { return members_; }
+    [[nodiscard]] core::address caller_address() const { return caller_server_->local(); }
+    [[nodiscard]] core::address operator_address() const { return operator_server_->local(); }
+
+private:
+    [[nodiscard]] member_hooks hooks();
+    [[nodiscard]] actions::owner self() const;
+    [[nodiscard]] short_call_api::runner_map runners() const;
+    [[nodiscard]] member_watch::load_function take_report();
+    absl::Status listen();
+    boost::asio::awaitable<void> keep_config_members();
+
+    boost::asio::io_context context_;
+    boost::asio::any_io_executor executor_{context_.get_executor()};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::shared_ptr<services> shared_;
+    std::shared_ptr<platform::client> platform_;
+    message_router router_;
+    member_service members_;
+    member_watch watch_;
+    member_config_peers config_peers_;
+    config_service config_;
+    std::shared_ptr<claim_driver> claims_;
+    std::shared_ptr<action_driver> actions_;
+    std::shared_ptr<action_runner> action_runner_;
+    std::shared_ptr<caller_api> callers_;
+    daemon_operator operators_;
+    std::unique_ptr<http::server> caller_server_;
+    std::unique_ptr<operator_api::operator_server> operator_server_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace ej::runtime
--- a/libs/runtime/src/endpoint_watch.cpp
+++ b/libs/runtime/src/endpoint_adoption.cpp
@@ -1,15 +1,11 @@
-#include "asio.h"
+#include "endpoint_adoption.h"
 
-#include "endpoint_watch.h"
-
-#include "pause_for.h"
 #include "reach_of.h"
 
-#include <logging/log.h>
-#include <wire/vm_list.h>
-
 #include <algorithm>
+#include <chrono>
 #include <iterator>
+#include <utility>
 
 namespace ej::runtime {
 
@@ -20,7 +16,9 @@
     return {endpoint.service, endpoint.domain};
 }
 
-void adopt(services& shared, const std::vector<core::endpoint>& listed)
+} // namespace
+
+void adopt_endpoints(services& shared, const std::vector<core::endpoint>& listed)
 {
     endpoint_directory::map next;
     std::ranges::transform(listed, std::inserter(next, next.end()),
@@ -41,27 +39,4 @@
     shared.gate.endpoints_listed();
 }
 
-} // namespace
-
-asio::awaitable<void> watch_endpoints(std::shared_ptr<services> shared)
-{
-    for (;;) {
-        http::request question;
-        question.target = "/vms";
-        http::call_options options;
-        auto answer =
-            co_await shared->calls->fetch(shared->settings.platform, std::move(question), options);
-        auto listed = answer.ok() ? wire::parse_vm_list(answer->body) : answer.status();
-        if (listed.ok()) {
-            adopt(*shared, *listed);
-        }
-        else {
-            shared->metrics.count("platform_errors_total", {{"call", "vms"}});
-            logging::log(logging::level::warn, "VM list is not to be had",
-                         {{"error", listed.status().ToString()}});
-        }
-        co_await pause_for(shared->settings.list_interval);
-    }
-}
-
 } // namespace ej::runtime
