--- a/stand_ins/src/engine.cpp
+++ b/stand_ins/src/engine.cpp
@@ -55,6 +55,7 @@
 nlohmann::json engine::stats()
 {
     auto all = counts_.to_json();
+    all["tokens_generated"] = tokens_generated_.load();
     all["running"] = slots_.running();
     all["waiting"] = slots_.waiting();
     return all;
--- a/stand_ins/src/engine.h
+++ b/stand_ins/src/engine.h
@@ -15,6 +15,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -55,6 +57,7 @@
     prefix_cache cache_;
     concurrency::snapshot<end_state> state_;
     call_counts counts_;
+    std::atomic<std::uint64_t> tokens_generated_ = 0;
 };
 
 } // namespace ej::stand_ins
--- a/stand_ins/src/engine_stream.cpp
+++ b/stand_ins/src/engine_stream.cpp
@@ -107,7 +107,7 @@
         const double batch = std::max(1.0, std::ceil(shortest_step / interval));
         co_await pause(interval * batch);
         co_await control_->thaw();
-        counts_.add("tokens_generated", running.produce(static_cast<std::uint64_t>(batch)));
+        running.produce(static_cast<std::uint64_t>(batch), tokens_generated_);
     }
 }
 
--- a/stand_ins/src/generation.cpp
+++ b/stand_ins/src/generation.cpp
@@ -38,22 +38,21 @@
     return digest;
 }
 
-std::uint64_t generation::produce(std::uint64_t tokens)
+void generation::produce(std::uint64_t tokens, std::atomic<std::uint64_t>& total)
 {
-    std::uint64_t made = 0;
     {
         const std::scoped_lock lock(mutex_);
         if (progress_.finished()) {
-            return 0;
+            return;
         }
-        made = std::min(tokens, order_.max_tokens - progress_.offset);
+        const auto made = std::min(tokens, order_.max_tokens - progress_.offset);
+        total += made;
         progress_.offset += made;
         if (progress_.offset == order_.max_tokens) {
             progress_.end_reason = "length";
         }
     }
     changed_.notify();
-    return made;
 }
 
 void generation::finish(const std::string& reason)
--- a/stand_ins/src/generation.h
+++ b/stand_ins/src/generation.h
@@ -8,6 +8,7 @@
 
 #include <core/digest.h>
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -33,8 +34,9 @@
     /// Digest of the first `offset` tokens.
     [[nodiscard]] core::digest digest_at(std::uint64_t offset) const;
 
-    /// Adds up to `tokens` tokens; returns how many. Ends at `max_tokens`.
-    std::uint64_t produce(std::uint64_t tokens);
+    /// Adds up to `tokens` tokens, and their number to `total` before a reader sees them. Ends at
+    /// `max_tokens`.
+    void produce(std::uint64_t tokens, std::atomic<std::uint64_t>& total);
 
     /// Ends it with `reason`, unless it has ended.
     void finish(const std::string& reason);
