--- a/libs/runtime/src/action_runner.cpp
+++ b/libs/runtime/src/action_runner.cpp
@@ -56,12 +56,6 @@
     co_return reply_of(outcome, *shared_);
 }
 
-asio::awaitable<action_outcome> action_runner::run_forwarded(short_call call,
-                                                             actions::claim_nonce nonce)
-{
-    return outcome_of(std::move(call), nonce);
-}
-
 asio::awaitable<action_outcome>
 action_runner::outcome_of(short_call call, std::optional<actions::claim_nonce> forwarded)
 {
--- a/libs/runtime/src/action_runner.h
+++ b/libs/runtime/src/action_runner.h
@@ -31,13 +31,12 @@
     /// A key for one action of `work`; it works at this daemon and those that reach it.
     [[nodiscard]] std::string issue_ticket(core::workspace_id workspace, core::class_id work);
 
-    /// The outcome of a call that a peer forwarded; `nonce` as it found it. Awaited on a strand.
-    boost::asio::awaitable<actions::action_outcome> run_forwarded(short_call call,
-                                                                  actions::claim_nonce nonce);
-
-private:
+    /// The outcome of a call; `forwarded` when a peer passed it on, with the claim's nonce as the
+    /// peer found it (0 for a ticket). Awaited on a strand.
     boost::asio::awaitable<actions::action_outcome>
     outcome_of(short_call call, std::optional<actions::claim_nonce> forwarded);
+
+private:
     void submit(const actions::action_id& action, actions::waiter_id waiter, open_action opened,
                 std::optional<actions::claim_nonce> forwarded);
 
--- a/libs/runtime/src/outcome_slot.cpp
+++ b/libs/runtime/src/outcome_slot.cpp
@@ -10,7 +10,7 @@
 
 void outcome_slot::tell(std::shared_ptr<outcome_slot> slot, actions::action_outcome outcome)
 {
-    auto strand = slot->timer_.get_executor();
+    auto strand = slot->strand_;
     asio::post(strand, [slot = std::move(slot), outcome = std::move(outcome)]() mutable {
         slot->told_ = std::move(outcome);
         slot->timer_.cancel();
--- a/libs/runtime/src/outcome_slot.h
+++ b/libs/runtime/src/outcome_slot.h
@@ -15,7 +15,10 @@
 /// Hands an outcome to a coroutine that waits for it. All but `tell` on the coroutine's strand.
 class outcome_slot {
 public:
-    explicit outcome_slot(const boost::asio::any_io_executor& strand) : timer_(strand) {}
+    explicit outcome_slot(const boost::asio::any_io_executor& strand)
+        : strand_(strand), timer_(strand)
+    {
+    }
 
     /// Hands in the outcome, from any thread.
     static void tell(std::shared_ptr<outcome_slot> slot, actions::action_outcome outcome);
@@ -27,6 +30,7 @@
     [[nodiscard]] const std::optional<actions::action_outcome>& told() const { return told_; }
 
 private:
+    boost::asio::any_io_executor strand_;
     boost::asio::steady_timer timer_;
     std::optional<actions::action_outcome> told_;
 };
--- a/libs/runtime/tests/action_fleet.cpp
+++ b/libs/runtime/tests/action_fleet.cpp
@@ -131,10 +131,10 @@
 {
     for (std::size_t number = 0; number < member_count; ++number) {
         if (owner_of(number) == to && !fleet_.peers_cut) {
-            auto asked = asio::co_spawn(
-                asio::make_strand(fleet_.context_),
-                fleet_.members_[number]->runner->run_forwarded(std::move(call), nonce),
-                asio::use_awaitable);
+            auto asked =
+                asio::co_spawn(asio::make_strand(fleet_.context_),
+                               fleet_.members_[number]->runner->outcome_of(std::move(call), nonce),
+                               asio::use_awaitable);
             co_return co_await std::move(asked);
         }
     }
