Tests of commands and configuration service: one matter a case

Cause: the linter found two cases too complex (56 and 45 against 25). Ruled out: raising the bound or leaving checks out. Change: the cases are split, their set-up stands in a fixture; every check is kept, the thirty accepted changes are checked as one.

--- a/endivejunction/src/commands/tests/commands_test.cpp
+++ b/endivejunction/src/commands/tests/commands_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <mutex>
 #include <sstream>
 #include <vector>
@@ -65,7 +66,7 @@
     std::string err;
 };
 
-outcome run(std::vector<std::string> arguments)
+outcome run(const std::vector<std::string>& arguments)
 {
     std::ostringstream out;
     std::ostringstream err;
@@ -73,37 +74,65 @@
     return {code, out.str(), err.str()};
 }
 
+/// A daemon's operator interface and the commands given to it.
+class fixture {
+public:
+    outcome with(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.end(),
+                         {"--operator", to_string(server_->local()), "--operator-key", "secret"});
+        return run(arguments);
+    }
+
+    outcome without_key(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.end(), {"--operator", to_string(server_->local())});
+        return run(arguments);
+    }
+
+private:
+    fake_backend backend_;
+    std::unique_ptr<operator_api::operator_server> server_ =
+        operator_api::operator_server::start({"127.0.0.1", 0}, backend_, "secret").value();
+};
+
 } // namespace
 
-TEST_CASE("operators create, list, change and delete classes and workspaces")
+TEST_CASE("operators create, list, change and delete classes")
 {
-    fake_backend backend;
-    const auto server =
-        operator_api::operator_server::start({"127.0.0.1", 0}, backend, "secret").value();
-    const auto with = [&](std::vector<std::string> arguments) {
-        arguments.insert(arguments.end(),
-                         {"--operator", to_string(server->local()), "--operator-key", "secret"});
-        return run(std::move(arguments));
-    };
-    CHECK(with({"class", "create", "dossier", "--service", "m", "--finish-ms", "9"}).out ==
+    fixture daemon;
+    CHECK(daemon.with({"class", "create", "dossier", "--service", "m", "--finish-ms", "9"}).out ==
           "created in revision 1\n");
-    CHECK(with({"class", "create", "dossier", "--service", "m"}).code == 3);
-    CHECK(with({"class", "change", "dossier", "--max-waiting", "0"}).err ==
-          "invalid\ntarget.max_waiting: must be 1 to 100000 requests\n");
-    CHECK(with({"class", "change", "dossier", "--kind", "generation"}).code == 0);
-    CHECK(with({"class", "change", "dossier", "--if-revision", "1"}).err ==
-          "conflict: the object is at revision 2\n");
-    const std::string listed = with({"class", "list"}).out;
+    CHECK(daemon.with({"class", "change", "dossier", "--kind", "generation"}).code == 0);
+    const std::string listed = daemon.with({"class", "list"}).out;
     CHECK(listed.find("kind=generation name=dossier revision=2 service=m") != std::string::npos);
     CHECK(listed.find("finish_ms=9") != std::string::npos);
-    CHECK(with({"workspace", "create", "trawlers", "--share", "12.5", "--json"}).out ==
-          "{\"revision\":3}\n");
-    CHECK(with({"workspace", "list"}).out.find("share_ppm=125000") != std::string::npos);
-    CHECK(with({"workspace", "delete", "trawlers"}).code == 0);
-    CHECK(with({"workspace", "delete", "trawlers"}).code == 1);
-    CHECK(with({"status"}).out.find("class meets_target=false") != std::string::npos);
-    CHECK(with({"restore"}).code == 1);
-    CHECK(run({"status", "--operator", to_string(server->local())}).err == "unauthenticated\n");
+    CHECK(daemon.with({"class", "delete", "dossier"}).code == 0);
+    CHECK(daemon.with({"class", "delete", "dossier"}).code == 1);
+}
+
+TEST_CASE("operators are told of a conflict, of faults and of a missing key")
+{
+    fixture daemon;
+    (void)daemon.with({"class", "create", "dossier", "--service", "m"});
+    CHECK(daemon.with({"class", "create", "dossier", "--service", "m"}).code == 3);
+    CHECK(daemon.with({"class", "change", "dossier", "--max-waiting", "0"}).err ==
+          "invalid\ntarget.max_waiting: must be 1 to 100000 requests\n");
+    (void)daemon.with({"class", "change", "dossier", "--kind", "generation"});
+    CHECK(daemon.with({"class", "change", "dossier", "--if-revision", "1"}).err ==
+          "conflict: the object is at revision 2\n");
+    CHECK(daemon.with({"restore"}).code == 1);
+    CHECK(daemon.without_key({"status"}).err == "unauthenticated\n");
+}
+
+TEST_CASE("operators set workspaces' shares in percent and see a missed target")
+{
+    fixture daemon;
+    CHECK(daemon.with({"workspace", "create", "trawlers", "--share", "12.5", "--json"}).out ==
+          "{\"revision\":1}\n");
+    CHECK(daemon.with({"workspace", "list"}).out.find("share_ppm=125000") != std::string::npos);
+    CHECK(daemon.with({"workspace", "delete", "trawlers"}).code == 0);
+    CHECK(daemon.with({"status"}).out.find("class meets_target=false") != std::string::npos);
 }
 
 TEST_CASE("every fault of a command line is reported, with its place")
--- a/libs/runtime/tests/config_service_test.cpp
+++ b/libs/runtime/tests/config_service_test.cpp
@@ -9,10 +9,12 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <map>
 #include <mutex>
+#include <ranges>
 #include <thread>
 
 namespace ej::runtime {
@@ -175,18 +177,12 @@
             config::put_workspace{{core::workspace_id(name), 10}}};
 }
 
-} // namespace
-
-TEST_CASE("a daemon cut off from the platform has a change in force that another accepted")
-{
-    asio::thread_pool pool(3);
+/// One daemon that reaches the platform and one that does not, linked with each other.
+class pair_of_nodes {
+public:
+    pair_of_nodes()
     {
-        fake_platform platform(pool.get_executor());
-        std::map<std::string, config_link*> links;
-        node reaches(pool.get_executor(), "a", platform.address(), links);
-        // Nothing listens on port 1.
-        node cut_off(pool.get_executor(), "b", {"127.0.0.1", 1}, links);
-        links = {{"a", &reaches.service.link()}, {"b", &cut_off.service.link()}};
+        links_ = {{"a", &reaches.service.link()}, {"b", &cut_off.service.link()}};
         const std::vector<config::member> members{
             {core::vm_id("a"), core::failure_domain_id("recife")},
             {core::vm_id("b"), core::failure_domain_id("recife")}};
@@ -194,38 +190,65 @@
             one->service.link().set_members(members);
             one->service.start();
         }
-        wait_until([&] { return reaches.operators.ready() && cut_off.operators.ready(); });
-
-        using config::submission_outcome;
-        const auto first = reaches.operators.submit(workspace("c1", "w0", 0));
-        CHECK(first.outcome == submission_outcome::accepted);
-        platform.lose_answers(1);
-        const auto unanswered = reaches.operators.submit(workspace("c2", "w1", 0));
-        CHECK(unanswered.outcome == submission_outcome::accepted);
-        CHECK(unanswered.revision == core::revision(2));
-        const auto loser = reaches.operators.submit(workspace("c3", "w1", 0));
-        CHECK(loser.outcome == submission_outcome::conflict);
-        CHECK(loser.revision == core::revision(2));
-        CHECK(cut_off.operators.submit(workspace("c4", "w2", 0)).outcome ==
-              submission_outcome::unavailable);
-        for (std::uint64_t i = 3; i <= 30; ++i) {
-            const std::string number = std::to_string(i);
-            CHECK(reaches.operators.submit(workspace("d" + number, "w" + number, 0)).outcome ==
-                  submission_outcome::accepted);
-        }
-        CHECK(platform.has("config/base"));
-        wait_until([&] {
-            return cut_off.operators.configuration_in_force() ==
-                   reaches.operators.configuration_in_force();
-        });
-        CHECK(cut_off.operators.status().configuration.in_force == core::revision(30));
-        wait_until([&] {
-            return reaches.operators.status().members.at(1).in_force == core::revision(30);
-        });
-        CHECK(reaches.peers.unreadable + cut_off.peers.unreadable == 0);
-        pool.stop();
-        pool.join();
+        wait_until([this] { return reaches.operators.ready() && cut_off.operators.ready(); });
     }
+    ~pair_of_nodes()
+    {
+        pool_.stop();
+        pool_.join();
+    }
+    pair_of_nodes(const pair_of_nodes&) = delete;
+    pair_of_nodes& operator=(const pair_of_nodes&) = delete;
+    pair_of_nodes(pair_of_nodes&&) = delete;
+    pair_of_nodes& operator=(pair_of_nodes&&) = delete;
+
+private:
+    asio::thread_pool pool_{3};
+    std::map<std::string, config_link*> links_;
+
+public:
+    fake_platform platform{pool_.get_executor()};
+    node reaches{pool_.get_executor(), "a", platform.address(), links_};
+    node cut_off{pool_.get_executor(), "b", {"127.0.0.1", 1}, links_}; ///< Port 1: no one listens.
+};
+
+using config::submission_outcome;
+
+} // namespace
+
+TEST_CASE("a daemon cut off from the platform has a change in force that another accepted")
+{
+    pair_of_nodes nodes;
+    const auto accepts = [&](int i) {
+        const std::string number = std::to_string(i);
+        return nodes.reaches.operators.submit(workspace("c" + number, "w" + number, 0)).outcome ==
+               submission_outcome::accepted;
+    };
+    CHECK(std::ranges::all_of(std::views::iota(1, 31), accepts));
+    CHECK(nodes.platform.has("config/base"));
+    wait_until([&] {
+        return nodes.cut_off.operators.configuration_in_force() ==
+               nodes.reaches.operators.configuration_in_force();
+    });
+    CHECK(nodes.cut_off.operators.status().configuration.in_force == core::revision(30));
+    wait_until([&] {
+        return nodes.reaches.operators.status().members.at(1).in_force == core::revision(30);
+    });
+    CHECK(nodes.reaches.peers.unreadable + nodes.cut_off.peers.unreadable == 0);
+}
+
+TEST_CASE("a change whose write had no answer is accepted, and the loser of a race is told")
+{
+    pair_of_nodes nodes;
+    nodes.platform.lose_answers(1);
+    const auto unanswered = nodes.reaches.operators.submit(workspace("c1", "w", 0));
+    CHECK(unanswered.outcome == submission_outcome::accepted);
+    CHECK(unanswered.revision == core::revision(1));
+    const auto loser = nodes.reaches.operators.submit(workspace("c2", "w", 0));
+    CHECK(loser.outcome == submission_outcome::conflict);
+    CHECK(loser.revision == core::revision(1));
+    CHECK(nodes.cut_off.operators.submit(workspace("c3", "v", 0)).outcome ==
+          submission_outcome::unavailable);
 }
 
 } // namespace ej::runtime
