--- a/libs/config_wire/tests/config_cost_test.cpp
+++ b/libs/config_wire/tests/config_cost_test.cpp
@@ -38,7 +38,7 @@
 }
 
 template <class Action>
-double microseconds(std::size_t rounds, Action action)
+double microseconds(std::size_t rounds, const Action& action)
 {
     const auto begin = std::chrono::steady_clock::now();
     for (std::size_t i = 0; i < rounds; ++i) {
