Actions, status and configuration use the gate; a wait ends as a block does

Cause: actions still asked the pools every 20 ms; status showed no waiting requests; classes accepted later were unknown to the queues. With the gate in actions "only a request that the application says did not run is sent again" failed: a lone application that had refused twice was blocked for a second, and nothing woke the request when that ended.

Ruled out: waking each waiter once a second, which is polling.

Change: place_action enters the gate; status takes age, waiting and target met from admission's reports; an accepted configuration sets the gate's classes. pool_outlook names the end of the earliest block, until which a wait sleeps.

--- a/libs/routing/include/routing/pool_outlook.h
+++ b/libs/routing/include/routing/pool_outlook.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <core/instant.h>
+
 #include <compare>
 #include <cstdint>
 
@@ -12,6 +14,8 @@
     std::uint32_t slots = 0;       ///< Slots within the limits of endpoints that take work.
     std::uint32_t open = 0;        ///< Endpoints with room.
     std::uint32_t urgent_open = 0; ///< Endpoints with room for urgent requests.
+    core::instant next_unblock{
+        core::instant::max()}; ///< When a failing endpoint may be tried again.
 
     friend auto operator<=>(const pool_outlook&, const pool_outlook&) = default;
 };
--- a/libs/routing/src/endpoint_pools.cpp
+++ b/libs/routing/src/endpoint_pools.cpp
@@ -1,5 +1,6 @@
 #include <routing/endpoint_pools.h>
 
+#include <algorithm>
 #include <numeric>
 #include <utility>
 
@@ -12,8 +13,12 @@
     const double work = left.work_per_second + right.work_per_second;
     const double weighted =
         left.slot_rate * left.work_per_second + right.slot_rate * right.work_per_second;
-    return {work, work > 0 ? weighted / work : 0, left.slots + right.slots, left.open + right.open,
-            left.urgent_open + right.urgent_open};
+    return {work,
+            work > 0 ? weighted / work : 0,
+            left.slots + right.slots,
+            left.open + right.open,
+            left.urgent_open + right.urgent_open,
+            std::min(left.next_unblock, right.next_unblock)};
 }
 
 } // namespace
--- a/libs/routing/src/pool.cpp
+++ b/libs/routing/src/pool.cpp
@@ -92,9 +92,12 @@
 {
     unblock_due(now);
     const double mean = work_per_second_ > 0 ? squared_rates_ / work_per_second_ : 0;
-    return {std::max(work_per_second_, 0.0), mean, static_cast<std::uint32_t>(slots_),
+    return {std::max(work_per_second_, 0.0),
+            mean,
+            static_cast<std::uint32_t>(slots_),
             static_cast<std::uint32_t>(open_.members().size()),
-            static_cast<std::uint32_t>(urgent_open_.members().size())};
+            static_cast<std::uint32_t>(urgent_open_.members().size()),
+            blocked_.empty() ? core::instant::max() : blocked_.front().first};
 }
 
 void pool::replace(std::uint32_t index, endpoint_view next)
--- a/libs/routing/tests/routing_test.cpp
+++ b/libs/routing/tests/routing_test.cpp
@@ -139,6 +139,7 @@
         engines.release(*chosen, {outcome_kind::failed, 0, 1ms}, false, now);
     }
     CHECK(engines.outlook(now).open == 0);
+    CHECK(engines.outlook(now).next_unblock == now + 1s);
     CHECK(engines.outlook(now + 1s).open == 1);
 }
 
--- a/libs/runtime/src/action_attempt.cpp
+++ b/libs/runtime/src/action_attempt.cpp
@@ -3,7 +3,6 @@
 #include "action_attempt.h"
 
 #include "application_call.h"
-#include "pause_for.h"
 
 #include <chrono>
 #include <string>
@@ -16,8 +15,6 @@
 using actions::action_event;
 using actions::event_kind;
 
-constexpr core::duration wait_for_endpoint = std::chrono::milliseconds(20);
-
 core::instant now()
 {
     return std::chrono::steady_clock::now();
@@ -47,19 +44,17 @@
 asio::awaitable<std::optional<routing::placement>>
 place_action(std::shared_ptr<services> shared, std::shared_ptr<const short_call> call)
 {
-    const routing::reach reach{shared->settings.domain, {}};
-    routing::request_features features;
-    features.urgent = true;
-    features.finish_by = call->deadline;
-    while (now() < call->deadline) {
-        const auto placed = shared->pools.acquire(call->work_class.service, reach, features,
-                                                  shared->ids.next_seed(), now());
-        if (placed) {
-            co_return *placed;
-        }
-        co_await pause_for(wait_for_endpoint);
+    fairness::claim asked;
+    asked.request = shared->ids.next();
+    asked.workspace = call->workspace;
+    asked.arrived = now();
+    asked.finish_by = call->deadline;
+    const auto entry = co_await shared->gate.enter(call->work_class, std::move(asked));
+    if (!entry.placed) {
+        shared->metrics.count("refusals_total",
+                              {{"reason", std::string(core::to_string(entry.refused.reason))}});
     }
-    co_return std::nullopt;
+    co_return entry.placed;
 }
 
 asio::awaitable<action_event> send_action(std::shared_ptr<services> shared,
@@ -75,13 +70,13 @@
     const action_event event = event_of(answer);
     const auto kind = event.kind == event_kind::answered ? routing::outcome_kind::finished
                                                          : routing::outcome_kind::failed;
-    shared->pools.release(where, {kind, 1, now() - began}, now());
+    shared->gate.leave(where, {kind, 1, now() - began});
     co_return event;
 }
 
 void release_unused(services& shared, const routing::placement& where)
 {
-    shared.pools.release(where, {routing::outcome_kind::cancelled, 1, {}}, now());
+    shared.gate.leave(where, {routing::outcome_kind::cancelled, 1, {}});
 }
 
 } // namespace ej::runtime
--- a/libs/runtime/src/admission_gate.cpp
+++ b/libs/runtime/src/admission_gate.cpp
@@ -89,11 +89,18 @@
 asio::awaitable<gate_entry> admission_gate::wait(core::work_class work_class, fairness::claim asked,
                                                  waiter waiting)
 {
-    pump(work_class.service);
-    const auto entry = co_await waiting->wait(std::min(asked.start_by, asked.finish_by));
-    if (entry) {
-        co_return *entry;
+    const auto give_up_at = std::min(asked.start_by, asked.finish_by);
+    // Each pass but the last ends as a failing endpoint may be tried again.
+    for (bool last = false; !last;) {
+        pump(work_class.service);
+        const auto unblock = pools_.outlook(work_class.service, reach_(), now()).next_unblock;
+        last = give_up_at <= unblock;
+        const auto entry = co_await waiting->wait(std::min(give_up_at, unblock));
+        if (entry) {
+            co_return *entry;
+        }
     }
+    waiting->end();
     queues_.cancel(work_class.name, asked.request);
     take_waiter(asked.request);
     co_return refused(core::refusal_reason::waited_too_long);
--- a/libs/runtime/src/config_service.cpp
+++ b/libs/runtime/src/config_service.cpp
@@ -4,6 +4,10 @@
 
 #include <logging/log.h>
 
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
 namespace ej::runtime {
 
 namespace {
@@ -21,6 +25,14 @@
     return classes;
 }
 
+std::vector<core::work_class> classes_of(const services::class_map& classes)
+{
+    std::vector<core::work_class> all;
+    std::ranges::transform(classes, std::back_inserter(all),
+                           [](const auto& named) { return named.second; });
+    return all;
+}
+
 config_link::apply_function put_in_force(std::shared_ptr<services> shared)
 {
     auto newest =
@@ -33,6 +45,7 @@
         shared->classes.update([&](const services::class_map& /*before*/) {
             return classes_in_force(*shared, *newest->load());
         });
+        shared->gate.set_classes(classes_of(*shared->classes.load()));
         const auto revision = newest->load()->revision();
         shared->metrics.set("configuration_revision", {}, static_cast<double>(revision.value()));
         logging::log(logging::level::info, "configuration in force",
--- a/libs/runtime/src/daemon_operator.cpp
+++ b/libs/runtime/src/daemon_operator.cpp
@@ -5,10 +5,21 @@
 #include <boost/asio/use_future.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 
 namespace ej::runtime {
 
+namespace {
+
+operator_api::class_status class_status_of(const admission::target_report& report)
+{
+    return {report.work_class, report.waiting,
+            std::chrono::duration_cast<std::chrono::milliseconds>(report.oldest_age), report.met};
+}
+
+} // namespace
+
 daemon_operator::daemon_operator(asio::any_io_executor executor, std::shared_ptr<services> shared,
                                  config_service& config, std::uint64_t seed)
     : executor_(std::move(executor)), shared_(std::move(shared)), config_(config), seed_(seed)
@@ -29,12 +40,8 @@
     status.draining = shared_->flights.draining();
     status.in_flight = shared_->flights.size();
     status.configuration = config_.link().status();
-    const auto classes = shared_->classes.load();
-    std::ranges::transform(*classes, std::back_inserter(status.classes), [](const auto& one) {
-        operator_api::class_status row;
-        row.name = one.first;
-        return row;
-    });
+    const auto reports = shared_->gate.reports();
+    std::ranges::transform(reports, std::back_inserter(status.classes), class_status_of);
     std::ranges::transform(config_.link().members(), std::back_inserter(status.members),
                            [](const config::member_revision& one) {
                                return operator_api::member_status{one.who.vm, one.who.domain,
--- a/libs/runtime/src/gate_waiter.cpp
+++ b/libs/runtime/src/gate_waiter.cpp
@@ -39,7 +39,6 @@
         boost::system::error_code error;
         co_await timer_.async_wait(no_throw(error));
     }
-    ended_ = true;
     co_return entry_;
 }
 
--- a/libs/runtime/src/gate_waiter.h
+++ b/libs/runtime/src/gate_waiter.h
@@ -23,10 +23,13 @@
     /// Hands in the entry.
     void complete(gate_entry entry);
 
-    /// Waits for the entry, at most until `until`; empty if it did not come. Called once.
+    /// Waits for the entry, at most until `until`; empty if it did not come.
     boost::asio::awaitable<std::optional<gate_entry>>
     wait(boost::asio::steady_timer::time_point until);
 
+    /// Ends the wait: a later placement goes to the handler. Called on the strand.
+    void end() { ended_ = true; }
+
     /// True if engines run the request before others.
     [[nodiscard]] bool urgent() const { return urgent_; }
 
--- a/libs/runtime/src/generation_session.cpp
+++ b/libs/runtime/src/generation_session.cpp
@@ -147,10 +147,10 @@
         state_.phase = generation::phase::ended;
         co_return std::nullopt;
     }
+    const bool begun =
+        state_.next > core::token_offset() || state_.attempt > core::attempt_number(1);
     auto asked = claim_of(start_, state_, ticket_, began_at_);
-    const auto entry = co_await wait_for_engine(*shared_, start_.work_class, std::move(asked),
-                                                state_.next > core::token_offset() ||
-                                                    state_.attempt > core::attempt_number(1));
+    auto entry = co_await wait_for_engine(*shared_, start_.work_class, std::move(asked), begun);
     if (entry.placed) {
         placement_ = entry.placed;
         placed_at_ = now();
