--- a/libs/runtime/src/action_responder.cpp
+++ b/libs/runtime/src/action_responder.cpp
@@ -25,7 +25,7 @@
     call.deadline = std::chrono::steady_clock::now() + asked->left;
     const auto running = [runner = runner_, call, nonce = asked->nonce,
                           reply = std::move(reply)]() -> asio::awaitable<void> {
-        auto outcome = co_await runner->run_forwarded(call, nonce);
+        auto outcome = co_await runner->outcome_of(call, nonce);
         reply(actions_wire::encode(outcome));
     };
     asio::co_spawn(asio::make_strand(executor_), running, asio::detached);
