--- a/harness/include/harness/event_stream.h
+++ b/harness/include/harness/event_stream.h
@@ -14,7 +14,7 @@
 
 class blocking_body;
 
-/// An answer of server-sent events, read one at a time; blocks for 30 s at most on each.
+/// An answer of server-sent events, read one at a time; blocks for 90 s at most on each.
 class event_stream {
 public:
     /// Sends `call`. Error: Unavailable when the connection broke.
--- a/harness/include/harness/http_client.h
+++ b/harness/include/harness/http_client.h
@@ -9,7 +9,7 @@
 
 namespace ej::harness {
 
-/// Sends `call` on a new connection and reads the whole answer; blocks for 30 s at most.
+/// Sends `call` on a new connection and reads the whole answer; blocks for 90 s at most.
 /// Error: Unavailable when the connection broke or the time passed.
 [[nodiscard]] absl::StatusOr<http_result> send(const core::address& where, const http_call& call);
 
