Actions are named without the fleet's secret

Cause: while the secret is changed, daemons with another first secret gave one key two names; each could be claimed and run. Ruled out: the last secret in the list; it changes as well. Conclusion: changing the secret touches tickets only, which all listed secrets open.

--- a/libs/actions_wire/include/actions_wire/names.h
+++ b/libs/actions_wire/include/actions_wire/names.h
@@ -6,21 +6,18 @@
 #include <core/class_id.h>
 #include <core/idempotency_key.h>
 #include <core/workspace_id.h>
-#include <seal/secret.h>
 
 #include <string_view>
 
-/// Digests under the fleet's secret, so that no caller can choose two keys with one digest.
+/// Names that are the same at every daemon, also while the fleet's secrets change.
 namespace ej::actions_wire {
 
 /// Names the action of `key` in `workspace`.
-[[nodiscard]] actions::action_id name_of(const seal::secret& key_secret,
-                                         const core::workspace_id& workspace,
+[[nodiscard]] actions::action_id name_of(const core::workspace_id& workspace,
                                          const core::idempotency_key& key);
 
 /// Tells requests under one key apart.
-[[nodiscard]] actions::request_digest digest_of(const seal::secret& key_secret,
-                                                const core::class_id& work, std::string_view path,
+[[nodiscard]] actions::request_digest digest_of(const core::class_id& work, std::string_view path,
                                                 std::string_view body);
 
 } // namespace ej::actions_wire
--- a/libs/actions_wire/src/names.cpp
+++ b/libs/actions_wire/src/names.cpp
@@ -16,26 +16,32 @@
     text += part;
 }
 
+// A fixed key: with a secret that changes, one key would have two names and run twice.
+seal::keyed_digest digest_of_text(std::string_view text)
+{
+    static const seal::secret fixed{"endivejunction names of actions"};
+    return seal::digest(fixed, text);
+}
+
 } // namespace
 
-actions::action_id name_of(const seal::secret& key_secret, const core::workspace_id& workspace,
-                           const core::idempotency_key& key)
+actions::action_id name_of(const core::workspace_id& workspace, const core::idempotency_key& key)
 {
     std::string text = "action";
     append(text, workspace.text());
     append(text, key.text());
-    const seal::keyed_digest digest = seal::digest(key_secret, text);
+    const auto digest = digest_of_text(text);
     return {digest.high, digest.low};
 }
 
-actions::request_digest digest_of(const seal::secret& key_secret, const core::class_id& work,
-                                  std::string_view path, std::string_view body)
+actions::request_digest digest_of(const core::class_id& work, std::string_view path,
+                                  std::string_view body)
 {
     std::string text = "request";
     append(text, work.text());
     append(text, path);
     append(text, body);
-    const seal::keyed_digest digest = seal::digest(key_secret, text);
+    const auto digest = digest_of_text(text);
     return {digest.high, digest.low};
 }
 
--- a/libs/actions_wire/tests/actions_wire_test.cpp
+++ b/libs/actions_wire/tests/actions_wire_test.cpp
@@ -57,14 +57,12 @@
 
 TEST_CASE("names differ by workspace, key and request")
 {
-    const auto& secret = keys.list.front();
     const auto name = [&](const char* workspace, const char* key) {
-        return name_of(secret, core::workspace_id(workspace), core::idempotency_key(key));
+        return name_of(core::workspace_id(workspace), core::idempotency_key(key));
     };
     CHECK(name("a", "bc") == name("a", "bc"));
     CHECK(name("a", "bc") != name("ab", "c"));
-    CHECK(digest_of(secret, core::class_id("c"), "/p", "x") !=
-          digest_of(secret, core::class_id("c"), "/px", ""));
+    CHECK(digest_of(core::class_id("c"), "/p", "x") != digest_of(core::class_id("c"), "/px", ""));
 }
 
 } // namespace ej::actions_wire
--- a/libs/runtime/src/action_runner.cpp
+++ b/libs/runtime/src/action_runner.cpp
@@ -60,8 +60,7 @@
 action_runner::outcome_of(short_call call, std::optional<actions::claim_nonce> forwarded)
 {
     const auto deadline = call.deadline;
-    const auto action = actions_wire::name_of(shared_->settings.fleet_secrets.list.front(),
-                                              call.workspace, call.key);
+    const auto action = actions_wire::name_of(call.workspace, call.key);
     const auto slot = std::make_shared<outcome_slot>(co_await asio::this_coro::executor);
     open_action opened{std::make_shared<const short_call>(std::move(call)),
                        [slot](const action_outcome& told) { outcome_slot::tell(slot, told); }};
@@ -84,8 +83,7 @@
     arrival.origin =
         forwarded ? actions::action_origin::forwarded_claim : actions::action_origin::claim;
     arrival.digest =
-        actions_wire::digest_of(shared_->settings.fleet_secrets.list.front(), call.work_class.name,
-                                call.wanted.path, call.wanted.body);
+        actions_wire::digest_of(call.work_class.name, call.wanted.path, call.wanted.body);
     arrival.deadline = call.deadline;
     arrival.keep_until = now() + retention_;
     arrival.nonce = forwarded.value_or(actions::claim_nonce());
