Linter: the outcome slot is made in its own file, the claim trial counts in instants

Cause: clang's analyzer took the coroutine's executor for uninitialized when the coroutine stood in the same file as its caller; a floating-point loop counter. Change: outcome_slot::on_this_strand; the loop runs over instants.

--- a/libs/runtime/src/action_runner.cpp
+++ b/libs/runtime/src/action_runner.cpp
@@ -61,7 +61,7 @@
 {
     const auto deadline = call.deadline;
     const auto action = actions_wire::name_of(call.workspace, call.key);
-    const auto slot = std::make_shared<outcome_slot>(co_await asio::this_coro::executor);
+    const auto slot = co_await outcome_slot::on_this_strand();
     open_action opened{std::make_shared<const short_call>(std::move(call)),
                        [slot](const action_outcome& told) { outcome_slot::tell(slot, told); }};
     submit(action, actions::waiter_id(++last_waiter_), std::move(opened), forwarded);
--- a/libs/runtime/src/outcome_slot.cpp
+++ b/libs/runtime/src/outcome_slot.cpp
@@ -8,6 +8,12 @@
 
 namespace ej::runtime {
 
+asio::awaitable<std::shared_ptr<outcome_slot>> outcome_slot::on_this_strand()
+{
+    const auto strand = co_await asio::this_coro::executor;
+    co_return std::make_shared<outcome_slot>(strand);
+}
+
 void outcome_slot::tell(std::shared_ptr<outcome_slot> slot, actions::action_outcome outcome)
 {
     auto strand = slot->strand_;
--- a/libs/runtime/src/outcome_slot.h
+++ b/libs/runtime/src/outcome_slot.h
@@ -20,6 +20,9 @@
     {
     }
 
+    /// A slot for the coroutine that awaits this, on its strand.
+    static boost::asio::awaitable<std::shared_ptr<outcome_slot>> on_this_strand();
+
     /// Hands in the outcome, from any thread.
     static void tell(std::shared_ptr<outcome_slot> slot, actions::action_outcome outcome);
 
--- a/measure/actions/main.cpp
+++ b/measure/actions/main.cpp
@@ -39,10 +39,12 @@
     {
         std::mt19937_64 random(20261204);
         std::exponential_distribution<double> gap(chosen_.claims_per_second);
-        for (double at = gap(random); at < std::chrono::duration<double>(span).count();
-             at += gap(random)) {
-            const auto when = core::instant(1h) + std::chrono::duration_cast<core::duration>(
-                                                      std::chrono::duration<double>(at));
+        const auto gap_time = [&] {
+            return std::chrono::duration_cast<core::duration>(
+                std::chrono::duration<double>(gap(random)));
+        };
+        const core::instant first(1h);
+        for (auto when = first + gap_time(); when < first + span; when += gap_time()) {
             const auto daemon = random() % daemons_.size();
             const actions::action_id action{random(), random()};
             later_.emplace(when, [this, daemon, action] { want(daemon, action); });
