Daemons that act together: membership over real connections, platform's list and load as its sources

Cause: the decisions of membership were driven by nothing.

Change: member_service carries out their effects over libs/peer and hands on other libraries' messages and requests; member_watch gives it time, the list if this daemon is one of the two a domain that ask for it, paced by the list's length, and the load of the endpoints that fall to it, from which it learns that one leaves. libs/wire reads a load report. The daemon does not start them yet.

Before: a daemon saw no peer.

--- a/libs/lease/src/candidate.cpp
+++ b/libs/lease/src/candidate.cpp
@@ -133,7 +133,7 @@
 {
     last_ = last_.next();
     const bool named = kind == call_kind::claim || kind == call_kind::renew;
-    const platform_call call{kind, last_, named ? lease_ : lease_id{}};
+    platform_call call{kind, last_, named ? lease_ : lease_id{}};
     pending_ = pending_call{call, now};
     return call;
 }
--- a/libs/lease/tests/platform.h
+++ b/libs/lease/tests/platform.h
@@ -17,7 +17,7 @@
     platform_answer take(const platform_call& call, core::instant now, core::duration ttl)
     {
         expire(now);
-        const platform_answer refused{call.number, answer_kind::refused, {}, {}};
+        platform_answer refused{call.number, answer_kind::refused, {}, {}};
         if (call.kind == call_kind::create) {
             const lease_id made("lease" + std::to_string(++made_));
             leases_[made] = now + ttl;
--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -124,8 +124,9 @@
         group.push_back(daemon);
     }
     spread(members_.hear(own, now), name_);
-    for (const auto& [domain, daemons] : foreign) {
-        domains_.with(domain, [&](auto& domains) { domains[domain].listed = daemons; });
+    for (const auto& group : foreign) {
+        domains_.with(group.first,
+                      [&](auto& domains) { domains[group.first].listed = group.second; });
     }
     rewire(out);
 }
--- a/libs/peer_wire/tests/traffic_test.cpp
+++ b/libs/peer_wire/tests/traffic_test.cpp
@@ -54,6 +54,7 @@
 std::vector<service_capacity> capacities()
 {
     std::vector<service_capacity> list;
+    list.reserve(services);
     for (std::size_t n = 0; n < services; ++n) {
         list.push_back({core::service_id("service-" + std::to_string(n)), 80, 1'000});
     }
--- a/libs/placement/tests/controller_test.cpp
+++ b/libs/placement/tests/controller_test.cpp
@@ -62,7 +62,7 @@
     void deliver(std::size_t place)
     {
         const auto taken = orders.begin() + static_cast<std::ptrdiff_t>(place % orders.size());
-        const auto sent = *taken;
+        order sent = *taken;
         orders.erase(taken);
         for (auto& one : engines) {
             if (one.state.name == sent.engine) {
--- a/libs/placement/tests/steady_placement_test.cpp
+++ b/libs/placement/tests/steady_placement_test.cpp
@@ -95,6 +95,7 @@
 TEST_CASE("demand that swings does not make models come and go")
 {
     std::vector<std::vector<double>> day;
+    day.reserve(200);
     for (int step = 0; step < 200; ++step) {
         day.push_back(step % 2 == 0 ? std::vector{1.1, 0.9} : std::vector{0.9, 1.1});
     }
--- /dev/null
+++ b/libs/runtime/src/member_watch.cpp
@@ -0,0 +1,104 @@
+#include "asio.h"
+
+#include "member_watch.h"
+
+#include "pause_for.h"
+
+#include <logging/log.h>
+#include <membership/list_pacing.h>
+
+#include <algorithm>
+
+namespace ej::runtime {
+
+namespace {
+
+// A line of the list, to pace reading by its length.
+constexpr std::size_t vm_line_bytes = 160;
+
+core::instant clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+member_watch::member_watch(asio::any_io_executor executor, const daemon_settings& settings,
+                           member_service& members, platform::client& platform, http::client& calls,
+                           load_function on_load)
+    : executor_(std::move(executor)), list_interval_(settings.list_interval),
+      report_interval_(settings.report_interval), members_(members), platform_(platform),
+      calls_(calls), on_load_(std::move(on_load))
+{
+}
+
+void member_watch::start()
+{
+    asio::co_spawn(executor_, keep_time(), asio::detached);
+    asio::co_spawn(executor_, read_list(), asio::detached);
+    asio::co_spawn(executor_, ask_loads(), asio::detached);
+}
+
+asio::awaitable<void> member_watch::keep_time()
+{
+    for (;;) {
+        co_await pause_for(std::max(members_.next_wake() - clock_now(), core::duration::zero()));
+        members_.tick();
+    }
+}
+
+asio::awaitable<void> member_watch::read_list()
+{
+    for (;;) {
+        auto interval = list_interval_;
+        if (members_.polls_list()) {
+            const auto listed = co_await platform_.vms();
+            if (listed.ok()) {
+                members_.list(*listed);
+                interval =
+                    std::max(interval, membership::list_interval(listed->size() * vm_line_bytes));
+            }
+            else {
+                logging::log(logging::level::warn, "VM list is not to be had",
+                             {{"error", listed.status().ToString()}});
+            }
+        }
+        co_await pause_for(interval);
+    }
+}
+
+asio::awaitable<void> member_watch::ask_loads()
+{
+    for (;;) {
+        for (auto& endpoint : members_.watched()) {
+            asio::co_spawn(executor_, ask_load(std::move(endpoint)), asio::detached);
+        }
+        co_await pause_for(report_interval_);
+    }
+}
+
+asio::awaitable<void> member_watch::ask_load(core::endpoint endpoint)
+{
+    const auto asked = clock_now();
+    http::request question;
+    question.target = "/load";
+    http::call_options options;
+    options.deadline = report_interval_;
+    options.connect_timeout = report_interval_;
+    const auto answer = co_await calls_.fetch(endpoint.where, std::move(question), options);
+    if (!answer.ok()) {
+        members_.fail(endpoint.name);
+        co_return;
+    }
+    const auto load = wire::parse_load_answer(answer->body);
+    if (!load.ok() || load->endpoint != endpoint.name) {
+        members_.fail(endpoint.name);
+        co_return;
+    }
+    members_.report({load->endpoint, load->incarnation, load->leaving, asked});
+    if (on_load_) {
+        on_load_(endpoint, *load);
+    }
+}
+
+} // namespace ej::runtime
--- /dev/null
+++ b/libs/wire/include/wire/load_answer.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <core/endpoint_id.h>
+#include <core/incarnation_id.h>
+
+#include <absl/status/statusor.h>
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace ej::wire {
+
+/// An endpoint's answer to `GET /load`.
+struct load_answer {
+    core::endpoint_id endpoint;
+    core::incarnation_id incarnation;
+    bool leaving = false; ///< It takes no new work.
+    std::uint32_t slots = 1;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    double tokens_per_second = 0; ///< 0 when it is not known.
+
+    friend auto operator<=>(const load_answer&, const load_answer&) = default;
+};
+
+/// Reads an answer; unknown fields are skipped. Error: InvalidArgument without endpoint and
+/// incarnation.
+[[nodiscard]] absl::StatusOr<load_answer> parse_load_answer(std::string_view text);
+
+} // namespace ej::wire
