Daemon's end: the peers' thread is ended before what it calls, with its node still in place

Cause: 'daemons hear of endpoints that leave from each other, also across failure domains' crashed at the end in 4 of 5 runs side by side: the destructor took the node's pointer away while the node's thread still ran and used it.

Change: peer_node::stop ends the thread; the destructor stops it and keeps the pointer.

--- a/libs/peer/include/peer/peer_node.h
+++ b/libs/peer/include/peer/peer_node.h
@@ -30,6 +30,9 @@
     peer_node(peer_node&&) = delete;
     peer_node& operator=(peer_node&&) = delete;
 
+    /// Ends the thread; what is sent from then on is lost. Not called from the handlers.
+    void stop();
+
     /// Where peers reach this daemon; the port is the one in use.
     [[nodiscard]] peer_address address() const;
 
--- a/libs/peer/src/peer_loop.cpp
+++ b/libs/peer/src/peer_loop.cpp
@@ -43,9 +43,16 @@
 }
 
 peer_loop::~peer_loop()
+{
+    stop();
+}
+
+void peer_loop::stop()
 {
     context_->stop();
-    thread_.join();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
 }
 
 void peer_loop::keep(std::set<peer_address> peers)
--- a/libs/peer/src/peer_loop.h
+++ b/libs/peer/src/peer_loop.h
@@ -33,6 +33,7 @@
     peer_loop(peer_loop&&) = delete;
     peer_loop& operator=(peer_loop&&) = delete;
 
+    void stop();
     [[nodiscard]] peer_address address() const { return self_.address; }
     void keep(std::set<peer_address> peers);
     void send(const peer_address& to, std::string payload);
--- a/libs/peer/src/peer_node.cpp
+++ b/libs/peer/src/peer_node.cpp
@@ -13,6 +13,11 @@
 
 peer_node::~peer_node() = default;
 
+void peer_node::stop()
+{
+    loop_->stop();
+}
+
 peer_address peer_node::address() const
 {
     return loop_->address();
--- a/libs/runtime/src/member_service.cpp
+++ b/libs/runtime/src/member_service.cpp
@@ -69,7 +69,7 @@
 
 member_service::~member_service()
 {
-    node_.reset(); // Its thread calls the rest.
+    node_->stop(); // Its thread calls the rest.
 }
 
 // Peers may connect before the construction ends; the transport's thread waits for it once.
--- a/libs/runtime/src/member_service.h
+++ b/libs/runtime/src/member_service.h
@@ -19,6 +19,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -100,7 +101,7 @@
     const core::failure_domain_id domain_;
     member_hooks hooks_;
     std::promise<void> ready_;
-    std::shared_future<void> started_{ready_.get_future().share()};
+    std::shared_future<void> started_{std::invoke(&std::promise<void>::get_future, ready_).share()};
     std::unique_ptr<peer::peer_node> node_;
     membership::doubling_ring ring_;
     membership::endpoint_directory endpoints_;
--- a/libs/wire/src/load_answer.cpp
+++ b/libs/wire/src/load_answer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 template <class T>
-T value_or(const json& body, const char* name, T fallback)
+T value_or(const json& body, const char* name, const T& fallback)
 {
     const auto found = body.find(name);
     if constexpr (std::is_same_v<T, bool>) {
