--- a/libs/runtime/src/member_service.cpp
+++ b/libs/runtime/src/member_service.cpp
@@ -65,12 +65,11 @@
       publishing_(boost::asio::make_strand(executor))
 {
     ready_.set_value();
-    tick();
 }
 
 member_service::~member_service()
 {
-    node_.reset(); // Its thread calls the rest.
+    node_->stop(); // Its thread calls the rest.
 }
 
 // Peers may connect before the construction ends; the transport's thread waits for it once.
