--- a/demo/src/target_change.cpp
+++ b/demo/src/target_change.cpp
@@ -27,7 +27,8 @@
         return 0;
     }
     const auto shown = nlohmann::json::parse(answer->body, nullptr, false);
-    return shown.is_object() && shown.contains("target") ? shown["target"].value("resume_ms", 0) : 0;
+    return shown.is_object() && shown.contains("target") ? shown["target"].value("resume_ms", 0)
+                                                         : 0;
 }
 
 } // namespace
@@ -41,8 +42,9 @@
     const auto made = harness::send(
         operators.front(), operator_call("PUT", "/classes/summary?if_revision=0", wanted.dump()));
     const bool accepted = made.ok() && made->status == 200;
-    out << "\nresume target of class summary set to " << resume_ms << " ms at one daemon: "
-        << (made.ok() ? made->body : std::string(made.status().message())) << '\n';
+    out << "\nresume target of class summary set to " << resume_ms
+        << " ms at one daemon: " << (made.ok() ? made->body : std::string(made.status().message()))
+        << '\n';
     std::size_t in_force = 0;
     while (accepted && in_force < operators.size()) {
         in_force += resume_in_force(operators.at(in_force)) == resume_ms ? 1 : 0;
--- a/libs/runtime/src/daemon_operator.cpp
+++ b/libs/runtime/src/daemon_operator.cpp
@@ -18,6 +18,23 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(report.oldest_age), report.met};
 }
 
+/// Refusals of all classes' queues, by reason; reasons that did not occur are left out.
+std::vector<operator_api::refusal_count>
+refusals_of(const std::vector<admission::target_report>& reports)
+{
+    std::vector<operator_api::refusal_count> counts;
+    for (const core::refusal_reason reason : core::all_refusal_reasons()) {
+        std::uint64_t total = 0;
+        for (const admission::target_report& report : reports) {
+            total += report.refused.at(static_cast<std::size_t>(reason));
+        }
+        if (total > 0) {
+            counts.push_back({reason, total});
+        }
+    }
+    return counts;
+}
+
 } // namespace
 
 daemon_operator::daemon_operator(asio::any_io_executor executor, std::shared_ptr<services> shared,
@@ -42,16 +59,20 @@
     status.configuration = config_.link().status();
     const auto reports = shared_->gate.reports();
     std::ranges::transform(reports, std::back_inserter(status.classes), class_status_of);
+    status.refusals = refusals_of(reports);
     // The directory holds those that take work; the others are not named.
     std::ranges::transform(*shared_->endpoints.all(), std::back_inserter(status.endpoints),
                            [](const auto& one) {
                                return operator_api::endpoint_status{one.first, one.second.domain,
                                                                     one.second.service, true};
                            });
+    // Nobody tells a daemon its own revision.
+    const auto own = status.configuration.in_force;
     std::ranges::transform(config_.link().members(), std::back_inserter(status.members),
-                           [](const config::member_revision& one) {
+                           [&](const config::member_revision& one) {
+                               const bool self = one.who.vm == status.vm;
                                return operator_api::member_status{one.who.vm, one.who.domain,
-                                                                  one.in_force};
+                                                                  self ? own : one.in_force};
                            });
     return status;
 }
--- a/libs/runtime/src/daemon_parts.cpp
+++ b/libs/runtime/src/daemon_parts.cpp
@@ -58,7 +58,7 @@
       callers_(std::make_shared<caller_api>(shared_,
                                             std::make_shared<short_call_api>(shared_, runners()),
                                             std::make_shared<ticket_api>(shared_, action_runner_))),
-      operators_(executor_, shared_, config_, shared_->ids.next_seed())
+      targets_(shared_), operators_(executor_, shared_, config_, shared_->ids.next_seed())
 {
     router_.connect(config_.shared_link(),
                     std::make_shared<action_responder>(executor_, shared_, action_runner_));
@@ -153,6 +153,7 @@
     config_.start();
     actions_->start();
     boost::asio::co_spawn(executor_, use_members(), boost::asio::detached);
+    boost::asio::co_spawn(executor_, targets_.run(), boost::asio::detached);
     return absl::OkStatus();
 }
 
--- a/libs/runtime/src/daemon_parts.h
+++ b/libs/runtime/src/daemon_parts.h
@@ -16,6 +16,7 @@
 #include "message_router.h"
 #include "services.h"
 #include "short_call_api.h"
+#include "target_watch.h"
 #include "ticket_api.h"
 
 #include <http/server.h>
@@ -71,6 +72,7 @@
     std::shared_ptr<action_driver> actions_;
     std::shared_ptr<action_runner> action_runner_;
     std::shared_ptr<caller_api> callers_;
+    target_watch targets_;
     daemon_operator operators_;
     std::unique_ptr<http::server> caller_server_;
     std::unique_ptr<operator_api::operator_server> operator_server_;
--- a/tests/process/member_test.cpp
+++ b/tests/process/member_test.cpp
@@ -37,6 +37,18 @@
     }
 }
 
+/// Returns once neither daemon gives `endpoint` new work.
+void wait_until_left(const harness::fleet& fleet, const std::string& endpoint)
+{
+    for (const auto* name : {"d1", "d2"}) {
+        wait_for_status(fleet.at(name), [&](const auto& status) {
+            return std::ranges::none_of(status.at("endpoints"), [&](const auto& one) {
+                return one.at("name") == endpoint;
+            });
+        });
+    }
+}
+
 std::uint64_t revision_in(const nlohmann::json& status)
 {
     return status.at("configuration").at("revision_in_force").get<std::uint64_t>();
@@ -86,13 +98,7 @@
     running.read_until(5);
     const auto leaving = system.running_engine();
     fleet.fault(leaving, {{"leaving", true}});
-    for (const auto* name : {"d1", "d2"}) {
-        wait_for_status(fleet.at(name), [&](const auto& status) {
-            return std::ranges::none_of(status.at("endpoints"), [&](const auto& endpoint) {
-                return endpoint.at("name") == leaving;
-            });
-        });
-    }
+    wait_until_left(fleet, leaving);
     const auto calls = fleet.read(leaving, "/stats").at("generations");
     for (int i = 0; i < 6; ++i) {
         harness::generation_caller next(summary("after " + std::to_string(i), 5));
