--- a/libs/generation/tests/history.cpp
+++ b/libs/generation/tests/history.cpp
@@ -93,7 +93,7 @@
         auto placed = named(event_kind::placed);
         placed.endpoint = core::endpoint_id("engine-" + std::to_string(state_.attempt.value()));
         placed_.push_back(state_.attempt);
-        hand_in(std::move(placed));
+        hand_in(placed);
     }
     else if (state_.phase == phase::checking) {
         hand_in(question_answered(step));
