--- a/tests/process/member_test.cpp
+++ b/tests/process/member_test.cpp
@@ -74,6 +74,17 @@
     CHECK(revision_in(operator_call(second, "GET", "/status")) == 1);
 }
 
+TEST_CASE("a daemon before a platform without a configuration waits in a watch")
+{
+    deployment system(0);
+    const auto count = [&](const std::string& name) {
+        return system.fleet().read(harness::fleet::platform_name, "/stats").value(name, 0);
+    };
+    while (count("watches") < 2) {
+    }
+    SUCCEED("the platform was asked to tell of the first configuration");
+}
+
 TEST_CASE("two operators who change one class at once are both told what became of it")
 {
     deployment system(1);
