measure_relay: one function for both relay stages

Cause: the stages for batched and for paced tokens were the same function twice but for class and counts. Change: one function with them as arguments; the lines printed begin with the class's name. What is measured is as before.

--- a/measure/relay/main.cpp
+++ b/measure/relay/main.cpp
@@ -102,39 +102,23 @@
                 static_cast<double>(after.resident_bytes) / 1e6);
 }
 
-void measure_throughput(const harness::node& daemon)
+/// Streams of `tokens` each, all at once; what the daemon spends on a token.
+void measure_relay(const harness::node& daemon, const std::string& work_class, int streams,
+                   std::uint64_t tokens)
 {
     const auto before = usage_of(daemon.process->id());
     const auto began = clock::now();
-    in_parallel(busy_streams, [&](int i) {
+    in_parallel(streams, [&](int i) {
         harness::generation_caller caller(
-            generation("fast", "prompt " + std::to_string(i), busy_tokens));
+            generation(work_class, work_class + " " + std::to_string(i), tokens));
         caller.start(daemon.caller);
         caller.read_to_end();
     });
     const auto took = seconds_since(began);
     const auto used = usage_of(daemon.process->id()).processor_seconds - before.processor_seconds;
-    constexpr double tokens = busy_streams * static_cast<double>(busy_tokens);
-    std::printf("relay: %d streams, %.0f tokens a second, %.2f us of a processor a token\n",
-                busy_streams, tokens / took, used / tokens * 1e6);
-}
-
-/// One token a line, as engines at the target send them: the cost of an event, not of a batch.
-void measure_paced(const harness::node& daemon)
-{
-    const auto before = usage_of(daemon.process->id());
-    const auto began = clock::now();
-    in_parallel(paced_streams, [&](int i) {
-        harness::generation_caller caller(
-            generation("paced", "paced " + std::to_string(i), paced_stream_tokens));
-        caller.start(daemon.caller);
-        caller.read_to_end();
-    });
-    const auto took = seconds_since(began);
-    const auto used = usage_of(daemon.process->id()).processor_seconds - before.processor_seconds;
-    constexpr double tokens = paced_streams * static_cast<double>(paced_stream_tokens);
-    std::printf("paced relay: %d streams, %.0f tokens a second, %.1f us of a processor a token\n",
-                paced_streams, tokens / took, used / tokens * 1e6);
+    const double all = streams * static_cast<double>(tokens);
+    std::printf("%s relay: %d streams, %.0f tokens a second, %.2f us of a processor a token\n",
+                work_class.c_str(), streams, all / took, used / all * 1e6);
 }
 
 void measure_requests(const harness::node& daemon)
@@ -232,8 +216,9 @@
     warm_up(daemon, "paced");
     measure_idle(daemon);
     measure_added_latency(daemon, paced);
-    measure_throughput(daemon);
-    measure_paced(daemon);
+    measure_relay(daemon, "fast", busy_streams, busy_tokens);
+    // One token a line, as engines at the target send them: the cost of an event, not of a batch.
+    measure_relay(daemon, "paced", paced_streams, paced_stream_tokens);
     measure_requests(daemon);
     measure_idle_streams(daemon);
 }
