--- /dev/null
+++ b/endivejunction/src/forward.cpp
@@ -0,0 +1,159 @@
+#include "forward.h"
+
+#include "parse_forward_settings.h"
+#include "settings_watch.h"
+
+#include <adapter/site.h>
+#include <front/front_daemon.h>
+#include <logging/log.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace ej {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int exit_faulty = 2;
+constexpr int exit_failed = 1;
+
+// Settings may change without a signal; a look at the file's time costs one system call.
+constexpr std::chrono::seconds look_interval{1};
+
+using site_maker = std::pair<std::string_view, front::site (*)()>;
+
+constexpr std::array<site_maker, 1> sites{{{"fleet", &adapter::make_site}}};
+
+std::optional<front::site> site_named(std::string_view name)
+{
+    const auto* const found = std::ranges::find(sites, name, &site_maker::first);
+    return found == sites.end() ? std::nullopt : std::optional(found->second());
+}
+
+/// Reads the settings again when they change and ends at the first signal to stop.
+class supervision {
+public:
+    supervision(std::vector<std::string> arguments, const forward_settings& settings,
+                front::front_daemon& daemon)
+        : arguments_(std::move(arguments)), in_force_(settings), watch_(settings.file),
+          daemon_(daemon), signals_(loop_, SIGTERM, SIGINT, SIGHUP), timer_(loop_)
+    {
+        await_signal();
+        if (!settings.file.empty()) {
+            await_change();
+        }
+    }
+
+    /// Returns when the daemon is to leave.
+    void run() { loop_.run(); }
+
+private:
+    void await_signal()
+    {
+        signals_.async_wait([this](const boost::system::error_code& error, int number) {
+            if (error) {
+                return;
+            }
+            if (number == SIGHUP) {
+                reload("signal");
+                await_signal();
+                return;
+            }
+            logging::log(logging::level::info, "stopping", {{"signal", std::to_string(number)}});
+            loop_.stop();
+        });
+    }
+
+    void await_change()
+    {
+        timer_.expires_after(look_interval);
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (error) {
+                return;
+            }
+            if (watch_.changed()) {
+                reload("file");
+            }
+            await_change();
+        });
+    }
+
+    void reload(std::string_view cause)
+    {
+        core::findings faults;
+        auto settings = parse_forward_settings(arguments_, faults);
+        if (!faults.empty()) {
+            logging::log(logging::level::warn, "settings left out",
+                         {{"cause", std::string(cause)},
+                          {"faults", std::string(faults.status().message())}});
+            return;
+        }
+        const bool same = settings == in_force_;
+        daemon_.adopt(settings.front);
+        in_force_ = std::move(settings);
+        logging::log(logging::level::info, "settings read",
+                     {{"cause", std::string(cause)}, {"changed", same ? "no" : "yes"}});
+    }
+
+    std::vector<std::string> arguments_;
+    forward_settings in_force_;
+    settings_watch watch_;
+    front::front_daemon& daemon_;
+    asio::io_context loop_{1};
+    asio::signal_set signals_;
+    asio::steady_timer timer_;
+};
+
+} // namespace
+
+int forward(std::span<const std::string> arguments)
+{
+    core::findings faults;
+    const auto settings = parse_forward_settings(arguments, faults);
+    if (settings.help) {
+        std::cout << forward_settings_help();
+        return 0;
+    }
+    auto site = site_named(settings.site);
+    if (!site) {
+        faults.add("--site", "'" + settings.site + "' is unknown");
+    }
+    if (!faults.empty()) {
+        std::cerr << faults.status().message() << '\n';
+        return exit_faulty;
+    }
+    logging::start(settings.log_level, logging::output::standard_output);
+    auto started = front::front_daemon::start(settings.front, *std::move(site));
+    if (!started.ok()) {
+        logging::log(logging::level::error, "start failed",
+                     {{"error", std::string(started.status().message())}});
+        logging::stop();
+        return exit_failed;
+    }
+    const auto daemon = *std::move(started);
+    logging::log(logging::level::info, "started",
+                 {{"vm", settings.front.vm.text()},
+                  {"callers", core::to_string(daemon->caller_address())},
+                  {"ready", core::to_string(daemon->ready_address())},
+                  {"store", core::to_string(settings.front.store)}});
+    supervision({arguments.begin(), arguments.end()}, settings, *daemon).run();
+    daemon->leave();
+    logging::log(logging::level::info, "stopped");
+    logging::stop();
+    return 0;
+}
+
+} // namespace ej
--- a/endivejunction/src/main.cpp
+++ b/endivejunction/src/main.cpp
@@ -1,5 +1,6 @@
 #include "check.h"
 #include "commands/run_command.h"
+#include "forward.h"
 #include "serve.h"
 
 #include <algorithm>
@@ -26,7 +27,8 @@
     return 0;
 }
 
-constexpr std::array<command, 3> commands{{{"serve", &ej::serve, "run a daemon"},
+constexpr std::array<command, 4> commands{{{"serve", &ej::serve, "run a daemon"},
+                                           {"forward", &ej::forward, "run a forwarding daemon"},
                                            {"check", &ej::check, "check the settings of serve"},
                                            {"version", &version, "print the version"}}};
 
--- /dev/null
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -0,0 +1,166 @@
+#include "parse_forward_settings.h"
+
+#include "settings_reader.h"
+
+#include <forwarding/endpoint_choice.h>
+
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace ej {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::size_t max_lanes = 64;
+constexpr unsigned max_interval_ms = 60'000;
+constexpr unsigned max_grace_ms = 3'600'000;
+constexpr double max_ratio = 100;
+constexpr double max_allowance = 1e9;
+constexpr double ms_per_second = 1'000;
+
+options::options_description description()
+{
+    options::options_description all(
+        "Settings (flags, environment variables EJ_FLAG_NAME, or 'name = value' in a file)");
+    const auto text = [] { return options::value<std::string>(); };
+    const auto with_default = [](const char* value) {
+        return options::value<std::string>()->default_value(value);
+    };
+    const auto ms = [](unsigned value) { return options::value<unsigned>()->default_value(value); };
+    const auto number = [](double value) { return options::value<double>()->default_value(value); };
+    auto add = all.add_options();
+    add("help", "show this");
+    add("settings-file", with_default(""), "file with further settings");
+    add("settings-file-in", with_default(""),
+        "environment variable that holds the path of that file");
+    add("site", with_default("fleet"), "platform: fleet");
+    add("vm", text(), "name of this VM");
+    add("failure-domain", text(), "failure domain of this VM");
+    add("listen", with_default("127.0.0.1:8080"), "HOST:PORT for callers; port 0: any");
+    add("ready-listen", with_default("127.0.0.1:8081"),
+        "HOST:PORT for the balancer and for metrics (/metrics); port 0: any");
+    add("ready-path", with_default("/ready"), "path of the balancer's question");
+    add("store", text(), "HOST:PORT of the platform's store");
+    add("store-deadline-ms", ms(1'000), "longest time of a call to the store");
+    add("follow-interval-ms", ms(700), "time between two questions to the store for changes");
+    add("grace-s", number(8), "time from SIGTERM to the end in s");
+    add("lease-ms", ms(10'000), "time to live of this daemon's entry in the store");
+    add("choice", with_default("first_output"),
+        "choice of an endpoint: first_output, fewest_requests or round_robin");
+    add("backups", options::value<bool>()->default_value(true),
+        "ask engines to keep copies of running requests at other engines");
+    add("lanes", options::value<std::size_t>()->default_value(front::default_lanes),
+        "threads that serve callers, 1 to 64");
+    add("budget-ratio", number(0.2), "repeated sends per request, all daemons together");
+    add("budget-allowance", number(10), "repeated sends beside the ratio, all daemons together");
+    add("budget-window-s", number(10), "time over which both are counted, in s");
+    add("log-level", with_default("info"), "debug, info, warn or error");
+    return all;
+}
+
+core::duration seconds_of(double count)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(count * ms_per_second));
+}
+
+/// The settings file's path, from the flag or the variable that it names.
+std::string file_of(const options::variables_map& values)
+{
+    const auto& variable = values["settings-file-in"].as<std::string>();
+    const char* const path = variable.empty() ? nullptr : std::getenv(variable.c_str());
+    return path == nullptr ? values["settings-file"].as<std::string>() : std::string(path);
+}
+
+bool read_file(const std::string& path, const options::options_description& known,
+               options::variables_map& values, core::findings& faults)
+{
+    std::ifstream file(path);
+    if (!file) {
+        faults.add(path, "cannot be read");
+        return false;
+    }
+    constexpr bool skip_unknown = true;
+    options::store(options::parse_config_file(file, known, skip_unknown), values);
+    return true;
+}
+
+void read_front(settings_reader& read, const options::variables_map& values,
+                front::front_settings& front, core::findings& faults)
+{
+    front.vm = core::vm_id(read.text("vm"));
+    front.domain = core::failure_domain_id(read.text("failure-domain"));
+    front.listen = read.address("listen");
+    front.ready_listen = read.address("ready-listen");
+    front.ready_path = read.text("ready-path");
+    front.store = read.address("store");
+    front.store_deadline = read.milliseconds("store-deadline-ms", max_interval_ms);
+    front.follow_interval = read.milliseconds("follow-interval-ms", max_interval_ms);
+    front.grace = seconds_of(read.fraction("grace-s", max_grace_ms / ms_per_second));
+    front.lease = read.milliseconds("lease-ms", max_interval_ms);
+    front.choice = read.text("choice");
+    if (forwarding::make_choice(front.choice) == nullptr) {
+        faults.add("--choice", "'" + front.choice + "' is unknown");
+    }
+    front.backups = values["backups"].as<bool>();
+    front.lanes = read.number<std::size_t>("lanes", max_lanes);
+    front.budget = {read.fraction("budget-ratio", max_ratio),
+                    read.fraction("budget-allowance", max_allowance),
+                    seconds_of(read.fraction("budget-window-s", max_interval_ms / ms_per_second))};
+}
+
+} // namespace
+
+forward_settings parse_forward_settings(std::span<const std::string> arguments,
+                                        core::findings& faults)
+{
+    const auto known = description();
+    options::variables_map values;
+    forward_settings settings;
+    try {
+        const std::vector<std::string> flags(arguments.begin(), arguments.end());
+        options::store(options::command_line_parser(flags).options(known).run(), values);
+        options::store(options::parse_environment(known,
+                                                  [&](const std::string& variable) {
+                                                      return environment_option(known, variable);
+                                                  }),
+                       values);
+        settings.file = file_of(values);
+        if (!settings.file.empty() && !read_file(settings.file, known, values, faults)) {
+            return settings;
+        }
+        options::notify(values);
+    }
+    catch (const options::error& error) {
+        faults.add("settings", error.what());
+        return settings;
+    }
+    if (values.count("help") != 0) {
+        settings.help = true;
+        return settings;
+    }
+    settings_reader read(values, faults);
+    settings.site = read.text("site");
+    read_front(read, values, settings.front, faults);
+    const auto level = logging::parse_level(read.text("log-level"));
+    if (!level) {
+        faults.add("--log-level", "must be debug, info, warn or error");
+    }
+    settings.log_level = level.value_or(logging::level::info);
+    return settings;
+}
+
+std::string forward_settings_help()
+{
+    std::ostringstream text;
+    text << description();
+    return text.str();
+}
+
+} // namespace ej
--- a/endivejunction/src/parse_settings.cpp
+++ b/endivejunction/src/parse_settings.cpp
@@ -1,5 +1,7 @@
 #include "parse_settings.h"
 
+#include "settings_reader.h"
+
 #include <core/work_kind.h>
 #include <logging/level.h>
 
@@ -21,7 +23,6 @@
 
 constexpr std::size_t max_threads = 64;
 constexpr unsigned max_interval_ms = 60'000;
-constexpr std::string_view environment_prefix = "EJ_";
 
 options::options_description description()
 {
@@ -53,65 +54,6 @@
     return all;
 }
 
-std::string option_of(const std::string& variable)
-{
-    if (!variable.starts_with(environment_prefix)) {
-        return {};
-    }
-    std::string name = variable.substr(environment_prefix.size());
-    std::ranges::transform(name, name.begin(), [](unsigned char character) {
-        return character == '_' ? '-' : static_cast<char>(std::tolower(character));
-    });
-    return description().find_nothrow(name, false) == nullptr ? std::string() : name;
-}
-
-/// Reads one option after another and notes each fault with its place.
-class reader {
-public:
-    reader(const options::variables_map& values, core::findings& faults)
-        : values_(values), faults_(faults)
-    {
-    }
-
-    std::string text(const std::string& name)
-    {
-        if (values_.count(name) == 0 || values_[name].as<std::string>().empty()) {
-            faults_.add("--" + name, "is missing");
-            return {};
-        }
-        return values_[name].as<std::string>();
-    }
-
-    core::address address(const std::string& name)
-    {
-        const auto given = text(name);
-        const auto parsed = core::parse_address(given);
-        if (!parsed && !given.empty()) {
-            faults_.add("--" + name, "'" + given + "' is not HOST:PORT");
-        }
-        return parsed.value_or(core::address{});
-    }
-
-    template <class Number>
-    Number number(const std::string& name, Number highest)
-    {
-        const auto given = values_[name].as<Number>();
-        if (given < 1 || given > highest) {
-            faults_.add("--" + name, "must be 1 to " + std::to_string(highest));
-        }
-        return given;
-    }
-
-    [[nodiscard]] texts list(const std::string& name) const
-    {
-        return values_.count(name) == 0 ? texts{} : values_[name].as<texts>();
-    }
-
-private:
-    const options::variables_map& values_;
-    core::findings& faults_;
-};
-
 texts split(const std::string& text, char separator)
 {
     texts parts;
@@ -179,11 +121,16 @@
 
 serve_settings parse_settings(std::span<const std::string> arguments, core::findings& faults)
 {
+    const auto known = description();
     options::variables_map values;
     try {
         const std::vector<std::string> flags(arguments.begin(), arguments.end());
-        options::store(options::command_line_parser(flags).options(description()).run(), values);
-        options::store(options::parse_environment(description(), option_of), values);
+        options::store(options::command_line_parser(flags).options(known).run(), values);
+        options::store(options::parse_environment(known,
+                                                  [&](const std::string& variable) {
+                                                      return environment_option(known, variable);
+                                                  }),
+                       values);
         options::notify(values);
     }
     catch (const options::error& error) {
@@ -195,7 +142,7 @@
         settings.help = true;
         return settings;
     }
-    reader read(values, faults);
+    settings_reader read(values, faults);
     settings.daemon.vm = core::vm_id(read.text("vm"));
     settings.daemon.domain = core::failure_domain_id(read.text("failure-domain"));
     settings.daemon.caller_listen = read.address("listen");
@@ -207,8 +154,7 @@
     settings.daemon.fleet_secrets = secrets(read.list("fleet-secret"), faults);
     settings.daemon.classes = classes(read.list("class"), faults);
     settings.daemon.threads = read.number<std::size_t>("threads", max_threads);
-    settings.daemon.list_interval =
-        std::chrono::milliseconds(read.number<unsigned>("list-interval-ms", max_interval_ms));
+    settings.daemon.list_interval = read.milliseconds("list-interval-ms", max_interval_ms);
     const auto level = logging::parse_level(read.text("log-level"));
     if (!level) {
         faults.add("--log-level", "must be debug, info, warn or error");
--- /dev/null
+++ b/endivejunction/src/settings_watch.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <sys/stat.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace ej {
+
+/// Tells when a file was written anew, by its time and size.
+class settings_watch {
+public:
+    explicit settings_watch(std::string path);
+
+    /// True if the file is another one than at the last call.
+    bool changed();
+
+private:
+    struct stamp {
+        std::int64_t seconds = 0;
+        std::int64_t nanoseconds = 0;
+        std::int64_t bytes = 0;
+        std::uint64_t node = 0;
+
+        friend auto operator<=>(const stamp&, const stamp&) = default;
+    };
+
+    [[nodiscard]] stamp look() const;
+
+    std::string path_;
+    stamp seen_;
+};
+
+} // namespace ej
--- /dev/null
+++ b/libs/forwarding/include/forwarding/backup_choice.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <forwarding/candidate.h>
+
+#include <core/instant.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace ej::forwarding {
+
+/// Index of the engine that keeps a copy of the memory of a request that runs at `runner`: one of
+/// another failure domain, so that both are not lost together; else any other. Empty if there is
+/// none besides `runner`.
+[[nodiscard]] std::optional<std::size_t> choose_backup(std::span<const candidate> from,
+                                                       const core::endpoint& runner,
+                                                       std::uint64_t turn, core::instant now);
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/call_policy.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <forwarding/attempt_end.h>
+#include <forwarding/call_progress.h>
+#include <forwarding/next_step.h>
+#include <forwarding/route.h>
+
+namespace ej::forwarding {
+
+/// Decides on another attempt for requests of one kind. Stateless and thread-safe.
+class call_policy {
+public:
+    call_policy() = default;
+    virtual ~call_policy() = default;
+    call_policy(const call_policy&) = delete;
+    call_policy& operator=(const call_policy&) = delete;
+    call_policy(call_policy&&) = delete;
+    call_policy& operator=(call_policy&&) = delete;
+
+    /// What follows `end`; `progress` counts the ended attempt.
+    [[nodiscard]] virtual next_step after(attempt_end end, const call_progress& progress,
+                                          const route& by) const = 0;
+};
+
+/// The policy for requests of `by`.
+[[nodiscard]] const call_policy& policy_for(const route& by);
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/call_progress.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace ej::forwarding {
+
+/// What has become of a request so far.
+struct call_progress {
+    std::uint32_t sends = 0;   ///< Attempts begun.
+    std::uint32_t runs = 0;    ///< Attempts that may have run at an endpoint that still lives.
+    bool may_have_run = false; ///< Some endpoint may have begun to run it.
+    bool delivering = false;   ///< The caller has the head of an answer.
+    bool expired = false;      ///< The time for an answer is over.
+    bool budget_left = true;   ///< The service's budget covers another send.
+
+    friend auto operator<=>(const call_progress&, const call_progress&) = default;
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/candidate.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <forwarding/endpoint_standing.h>
+
+#include <core/endpoint.h>
+
+namespace ej::forwarding {
+
+/// An endpoint that may be chosen, with its standing at the moment of the choice.
+struct candidate {
+    core::endpoint what;
+    endpoint_standing standing;
+    bool local = false; ///< In the daemon's own failure domain.
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/key_holder.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <core/workspace_id.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+
+namespace ej::forwarding {
+
+/// The workspace that a caller's key stands for.
+struct key_holder {
+    core::workspace_id workspace;
+    std::optional<std::uint32_t> priority; ///< Goes before the route's.
+
+    friend auto operator<=>(const key_holder&, const key_holder&) = default;
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/send_budget_settings.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <chrono>
+#include <compare>
+
+namespace ej::forwarding {
+
+/// The bound on repeated sends that all daemons keep together.
+struct send_budget_settings {
+    double ratio = 0.2;                               ///< Further sends per first send; >= 0.
+    double allowance = 10;                            ///< Further sends beside the ratio; >= 0.
+    core::duration window = std::chrono::seconds(10); ///< Sliding; > 0.
+
+    friend auto operator<=>(const send_budget_settings&, const send_budget_settings&) = default;
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/send_window.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <deque>
+
+namespace ej::forwarding {
+
+/// Times of the sends to one service within the window.
+struct send_window {
+    std::deque<core::instant> firsts;
+    std::deque<core::instant> repeats;
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/single_run_policy.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <forwarding/call_policy.h>
+
+namespace ej::forwarding {
+
+/// At most one run: sends again only what certainly has not run.
+class single_run_policy final : public call_policy {
+public:
+    [[nodiscard]] next_step after(attempt_end end, const call_progress& progress,
+                                  const route& by) const override;
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/standings.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <forwarding/attempt_end.h>
+#include <forwarding/endpoint_standing.h>
+#include <forwarding/load_report.h>
+
+#include <concurrency/sharded.h>
+#include <core/endpoint_id.h>
+#include <core/instant.h>
+
+#include <cstdint>
+#include <set>
+
+namespace ej::forwarding {
+
+/// The standings of all endpoints, a lock per shard of endpoints. Thread-safe.
+class standings {
+public:
+    /// A request with `prompt_tokens` was sent.
+    void begin(const core::endpoint_id& name, std::uint64_t prompt_tokens);
+
+    /// The endpoint produced the first output of a request with `prompt_tokens`.
+    void first_output(const core::endpoint_id& name, std::uint64_t prompt_tokens);
+
+    /// A request ended; `prompt_tokens` are those that had no output yet.
+    void end(const core::endpoint_id& name, std::uint64_t prompt_tokens);
+
+    /// The endpoint answered well.
+    void succeeded(const core::endpoint_id& name);
+
+    /// An attempt ended badly; the endpoint is avoided for longer each time.
+    void failed(const core::endpoint_id& name, attempt_end end, core::instant now);
+
+    /// The endpoint reported its load.
+    void report(const core::endpoint_id& name, const load_report& load, core::instant now);
+
+    /// An event took `ratio` of its usual time.
+    void paced(const core::endpoint_id& name, double ratio);
+
+    /// What is known; the initial standing for an unknown endpoint.
+    [[nodiscard]] endpoint_standing of(const core::endpoint_id& name);
+
+    /// Forgets endpoints that are not in `known` and have no request in flight.
+    void retain(const std::set<core::endpoint_id>& known);
+
+private:
+    concurrency::sharded<core::endpoint_id, endpoint_standing> entries_;
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/src/call_policies.cpp
@@ -0,0 +1,75 @@
+#include <forwarding/call_policy.h>
+#include <forwarding/repeatable_policy.h>
+#include <forwarding/resumable_policy.h>
+#include <forwarding/single_run_policy.h>
+
+namespace ej::forwarding {
+
+namespace {
+
+// Sends of one request at most, those that certainly did not run included. More than three
+// endpoints that are full or gone in a row mean that the service is.
+constexpr std::uint32_t max_sends = 4;
+
+/// A request that cannot be sent again: told truly whether it may have run.
+next_step give_up(const call_progress& progress)
+{
+    return progress.may_have_run || progress.delivering ? next_step::fail : next_step::refuse;
+}
+
+bool may_send(const call_progress& progress, std::uint32_t most)
+{
+    return !progress.expired && progress.budget_left && progress.sends < most;
+}
+
+} // namespace
+
+next_step single_run_policy::after(attempt_end end, const call_progress& progress,
+                                   const route&) const
+{
+    if (end == attempt_end::failed) {
+        return next_step::pass_failure;
+    }
+    if (!progress.may_have_run && may_send(progress, max_sends)) {
+        return next_step::send_again;
+    }
+    return give_up(progress);
+}
+
+next_step repeatable_policy::after(attempt_end end, const call_progress& progress,
+                                   const route& by) const
+{
+    if (may_send(progress, max_sends) && progress.runs < by.max_attempts) {
+        return next_step::send_again;
+    }
+    return end == attempt_end::failed ? next_step::pass_failure : give_up(progress);
+}
+
+next_step resumable_policy::after(attempt_end end, const call_progress& progress,
+                                  const route& by) const
+{
+    // Engines that crashed do not count as runs, so that sends are bounded by themselves.
+    if (may_send(progress, by.max_attempts + max_sends) && progress.runs < by.max_attempts) {
+        return next_step::send_again;
+    }
+    if (end == attempt_end::failed && !progress.delivering) {
+        return next_step::pass_failure;
+    }
+    return give_up(progress);
+}
+
+const call_policy& policy_for(const route& by)
+{
+    static const single_run_policy single;
+    static const repeatable_policy repeatable;
+    static const resumable_policy resumable;
+    if (by.kind == core::work_kind::idempotent) {
+        return repeatable;
+    }
+    if (by.kind == core::work_kind::generation && by.resumable) {
+        return resumable;
+    }
+    return single;
+}
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/src/fleet.cpp
@@ -0,0 +1,39 @@
+#include <forwarding/fleet.h>
+
+#include <numeric>
+#include <utility>
+
+namespace ej::forwarding {
+
+fleet::fleet(std::vector<endpoint_record> records)
+{
+    for (endpoint_record& record : records) {
+        if (!record.leaving) {
+            by_service_[record.what.service].push_back(std::move(record.what));
+        }
+    }
+    for (auto& [service, endpoints] : by_service_) {
+        std::ranges::sort(endpoints);
+    }
+}
+
+const std::vector<core::endpoint>& fleet::of(const core::service_id& service) const
+{
+    static const std::vector<core::endpoint> none;
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? none : found->second;
+}
+
+std::size_t fleet::size() const
+{
+    return std::accumulate(
+        by_service_.begin(), by_service_.end(), std::size_t{0},
+        [](std::size_t sum, const auto& entry) { return sum + entry.second.size(); });
+}
+
+bool fleet::lists(const core::endpoint& endpoint) const
+{
+    return std::ranges::binary_search(of(endpoint.service), endpoint);
+}
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/src/fleet_log.cpp
@@ -0,0 +1,102 @@
+#include <forwarding/fleet_log.h>
+
+#include <utility>
+#include <vector>
+
+namespace ej::forwarding {
+
+namespace {
+
+/// The run of an endpoint: its name and start.
+core::endpoint run_of(const core::endpoint& what)
+{
+    core::endpoint run;
+    run.name = what.name;
+    run.incarnation = what.incarnation;
+    return run;
+}
+
+} // namespace
+
+bool fleet_log::put(const core::endpoint_id& name, std::optional<endpoint_record> record,
+                    core::revision revision)
+{
+    entry& known = entries_[name];
+    if (revision < known.revision) {
+        return false;
+    }
+    if (record && record->leaving) {
+        drained_.insert(run_of(record->what));
+    }
+    const bool changed = known.record != record;
+    known = entry{std::move(record), revision, std::nullopt};
+    return changed;
+}
+
+bool fleet_log::remove(const core::endpoint_id& name, core::revision revision, core::instant now)
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end() || revision < found->second.revision) {
+        return false;
+    }
+    found->second.revision = revision;
+    if (in_grace(now)) {
+        found->second.missing_since = now;
+        return false;
+    }
+    entries_.erase(found);
+    return true;
+}
+
+void fleet_log::retain(const std::set<core::endpoint_id>& present, core::revision revision,
+                       core::instant now)
+{
+    std::vector<core::endpoint_id> missing;
+    for (const auto& [name, known] : entries_) {
+        if (!present.contains(name) && known.revision <= revision && !known.missing_since) {
+            missing.push_back(name);
+        }
+    }
+    for (const core::endpoint_id& name : missing) {
+        remove(name, revision, now);
+    }
+}
+
+void fleet_log::outage()
+{
+    away_ = true;
+}
+
+void fleet_log::answered(core::instant now)
+{
+    if (std::exchange(away_, false)) {
+        returned_ = now;
+    }
+}
+
+bool fleet_log::in_grace(core::instant now) const
+{
+    return away_ || (returned_ && now < *returned_ + return_grace);
+}
+
+bool fleet_log::expire(core::instant now)
+{
+    if (in_grace(now)) {
+        return false;
+    }
+    return std::erase_if(entries_,
+                         [](const auto& one) { return one.second.missing_since.has_value(); }) > 0;
+}
+
+fleet fleet_log::current() const
+{
+    std::vector<endpoint_record> records;
+    for (const auto& [name, known] : entries_) {
+        if (known.record && !drained_.contains(run_of(known.record->what))) {
+            records.push_back(*known.record);
+        }
+    }
+    return fleet(std::move(records));
+}
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/src/standings.cpp
@@ -0,0 +1,126 @@
+#include <forwarding/standings.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+namespace ej::forwarding {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How long an endpoint is avoided after a bad end: `first` once `tolerated` ends in a row were
+/// exceeded, doubled with each further one, `longest` at most.
+struct avoidance {
+    std::uint32_t tolerated;
+    milliseconds first;
+    milliseconds longest;
+};
+
+// By attempt_end. Crashed endpoints are usually back after one to several seconds; a single failed
+// answer says little, since applications fail a part of their requests by themselves.
+constexpr std::array<avoidance, attempt_end_count> avoidances{{
+    {0, milliseconds(300), milliseconds(2'400)},   // not_sent
+    {0, milliseconds(100), milliseconds(400)},     // not_executed
+    {0, milliseconds(1'000), milliseconds(4'000)}, // misdirected
+    {2, milliseconds(500), milliseconds(2'000)},   // failed
+    {2, milliseconds(500), milliseconds(2'000)},   // spoiled
+    {0, milliseconds(300), milliseconds(2'400)},   // broken
+    {0, milliseconds(500), milliseconds(4'000)},   // silent
+}};
+
+constexpr std::uint32_t max_doublings = 6;
+constexpr double pace_weight = 0.05; // Of the newest event in the moving average.
+constexpr double slowest = 8;        // Bounds of the pace against single outliers.
+constexpr double fastest = 0.2;
+
+} // namespace
+
+void standings::begin(const core::endpoint_id& name, std::uint64_t prompt_tokens)
+{
+    entries_.with(name, [&](auto& entries) {
+        endpoint_standing& known = entries[name];
+        ++known.in_flight;
+        known.tokens_unread += prompt_tokens;
+    });
+}
+
+void standings::first_output(const core::endpoint_id& name, std::uint64_t prompt_tokens)
+{
+    entries_.with(name, [&](auto& entries) {
+        endpoint_standing& known = entries[name];
+        known.tokens_unread -= std::min(known.tokens_unread, prompt_tokens);
+    });
+}
+
+void standings::end(const core::endpoint_id& name, std::uint64_t prompt_tokens)
+{
+    entries_.with(name, [&](auto& entries) {
+        endpoint_standing& known = entries[name];
+        known.in_flight -= std::min(known.in_flight, 1U);
+        known.tokens_unread -= std::min(known.tokens_unread, prompt_tokens);
+    });
+}
+
+void standings::succeeded(const core::endpoint_id& name)
+{
+    entries_.with(name, [&](auto& entries) {
+        endpoint_standing& known = entries[name];
+        known.failures = 0;
+        known.avoid_until = {};
+    });
+}
+
+void standings::failed(const core::endpoint_id& name, attempt_end end, core::instant now)
+{
+    const avoidance& by = avoidances.at(static_cast<std::size_t>(end));
+    entries_.with(name, [&](auto& entries) {
+        endpoint_standing& known = entries[name];
+        ++known.failures;
+        if (known.failures <= by.tolerated) {
+            return;
+        }
+        const auto doublings = std::min(known.failures - by.tolerated - 1, max_doublings);
+        const auto pause = std::min(by.first * (1U << doublings), by.longest);
+        known.avoid_until = std::max(known.avoid_until, now + pause);
+    });
+}
+
+void standings::report(const core::endpoint_id& name, const load_report& load, core::instant now)
+{
+    entries_.with(name, [&](auto& entries) {
+        endpoint_standing& known = entries[name];
+        known.reported = load.running + load.waiting;
+        known.in_flight_then = known.in_flight;
+        known.reported_at = now;
+    });
+}
+
+void standings::paced(const core::endpoint_id& name, double ratio)
+{
+    entries_.with(name, [&](auto& entries) {
+        endpoint_standing& known = entries[name];
+        const double bounded = std::clamp(ratio, fastest, slowest);
+        known.slowness += pace_weight * (bounded - known.slowness);
+    });
+}
+
+endpoint_standing standings::of(const core::endpoint_id& name)
+{
+    return entries_.with(name, [&](auto& entries) {
+        const auto found = entries.find(name);
+        return found == entries.end() ? endpoint_standing{} : found->second;
+    });
+}
+
+void standings::retain(const std::set<core::endpoint_id>& known)
+{
+    entries_.for_each_shard([&](auto& entries) {
+        std::erase_if(entries, [&](const auto& entry) {
+            return entry.second.in_flight == 0 && !known.contains(entry.first);
+        });
+    });
+}
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/front/include/front/front_settings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <forwarding/send_budget_settings.h>
+
+#include <core/address.h>
+#include <core/failure_domain_id.h>
+#include <core/instant.h>
+#include <core/vm_id.h>
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <string>
+
+namespace ej::front {
+
+inline constexpr std::size_t default_lanes = 1;
+
+/// Settings of a forwarding daemon.
+struct front_settings {
+    core::vm_id vm;
+    core::failure_domain_id domain;
+    core::address listen;       ///< For callers.
+    core::address ready_listen; ///< For the balancer's question and for metrics.
+    std::string ready_path = "/ready";
+    core::address store;
+    core::duration store_deadline = std::chrono::seconds(1); ///< Of a call to the store; > 0.
+    core::duration follow_interval =
+        std::chrono::milliseconds(700);              ///< Between two questions for changes; > 0.
+    core::duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end; > 0.
+    core::duration lease = std::chrono::seconds(10); ///< Of this daemon's entry; > 0.
+    std::string choice = "first_output";             ///< Name of the endpoint choice.
+    bool backups = true;               ///< Asks engines to keep copies of running requests.
+    std::size_t lanes = default_lanes; ///< Threads that serve callers; from 1.
+    forwarding::send_budget_settings budget;
+
+    friend auto operator<=>(const front_settings&, const front_settings&) = default;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/include/front/store_layout.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <forwarding/endpoint_record.h>
+#include <forwarding/ruleset.h>
+
+#include <core/endpoint_id.h>
+#include <core/findings.h>
+
+#include <absl/status/statusor.h>
+
+#include <optional>
+#include <string>
+
+namespace ej::front {
+
+/// Where configuration and registrations lie in the store, and how they are read.
+/// Stateless and thread-safe.
+class store_layout {
+public:
+    store_layout() = default;
+    virtual ~store_layout() = default;
+    store_layout(const store_layout&) = delete;
+    store_layout& operator=(const store_layout&) = delete;
+    store_layout(store_layout&&) = delete;
+    store_layout& operator=(store_layout&&) = delete;
+
+    /// Prefix of all keys that a daemon follows.
+    [[nodiscard]] virtual std::string followed_prefix() const = 0;
+
+    /// Key of the configuration.
+    [[nodiscard]] virtual std::string rules_key() const = 0;
+
+    /// Prefix of the keys that daemons write.
+    [[nodiscard]] virtual std::string daemons_prefix() const = 0;
+
+    /// The endpoint that registers itself under `key`; empty for other keys.
+    [[nodiscard]] virtual std::optional<core::endpoint_id>
+    endpoint_of(const std::string& key) const = 0;
+
+    /// Reads a registration. Error: InvalidArgument when a field is missing or of another type.
+    [[nodiscard]] virtual absl::StatusOr<forwarding::endpoint_record>
+    parse_endpoint(const core::endpoint_id& name, const std::string& value) const = 0;
+
+    /// Reads a configuration; faulty parts are left out and noted in `faults`.
+    /// Error: InvalidArgument when it has no version.
+    [[nodiscard]] virtual absl::StatusOr<forwarding::ruleset>
+    parse_rules(const std::string& value, core::findings& faults) const = 0;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/answer_parser.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "net.h"
+
+#include <http/header.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ej::front {
+
+/// Parses an endpoint's answer as it arrives: the header whole, the body in parts.
+class answer_parser final : public wire::basic_parser<false> {
+public:
+    answer_parser();
+
+    /// True if the answer is an interim one (1xx), behind which the real one follows.
+    [[nodiscard]] bool interim() const { return status_ < first_final_status; }
+
+    [[nodiscard]] unsigned status() const { return status_; }
+    [[nodiscard]] const std::vector<http::header>& headers() const { return headers_; }
+
+    /// The value of the field `name`; empty if there is none.
+    [[nodiscard]] std::string_view header(std::string_view name) const;
+
+    /// The part of the body that was read since the last call.
+    [[nodiscard]] std::string take_body();
+
+private:
+    static constexpr unsigned first_final_status = 200;
+
+    void on_request_impl(wire::verb, beast::string_view, beast::string_view, int,
+                         error_code&) override;
+    void on_response_impl(int code, beast::string_view, int, error_code&) override;
+    void on_field_impl(wire::field, beast::string_view name, beast::string_view value,
+                       error_code&) override;
+    void on_header_impl(error_code&) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
+    std::size_t on_body_impl(beast::string_view body, error_code&) override;
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, error_code&) override;
+    void on_finish_impl(error_code&) override {}
+
+    unsigned status_ = 0;
+    std::vector<http::header> headers_;
+    std::string body_;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/call_log.cpp
@@ -0,0 +1,62 @@
+#include "call_log.h"
+
+#include <logging/log.h>
+
+#include <chrono>
+
+namespace ej::front {
+
+namespace {
+
+std::string in_ms(core::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
+void log_attempt_end(const std::string& request, const core::endpoint& endpoint,
+                     forwarding::attempt_end end, const std::string& detail, core::duration took,
+                     const forwarding::endpoint_standing& standing)
+{
+    logging::log(logging::level::info, "attempt ended",
+                 {{"request", request},
+                  {"endpoint", endpoint.name.text()},
+                  {"address", core::to_string(endpoint.where)},
+                  {"domain", endpoint.domain.text()},
+                  {"end", std::string(to_string(end))},
+                  {"detail", detail},
+                  {"took_ms", in_ms(took)},
+                  {"failures_in_row", std::to_string(standing.failures)},
+                  {"in_flight", std::to_string(standing.in_flight)}});
+}
+
+void log_call_end(const std::string& request, const forwarding::route& by,
+                  core::revision rules_version, const std::string& endpoint,
+                  const forwarding::call_progress& progress, std::string_view outcome,
+                  unsigned status, core::duration took)
+{
+    logging::log(logging::level::info, "call ended",
+                 {{"request", request},
+                  {"outcome", std::string(outcome)},
+                  {"status", std::to_string(status)},
+                  {"route", by.name},
+                  {"rules", std::to_string(rules_version.value())},
+                  {"endpoint", endpoint},
+                  {"sends", std::to_string(progress.sends)},
+                  {"runs", std::to_string(progress.runs)},
+                  {"took_ms", in_ms(took)}});
+}
+
+void log_turned_away(const std::string& request, std::string_view target, std::string_view reason,
+                     unsigned status, core::revision rules_version)
+{
+    logging::log(logging::level::info, "request turned away",
+                 {{"request", request},
+                  {"target", std::string(target)},
+                  {"reason", std::string(reason)},
+                  {"status", std::to_string(status)},
+                  {"rules", std::to_string(rules_version.value())}});
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/call_setting.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "front_context.h"
+#include "upstream_pool.h"
+
+#include <forwarding/route.h>
+#include <forwarding/rulebook.h>
+
+#include <core/workspace_id.h>
+
+#include <memory>
+
+namespace ej::front {
+
+/// What a call needs of its surroundings.
+struct call_setting {
+    front_context& context;
+    upstream_pool& pool;
+    std::shared_ptr<const forwarding::rulebook> rules; ///< Keeps `by` alive.
+    const forwarding::route& by;
+    core::workspace_id workspace; ///< Empty for a caller without a key.
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/caller_connection.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "forwarded_call.h"
+#include "front_context.h"
+#include "lazy_timer.h"
+#include "net.h"
+#include "reply_sink.h"
+#include "upstream_pool.h"
+
+#include <http/response.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ej::front {
+
+/// A caller's connection: reads one request after another and sends the answers. Reading goes on
+/// while a request runs, so that the caller's close is seen. Used on one lane.
+class caller_connection final : public reply_sink,
+                                public std::enable_shared_from_this<caller_connection> {
+public:
+    /// `context` and `pool` outlive the connection.
+    caller_connection(tcp::socket socket, front_context& context, upstream_pool& pool);
+    ~caller_connection() override;
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+    caller_connection(caller_connection&&) = delete;
+    caller_connection& operator=(caller_connection&&) = delete;
+
+    void start();
+
+    /// Closes the connection if no request is being read or answered.
+    void close_if_idle();
+
+    void reply(const http::response& answer) override;
+    void start_stream(const http::response& head) override;
+    void write(const std::string& part) override;
+    void finish() override;
+    void abort() override;
+
+private:
+    using request_parser = wire::request_parser<wire::string_body>;
+
+    /// What the connection is doing.
+    enum class phase { idle, reading, answering, lingering, closed };
+
+    void await_request();
+    void begin_request();
+    void read();
+    void received(const error_code& error, std::size_t count);
+    void parse();
+    void parsed();
+    void reject(const error_code& error);
+    void turn_away(unsigned status, std::string_view reason);
+    void timed_out();
+    void send(std::string text, bool last);
+    void flush();
+    void flushed(const error_code& error);
+    void answered();
+    void linger();
+    void gone();
+    void close();
+    [[nodiscard]] forwarding::caller_limits limits() const;
+
+    tcp::socket socket_;
+    front_context& context_;
+    upstream_pool& pool_;
+    beast::flat_buffer buffer_;
+    std::optional<request_parser> parser_;
+    std::shared_ptr<forwarded_call> call_;
+    std::shared_ptr<lazy_timer> timer_;
+    phase phase_ = phase::idle;
+    core::instant arrived_{};
+    bool keep_alive_ = true;
+    bool chunked_ = true;    // The caller understands a chunked answer.
+    bool head_only_ = false; // The request was HEAD.
+    bool reading_ = false;
+    bool continued_ = false; // The caller was told to send the body.
+    std::string unsent_;     // Waits for the write in progress.
+    std::string writing_;
+    bool last_written_ = false; // Nothing follows `unsent_` in this answer.
+    std::size_t lingered_ = 0;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/caller_listener.cpp
@@ -0,0 +1,74 @@
+#include "caller_listener.h"
+
+#include <logging/log.h>
+
+#include <chrono>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+// After a failed accept, mostly for want of descriptors: some are given back meanwhile.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+} // namespace
+
+caller_listener::caller_listener(std::vector<std::unique_ptr<lane>>& lanes)
+    : lanes_(lanes), acceptor_(lanes.front()->loop()), pause_(lanes.front()->loop())
+{
+}
+
+absl::Status caller_listener::open(const core::address& where)
+{
+    error_code error;
+    const auto number = asio::ip::make_address(where.host, error);
+    const tcp::endpoint endpoint(number, where.port);
+    if (!error) {
+        acceptor_.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return absl::UnavailableError("listen on " + core::to_string(where) + ": " +
+                                      error.message());
+    }
+    local_ = {where.host, acceptor_.local_endpoint(error).port()};
+    return absl::OkStatus();
+}
+
+void caller_listener::start()
+{
+    asio::post(lanes_.front()->loop(), [this] { accept(); });
+}
+
+void caller_listener::accept()
+{
+    lane& next = *lanes_[turn_++ % lanes_.size()];
+    acceptor_.async_accept(next.loop(), [this, &next](const error_code& error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            next.serve(std::move(socket));
+            accept();
+            return;
+        }
+        logging::log(logging::level::warn, "accept failed", {{"error", error.message()}});
+        pause_.expires_after(accept_pause);
+        pause_.async_wait([this](const error_code& ended) {
+            if (!ended) {
+                accept();
+            }
+        });
+    });
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/caller_listener.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "lane.h"
+#include "net.h"
+
+#include <core/address.h>
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <vector>
+
+namespace ej::front {
+
+/// Accepts callers' connections and deals them to the lanes in turn.
+class caller_listener {
+public:
+    /// `lanes` outlive the listener; the first one accepts.
+    explicit caller_listener(std::vector<std::unique_ptr<lane>>& lanes);
+
+    /// Binds `where`. Error: Unavailable when that fails.
+    absl::Status open(const core::address& where);
+
+    /// Begins to accept.
+    void start();
+
+    /// The bound address.
+    [[nodiscard]] core::address local() const { return local_; }
+
+private:
+    void accept();
+
+    std::vector<std::unique_ptr<lane>>& lanes_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer pause_;
+    core::address local_;
+    std::size_t turn_ = 0;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/daemon_entry.cpp
@@ -0,0 +1,73 @@
+#include "daemon_entry.h"
+
+#include <http/pause_for.h>
+
+#include <logging/log.h>
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace ej::front {
+
+namespace {
+
+// A lease is renewed this often while it lasts: two renewals may fail.
+constexpr int renewals_per_lease = 3;
+
+} // namespace
+
+daemon_entry::daemon_entry(front_context& context, platform::store& store,
+                           const store_layout& layout)
+    : context_(context), store_(store), layout_(layout)
+{
+}
+
+asio::awaitable<void> daemon_entry::run()
+{
+    for (;;) {
+        absl::Status status;
+        if (lease_.empty()) {
+            status = co_await enter();
+        }
+        else {
+            status = co_await renew();
+        }
+        if (!status.ok()) {
+            logging::log(logging::level::info, "daemon entry not kept",
+                         {{"error", std::string(status.message())}});
+        }
+        co_await http::pause_for(context_.settings.lease / renewals_per_lease);
+    }
+}
+
+asio::awaitable<absl::Status> daemon_entry::enter()
+{
+    const auto time_to_live =
+        std::chrono::duration_cast<std::chrono::milliseconds>(context_.settings.lease);
+    const auto granted = co_await store_.grant(time_to_live);
+    if (!granted.ok()) {
+        co_return granted.status();
+    }
+    std::vector<platform::store_write> writes;
+    writes.push_back({layout_.daemons_prefix() + context_.settings.vm.text(),
+                      context_.settings.domain.text(), granted->lease, std::nullopt});
+    const auto written = co_await store_.commit(std::move(writes));
+    if (written.ok()) {
+        lease_ = granted->lease;
+    }
+    co_return written.status();
+}
+
+asio::awaitable<absl::Status> daemon_entry::renew()
+{
+    platform::lease_id lease = lease_;
+    auto status = co_await store_.keep(std::move(lease));
+    if (status.code() == absl::StatusCode::kNotFound) {
+        lease_ = {};
+        status = co_await enter();
+    }
+    co_return status;
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/daemon_entry.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "front_context.h"
+#include "net.h"
+
+#include <front/store_layout.h>
+
+#include <platform/store.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace ej::front {
+
+/// Keeps this daemon's entry in the store under a lease, so that the others count it.
+class daemon_entry {
+public:
+    /// All arguments outlive the entry.
+    daemon_entry(front_context& context, platform::store& store, const store_layout& layout);
+
+    /// Keeps the entry for as long as the loop runs.
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<absl::Status> enter();
+    boost::asio::awaitable<absl::Status> renew();
+
+    front_context& context_;
+    platform::store& store_;
+    const store_layout& layout_;
+    platform::lease_id lease_;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/forwarded_call.cpp
@@ -0,0 +1,268 @@
+#include "forwarded_call.h"
+
+#include <core/text.h>
+
+#include "call_log.h"
+#include "own_answer.h"
+
+#include <forwarding/call_policy.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <numeric>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+using forwarding::attempt_end;
+using std::chrono::milliseconds;
+
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+
+core::instant now()
+{
+    return core::instant::clock::now();
+}
+
+/// The caller's deadline, or the route's timeout if that is shorter.
+core::instant deadline_for(const caller_request& request, const header_names& names,
+                           const forwarding::route& by)
+{
+    const auto asked = deadline_of(request, names);
+    return request.arrived + std::min(asked.value_or(by.timeout), by.timeout);
+}
+
+} // namespace
+
+forwarded_call::forwarded_call(call_setting setting, caller_request request,
+                               std::weak_ptr<reply_sink> sink)
+    : setting_(std::move(setting)), request_(std::move(request)),
+      request_id_(request_.message.header_value(setting_.context.headers.request_id).value_or("")),
+      size_(size_of(request_, setting_.context.headers)), service_(draw_service()),
+      deadline_(deadline_for(request_, setting_.context.headers, setting_.by)),
+      sink_(std::move(sink))
+{
+    ++setting_.context.calls_open;
+}
+
+forwarded_call::~forwarded_call()
+{
+    --setting_.context.calls_open;
+}
+
+core::service_id forwarded_call::draw_service() const
+{
+    const auto& backends = setting_.by.backends;
+    if (backends.size() == 1) {
+        return backends.front().service;
+    }
+    const auto total = std::accumulate(
+        backends.begin(), backends.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const forwarding::backend& one) { return sum + one.weight; });
+    // The identifier decides, so that equal requests are spread by weight without a random source.
+    std::uint64_t draw = std::hash<std::string>{}(request_id_) % total;
+    for (const forwarding::backend& one : backends) {
+        if (draw < one.weight) {
+            return one.service;
+        }
+        draw -= one.weight;
+    }
+    return backends.back().service;
+}
+
+void forwarded_call::start()
+{
+    deadline_timer_ = std::make_shared<lazy_timer>(setting_.pool.lane(), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->over_) {
+            self->progress_.expired = true;
+            self->expire();
+        }
+    });
+    deadline_timer_->set(deadline_);
+    setting_.context.budget.first(service_, now());
+    send();
+}
+
+void forwarded_call::caller_gone()
+{
+    if (over_) {
+        return;
+    }
+    cancel_attempts();
+    finish("caller_gone", 0);
+}
+
+milliseconds forwarded_call::time_left() const
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(deadline_ - now()), milliseconds(0));
+}
+
+std::vector<forwarding::candidate> forwarded_call::candidates(bool again) const
+{
+    const auto fleet = setting_.context.endpoints.load();
+    // Copied, since the fleet may be replaced while the call goes on.
+    std::vector<forwarding::candidate> found;
+    for (const core::endpoint& one : fleet->of(service_)) {
+        if (again || !tried_.contains(one.name)) {
+            found.push_back({one, setting_.context.standing.of(one.name),
+                             one.domain == setting_.context.settings.domain});
+        }
+    }
+    return found;
+}
+
+std::optional<core::endpoint>
+forwarded_call::choose(const std::vector<forwarding::candidate>& from) const
+{
+    const auto turn = setting_.context.turn.fetch_add(1);
+    const auto chosen = setting_.context.choice->choose(from, size_, turn, now());
+    if (!chosen) {
+        return std::nullopt;
+    }
+    return from[*chosen].what;
+}
+
+forwarded_call::attempt_ptr forwarded_call::attempt_at(const core::endpoint& endpoint,
+                                                       request_head head,
+                                                       core::duration connect_timeout)
+{
+    head.time_left = time_left();
+    head.expected_endpoint = endpoint.name;
+    head.workspace = setting_.workspace;
+    auto attempt = std::make_shared<upstream_attempt>(
+        setting_.pool, endpoint, setting_.context.headers.request_id, request_id_);
+    tried_.insert(endpoint.name);
+    ++progress_.sends;
+    last_endpoint_ = endpoint.name.text();
+    setting_.context.standing.begin(endpoint.name, size_.prompt_tokens);
+    counted_.insert(attempt.get());
+    attempt->start(weak_from_this(), encode(request_, head, setting_.context.headers),
+                   request_.message.method == "HEAD", connect_timeout);
+    return attempt;
+}
+
+void forwarded_call::settle(upstream_attempt& attempt)
+{
+    if (counted_.erase(&attempt) > 0) {
+        setting_.context.standing.end(attempt.endpoint().name, size_.prompt_tokens);
+    }
+}
+
+void forwarded_call::note_end(upstream_attempt& attempt, attempt_end end, const std::string& detail)
+{
+    settle(attempt);
+    const auto& endpoint = attempt.endpoint();
+    auto& context = setting_.context;
+    context.standing.failed(endpoint.name, end, now());
+    if (end == attempt_end::misdirected || end == attempt_end::silent) {
+        setting_.pool.drop(endpoint.where);
+    }
+    const bool ran = forwarding::may_have_run(end) && attempt.sent();
+    progress_.may_have_run = progress_.may_have_run || ran;
+    progress_.runs += ran ? 1 : 0;
+    context.metrics.count("attempts_ended_total", {{"end", std::string(to_string(end))}});
+    log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
+                    context.standing.of(endpoint.name));
+}
+
+forwarding::next_step forwarded_call::decide(attempt_end end)
+{
+    const auto& policy = forwarding::policy_for(setting_.by);
+    progress_.budget_left = true;
+    auto step = policy.after(end, progress_, setting_.by);
+    auto& context = setting_.context;
+    if (step == forwarding::next_step::send_again &&
+        !context.budget.take(service_, context.daemons, now())) {
+        progress_.budget_left = false;
+        context.metrics.count("sends_denied_total", {{"reason", "budget"}});
+        step = policy.after(end, progress_, setting_.by);
+    }
+    return step;
+}
+
+bool forwarded_call::trusted(const answer_parser& answer) const
+{
+    const auto& names = setting_.context.headers;
+    return !answer.header(names.signature).empty() &&
+           answer.header(names.request_id) == request_id_;
+}
+
+attempt_end forwarded_call::end_of(const answer_parser& answer) const
+{
+    const bool not_executed = !answer.header(setting_.context.headers.not_executed).empty();
+    if (answer.status() == status_misdirected) {
+        return attempt_end::misdirected;
+    }
+    if (not_executed) {
+        return attempt_end::not_executed;
+    }
+    const bool success = answer.status() >= first_success && answer.status() < first_redirect;
+    return success || !trusted(answer) ? attempt_end::spoiled : attempt_end::failed;
+}
+
+void forwarded_call::note_load(const upstream_attempt& attempt)
+{
+    const auto text = attempt.answer().header(setting_.context.headers.load);
+    const auto parts = core::split(text, ',');
+    if (parts.size() != 3) {
+        return;
+    }
+    const auto running = core::parse_number<std::uint32_t>(parts[0]);
+    const auto waiting = core::parse_number<std::uint32_t>(parts[1]);
+    const auto slots = core::parse_number<std::uint32_t>(parts[2]);
+    if (running && waiting && slots) {
+        setting_.context.standing.report(attempt.endpoint().name, {*running, *waiting, *slots},
+                                         now());
+    }
+}
+
+void forwarded_call::pass_on(const answer_parser& answer, std::string body)
+{
+    const auto to = sink();
+    if (to != nullptr) {
+        to->reply({answer.status(), answer_fields(answer.headers()), std::move(body)});
+    }
+    finish(answer.status() < first_redirect ? "served" : "endpoint_failure", answer.status());
+}
+
+void forwarded_call::refuse(std::string_view reason)
+{
+    if (const auto to = sink()) {
+        to->reply(own_refusal(reason, request_id_, setting_.context.headers));
+    }
+    setting_.context.metrics.count("refusals_total", {{"reason", std::string(reason)}});
+    finish("refused:" + std::string(reason), status_unavailable);
+}
+
+void forwarded_call::fail(std::string_view reason, unsigned status)
+{
+    const auto to = sink();
+    if (to != nullptr && progress_.delivering) {
+        to->abort();
+    }
+    else if (to != nullptr) {
+        to->reply(own_answer(status, reason, request_id_, setting_.context.headers));
+    }
+    setting_.context.metrics.count("failures_total", {{"reason", std::string(reason)}});
+    finish("failed:" + std::string(reason), status);
+}
+
+void forwarded_call::finish(std::string_view outcome, unsigned status)
+{
+    if (std::exchange(over_, true)) {
+        return;
+    }
+    deadline_timer_->stop();
+    const auto took = now() - request_.arrived;
+    setting_.context.metrics.observe("call_seconds", {{"route", setting_.by.name}}, took);
+    log_call_end(request_id_, setting_.by, setting_.rules->rules().version, last_endpoint_,
+                 progress_, outcome, status, took);
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/forwarded_call.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "attempt_listener.h"
+#include "call_setting.h"
+#include "caller_request.h"
+#include "lazy_timer.h"
+#include "net.h"
+#include "reply_sink.h"
+#include "request_head.h"
+#include "upstream_attempt.h"
+#include "upstream_pool.h"
+
+#include <forwarding/call_progress.h>
+#include <forwarding/call_size.h>
+#include <forwarding/candidate.h>
+#include <forwarding/next_step.h>
+#include <forwarding/route.h>
+#include <forwarding/rulebook.h>
+
+#include <core/endpoint.h>
+#include <core/endpoint_id.h>
+#include <core/instant.h>
+#include <core/workspace_id.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ej::front {
+
+/// One caller's request on its way to an endpoint and back. Used on the caller's lane.
+class forwarded_call : public attempt_listener,
+                       public std::enable_shared_from_this<forwarded_call> {
+public:
+    forwarded_call(call_setting setting, caller_request request, std::weak_ptr<reply_sink> sink);
+    ~forwarded_call() override;
+    forwarded_call(const forwarded_call&) = delete;
+    forwarded_call& operator=(const forwarded_call&) = delete;
+    forwarded_call(forwarded_call&&) = delete;
+    forwarded_call& operator=(forwarded_call&&) = delete;
+
+    /// Chooses an endpoint and sends the request.
+    void start();
+
+    /// The caller has closed its connection: attempts are broken off.
+    void caller_gone();
+
+protected:
+    using attempt_ptr = std::shared_ptr<upstream_attempt>;
+
+    /// Makes another attempt; the call ends with a refusal or failure if there is no endpoint.
+    virtual void send() = 0;
+
+    /// The time for an answer is over.
+    virtual void expire() = 0;
+
+    /// Breaks off what is still running.
+    virtual void cancel_attempts() = 0;
+
+    /// The endpoints of the call's service that were not tried yet; all of them if all were tried
+    /// and `again` is set.
+    [[nodiscard]] std::vector<forwarding::candidate> candidates(bool again) const;
+
+    /// The chosen one of `from`; empty if it is empty.
+    [[nodiscard]] std::optional<core::endpoint>
+    choose(const std::vector<forwarding::candidate>& from) const;
+
+    /// Starts an attempt at `endpoint`.
+    attempt_ptr attempt_at(const core::endpoint& endpoint, request_head head,
+                           core::duration connect_timeout);
+
+    /// The attempt is over: its load is no longer counted.
+    void settle(upstream_attempt& attempt);
+
+    /// Notes an attempt's bad end in the endpoint's standing, the log and the metrics.
+    void note_end(upstream_attempt& attempt, forwarding::attempt_end end,
+                  const std::string& detail);
+
+    /// What follows `end`, with the budget asked and spent if it is another attempt.
+    [[nodiscard]] forwarding::next_step decide(forwarding::attempt_end end);
+
+    /// An endpoint's answer to this request: signed, and naming it.
+    [[nodiscard]] bool trusted(const answer_parser& answer) const;
+
+    /// How an answer that is no success ended the attempt.
+    [[nodiscard]] forwarding::attempt_end end_of(const answer_parser& answer) const;
+
+    /// Reads the load that an answer states.
+    void note_load(const upstream_attempt& attempt);
+
+    /// Passes an endpoint's whole answer on.
+    void pass_on(const answer_parser& answer, std::string body);
+
+    /// Ends the call with a refusal: the request has not run.
+    void refuse(std::string_view reason);
+
+    /// Ends the call with a failure: the outcome is unknown.
+    void fail(std::string_view reason, unsigned status);
+
+    /// Ends the call; its final state goes to the log and the metrics.
+    void finish(std::string_view outcome, unsigned status);
+
+    [[nodiscard]] bool over() const { return over_; }
+    [[nodiscard]] std::chrono::milliseconds time_left() const;
+    [[nodiscard]] std::shared_ptr<reply_sink> sink() const { return sink_.lock(); }
+
+    call_setting setting_;
+    caller_request request_;
+    std::string request_id_;
+    forwarding::call_size size_;
+    forwarding::call_progress progress_;
+    core::service_id service_;
+    core::instant deadline_;
+    std::set<core::endpoint_id> tried_;
+
+private:
+    [[nodiscard]] core::service_id draw_service() const;
+
+    std::weak_ptr<reply_sink> sink_;
+    std::shared_ptr<lazy_timer> deadline_timer_;
+    std::set<const upstream_attempt*> counted_; // Their load is counted in the standings.
+    std::string last_endpoint_;
+    bool over_ = false;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/front_context.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <front/front_settings.h>
+#include <front/header_names.h>
+
+#include <forwarding/endpoint_choice.h>
+#include <forwarding/fleet.h>
+#include <forwarding/rulebook.h>
+#include <forwarding/send_budget.h>
+#include <forwarding/standings.h>
+
+#include <concurrency/snapshot.h>
+#include <metrics/registry.h>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace ej::front {
+
+/// What all lanes of a daemon share. Each member is thread-safe.
+struct front_context {
+    explicit front_context(front_settings chosen, header_names names)
+        : settings(std::move(chosen)), headers(std::move(names)),
+          choice(forwarding::make_choice(settings.choice)), budget(settings.budget)
+    {
+    }
+
+    const front_settings settings;
+    const header_names headers;
+    const std::unique_ptr<const forwarding::endpoint_choice> choice;
+    /// Null until a configuration was read.
+    concurrency::snapshot<std::shared_ptr<const forwarding::rulebook>> rules{nullptr};
+    concurrency::snapshot<forwarding::fleet> endpoints{forwarding::fleet()};
+    forwarding::standings standing;
+    forwarding::send_budget budget;
+    metrics::registry metrics;
+    std::atomic<std::size_t> daemons{1};      ///< Daemons that share the budget, this one included.
+    std::atomic<std::uint64_t> turn{0};       ///< Choices made; spreads equal endpoints.
+    std::atomic<std::size_t> calls_open{0};   ///< Requests that have no final answer yet.
+    std::atomic<std::size_t> callers_open{0}; ///< Callers' connections.
+    std::atomic<bool> leaving{false};         ///< SIGTERM was received.
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/front_daemon.cpp
@@ -0,0 +1,144 @@
+#include <utility>
+
+#include <front/front_daemon.h>
+
+#include "caller_listener.h"
+#include "daemon_entry.h"
+#include "front_context.h"
+#include "lane.h"
+#include "ready_api.h"
+#include "store_follower.h"
+
+#include <http/client.h>
+#include <logging/log.h>
+#include <platform/store.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+namespace ej::front {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The balancer asks once a second and takes a daemon out after two misses.
+constexpr milliseconds time_to_be_noticed{2'300};
+// Between two looks at the open requests while leaving.
+constexpr milliseconds leave_interval{50};
+// Before the end of the grace, when the process would be killed.
+constexpr milliseconds grace_margin{400};
+
+platform::client_settings store_settings(const front_settings& settings)
+{
+    return {settings.store, settings.store_deadline};
+}
+
+} // namespace
+
+struct front_daemon::parts {
+    parts(front_settings settings, site chosen)
+        : where(std::move(chosen)), context(std::move(settings), where.headers),
+          transport(loop.get_executor()),
+          store(transport, store_settings(context.settings), where.protocol),
+          follower(context, store, *where.layout), entry(context, store, *where.layout),
+          ready(context, store.counts())
+    {
+        std::generate_n(std::back_inserter(lanes), context.settings.lanes,
+                        [this] { return std::make_unique<lane>(context); });
+        listener = std::make_unique<caller_listener>(lanes);
+    }
+
+    ~parts()
+    {
+        loop.stop();
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+    parts(const parts&) = delete;
+    parts& operator=(const parts&) = delete;
+    parts(parts&&) = delete;
+    parts& operator=(parts&&) = delete;
+
+    site where;
+    front_context context;
+    asio::io_context loop{1}; // Of the store and the balancer.
+    http::client transport;
+    platform::store store;
+    store_follower follower;
+    daemon_entry entry;
+    ready_api ready;
+    std::vector<std::unique_ptr<lane>> lanes;
+    std::unique_ptr<caller_listener> listener;
+    std::thread thread;
+};
+
+front_daemon::front_daemon(std::unique_ptr<parts> made) : parts_(std::move(made)) {}
+
+front_daemon::~front_daemon() = default;
+
+absl::StatusOr<std::unique_ptr<front_daemon>> front_daemon::start(front_settings settings,
+                                                                  site where)
+{
+    auto made = std::make_unique<parts>(std::move(settings), std::move(where));
+    const auto& chosen = made->context.settings;
+    auto status = made->listener->open(chosen.listen);
+    if (status.ok()) {
+        status = made->ready.start(made->loop.get_executor(), chosen.ready_listen);
+    }
+    if (!status.ok()) {
+        return status;
+    }
+    asio::co_spawn(
+        made->loop, [&follower = made->follower] { return follower.run(); }, asio::detached);
+    asio::co_spawn(made->loop, [&entry = made->entry] { return entry.run(); }, asio::detached);
+    made->listener->start();
+    std::ranges::for_each(made->lanes, [](const auto& one) { one->run(); });
+    made->thread = std::thread([&loop = made->loop] { loop.run(); });
+    return std::unique_ptr<front_daemon>(new front_daemon(std::move(made)));
+}
+
+void front_daemon::adopt(const front_settings& settings)
+{
+    parts_->context.budget.set(settings.budget);
+}
+
+void front_daemon::leave()
+{
+    auto& context = parts_->context;
+    context.leaving = true;
+    const auto began = core::instant::clock::now();
+    const auto last = began + context.settings.grace - grace_margin;
+    const auto earliest = began + time_to_be_noticed;
+    asio::io_context waiting;
+    asio::steady_timer timer(waiting);
+    for (auto now = began; now < last && (now < earliest || context.calls_open > 0);
+         now = core::instant::clock::now()) {
+        timer.expires_after(leave_interval);
+        timer.wait();
+    }
+    logging::log(logging::level::info, "left",
+                 {{"calls_open", std::to_string(context.calls_open)},
+                  {"callers_open", std::to_string(context.callers_open)}});
+    std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
+    timer.expires_after(leave_interval);
+    timer.wait();
+}
+
+core::address front_daemon::caller_address() const
+{
+    return parts_->listener->local();
+}
+
+core::address front_daemon::ready_address() const
+{
+    return parts_->ready.local();
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/lane.cpp
@@ -0,0 +1,52 @@
+#include "lane.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ej::front {
+
+lane::lane(front_context& context)
+    : context_(context), work_(asio::make_work_guard(loop_)), pool_(loop_)
+{
+}
+
+lane::~lane()
+{
+    loop_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void lane::run()
+{
+    thread_ = std::thread([this] { loop_.run(); });
+}
+
+void lane::serve(tcp::socket socket)
+{
+    // A socket belongs to the loop that accepted it; it was accepted for this one.
+    auto connection = std::make_shared<caller_connection>(std::move(socket), context_, pool_);
+    asio::post(loop_, [this, connection = std::move(connection)] {
+        if (callers_.size() >= swept_at_) {
+            std::erase_if(callers_, [](const auto& one) { return one.expired(); });
+            constexpr std::size_t least = 64;
+            swept_at_ = std::max(least, 2 * callers_.size());
+        }
+        callers_.push_back(connection);
+        connection->start();
+    });
+}
+
+void lane::close_idle()
+{
+    asio::post(loop_, [this] {
+        for (const auto& one : callers_) {
+            if (const auto connection = one.lock()) {
+                connection->close_if_idle();
+            }
+        }
+    });
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/lazy_timer.cpp
@@ -0,0 +1,57 @@
+#include "lazy_timer.h"
+
+#include <utility>
+
+namespace ej::front {
+
+lazy_timer::lazy_timer(asio::io_context& lane, std::function<void()> action)
+    : timer_(lane), action_(std::move(action))
+{
+}
+
+void lazy_timer::set(core::instant deadline)
+{
+    deadline_ = deadline;
+    if (!armed_ || deadline < *armed_) {
+        arm(deadline);
+    }
+}
+
+void lazy_timer::stop()
+{
+    deadline_.reset();
+    action_ = nullptr;
+    timer_.cancel();
+}
+
+void lazy_timer::arm(core::instant expiry)
+{
+    armed_ = expiry;
+    timer_.expires_at(expiry);
+    timer_.async_wait([self = shared_from_this(), expiry](const error_code& error) {
+        // A wait that was replaced by an earlier one says nothing.
+        if (!error && self->armed_ == expiry) {
+            self->fired();
+        }
+    });
+}
+
+void lazy_timer::fired()
+{
+    armed_.reset();
+    if (!deadline_) {
+        return;
+    }
+    if (core::instant::clock::now() < *deadline_) {
+        arm(*deadline_);
+        return;
+    }
+    deadline_.reset();
+    if (action_) {
+        // The action may stop the timer, which drops it.
+        const auto action = action_;
+        action();
+    }
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/lazy_timer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "net.h"
+
+#include <core/instant.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace ej::front {
+
+/// A timer whose deadline may be moved often: a later deadline costs no system call, since the
+/// timer fires at the old one and goes on to the new one. Used on one lane.
+class lazy_timer : public std::enable_shared_from_this<lazy_timer> {
+public:
+    /// `action` is called on the lane when the deadline has passed.
+    lazy_timer(asio::io_context& lane, std::function<void()> action);
+
+    /// Sets the deadline.
+    void set(core::instant deadline);
+
+    /// Drops the deadline.
+    void clear() { deadline_.reset(); }
+
+    /// Drops the deadline and the action for good.
+    void stop();
+
+private:
+    void arm(core::instant expiry);
+    void fired();
+
+    asio::steady_timer timer_;
+    std::function<void()> action_;
+    std::optional<core::instant> deadline_;
+    std::optional<core::instant> armed_; // Expiry of the wait that is pending.
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/liveness_check.cpp
@@ -0,0 +1,71 @@
+#include "liveness_check.h"
+
+#include <chrono>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+// An endpoint may close a connection that never carried a request early.
+constexpr std::chrono::milliseconds unused_for{1'000};
+
+} // namespace
+
+liveness_check::liveness_check(upstream_pool& pool, core::address where, answer told)
+    : pool_(pool), where_(std::move(where)), told_(std::move(told)),
+      connection_(std::make_shared<upstream_connection>(pool.lane()))
+{
+}
+
+void liveness_check::start(core::duration timeout)
+{
+    error_code error;
+    const auto number = asio::ip::make_address(where_.host, error);
+    if (error) {
+        end(false);
+        return;
+    }
+    timer_ = std::make_shared<lazy_timer>(pool_.lane(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->end(false);
+        }
+    });
+    timer_->set(core::instant::clock::now() + timeout);
+    connection_->socket.async_connect(
+        tcp::endpoint(number, where_.port),
+        [self = shared_from_this()](const error_code& failure) { self->end(!failure); });
+}
+
+void liveness_check::end(bool alive)
+{
+    const auto told = std::exchange(told_, nullptr);
+    if (told == nullptr) {
+        return;
+    }
+    timer_->stop();
+    if (alive) {
+        error_code ignored; // Options only tune the connection.
+        connection_->socket.set_option(tcp::no_delay(true), ignored);
+        connection_->socket.non_blocking(true, ignored);
+        connection_->usable_until = core::instant::clock::now() + unused_for;
+        pool_.keep(where_, connection_);
+    }
+    else {
+        error_code ignored; // The connection is given up in any case.
+        connection_->socket.close(ignored);
+    }
+    told(alive);
+}
+
+void liveness_check::cancel()
+{
+    told_ = nullptr;
+    if (timer_ != nullptr) {
+        timer_->stop();
+    }
+    error_code ignored; // The connection is given up in any case.
+    connection_->socket.close(ignored);
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/liveness_check.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "lazy_timer.h"
+#include "net.h"
+#include "upstream_connection.h"
+#include "upstream_pool.h"
+
+#include <core/address.h>
+#include <core/instant.h>
+
+#include <functional>
+#include <memory>
+
+namespace ej::front {
+
+/// Finds out by a new connection whether an endpoint that fell silent is still there. The
+/// connection is kept for later requests. Used on one lane.
+class liveness_check : public std::enable_shared_from_this<liveness_check> {
+public:
+    using answer = std::function<void(bool alive)>;
+
+    /// `pool` outlives the check.
+    liveness_check(upstream_pool& pool, core::address where, answer told);
+
+    /// Connects; `told` hears the answer within `timeout` unless the check is cancelled.
+    void start(core::duration timeout);
+
+    void cancel();
+
+private:
+    void end(bool alive);
+
+    upstream_pool& pool_;
+    core::address where_;
+    answer told_;
+    upstream_connection_ptr connection_;
+    std::shared_ptr<lazy_timer> timer_;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/own_answer.cpp
@@ -0,0 +1,31 @@
+#include "own_answer.h"
+
+namespace ej::front {
+
+namespace {
+
+// Seconds after which a refused caller may come again: endpoints that are full or restarting
+// usually have room by then, and the caller still has time for the request itself.
+constexpr std::string_view retry_after_seconds = "0.2";
+
+} // namespace
+
+http::response own_answer(unsigned status, std::string_view reason, const std::string& request_id,
+                          const header_names& names)
+{
+    http::response made{status, {{"Content-Type", "text/plain"}}, std::string(reason) + '\n'};
+    if (!request_id.empty()) {
+        made.headers.push_back({names.request_id, request_id});
+    }
+    return made;
+}
+
+http::response own_refusal(std::string_view reason, const std::string& request_id,
+                           const header_names& names)
+{
+    auto made = own_answer(status_unavailable, reason, request_id, names);
+    made.headers.push_back({"Retry-After", std::string(retry_after_seconds)});
+    return made;
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/ready_api.cpp
@@ -0,0 +1,81 @@
+#include "ready_api.h"
+
+#include "own_answer.h"
+
+#include <logging/log.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr std::string_view metrics_path = "/metrics";
+
+} // namespace
+
+ready_api::ready_api(front_context& context, const platform::call_counts& store_calls)
+    : context_(context), store_calls_(store_calls)
+{
+}
+
+absl::Status ready_api::start(const asio::any_io_executor& executor, const core::address& where)
+{
+    auto started =
+        http::server::start(executor, where, {}, [this](std::shared_ptr<http::exchange> asked) {
+            return answer(std::move(asked));
+        });
+    if (!started.ok()) {
+        return started.status();
+    }
+    server_ = *std::move(started);
+    return absl::OkStatus();
+}
+
+asio::awaitable<void> ready_api::answer(std::shared_ptr<http::exchange> asked)
+{
+    const auto& target = asked->received().target;
+    http::response reply{status_not_found, {}, "not found\n"};
+    if (target == context_.settings.ready_path) {
+        reply = ready();
+    }
+    else if (target == metrics_path) {
+        reply = metrics();
+    }
+    const auto status = co_await asked->respond(std::move(reply));
+    if (!status.ok()) {
+        logging::log(logging::level::debug, "balancer has gone",
+                     {{"error", std::string(status.message())}});
+    }
+}
+
+http::response ready_api::ready() const
+{
+    if (context_.leaving) {
+        return {status_unavailable, {}, "leaving\n"};
+    }
+    if (*context_.rules.load() == nullptr) {
+        return {status_unavailable, {}, "no configuration\n"};
+    }
+    return {status_ok, {}, "ready\n"};
+}
+
+http::response ready_api::metrics()
+{
+    auto& registry = context_.metrics;
+    registry.set("calls_open", {}, double(context_.calls_open));
+    registry.set("callers_open", {}, double(context_.callers_open));
+    registry.set("daemons", {}, double(context_.daemons));
+    registry.set("log_lines_dropped", {}, double(logging::dropped_lines()));
+    std::ranges::for_each(platform::all_call_kinds(), [&](platform::call_kind kind) {
+        const std::string name(to_string(kind));
+        registry.set("store_calls", {{"kind", name}}, double(store_calls_.begun(kind)));
+        registry.set("store_calls_failed", {{"kind", name}}, double(store_calls_.failed(kind)));
+    });
+    return {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, registry.text()};
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/request_head.cpp
@@ -0,0 +1,150 @@
+#include "request_head.h"
+
+#include <core/text.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <string_view>
+#include <vector>
+
+namespace ej::front {
+
+namespace {
+
+// Fields that concern one connection alone (RFC 9110, 7.6.1), and the framing that is set anew.
+constexpr std::array<std::string_view, 10> connection_fields{"Connection",
+                                                             "Keep-Alive",
+                                                             "Proxy-Connection",
+                                                             "Proxy-Authenticate",
+                                                             "Proxy-Authorization",
+                                                             "TE",
+                                                             "Trailer",
+                                                             "Transfer-Encoding",
+                                                             "Upgrade",
+                                                             "Content-Length"};
+
+bool named(std::string_view name, std::string_view other)
+{
+    return core::equal_ignoring_case(name, other);
+}
+
+/// The fields that the Connection fields among `fields` name.
+std::vector<std::string> named_by_connection(const std::vector<http::header>& fields)
+{
+    std::vector<std::string> names;
+    for (const http::header& field : fields) {
+        if (!named(field.name, "Connection")) {
+            continue;
+        }
+        for (const std::string_view part : core::split(field.value, ',')) {
+            names.emplace_back(core::trimmed(part));
+        }
+    }
+    return names;
+}
+
+bool concerns_connection(const http::header& field, const std::vector<std::string>& named_ones)
+{
+    const auto same = [&](std::string_view name) { return named(field.name, name); };
+    return std::ranges::any_of(connection_fields, same) || std::ranges::any_of(named_ones, same);
+}
+
+/// Fields of a caller that never reach an endpoint as they came.
+bool set_by_front(const http::header& field, const header_names& names)
+{
+    const auto same = [&](std::string_view name) { return named(field.name, name); };
+    return same("Authorization") || same("Expect") || same(names.deadline_ms) ||
+           same(names.expected_endpoint) || same(names.workspace) || same(names.backup_at) ||
+           same(names.memory_from) || std::ranges::any_of(names.reserved, same);
+}
+
+void add(std::string& text, const std::string& name, const std::string& value)
+{
+    absl::StrAppend(&text, name, ": ", value, "\r\n");
+}
+
+template <class Number>
+std::optional<Number> number_of(const std::optional<std::string>& text)
+{
+    return text ? core::parse_number<Number>(core::trimmed(*text)) : std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const caller_request& what, const request_head& added, const header_names& names)
+{
+    const http::request& message = what.message;
+    std::string text = absl::StrCat(message.method, " ", message.target, " HTTP/1.1\r\n");
+    const auto of_connection = named_by_connection(message.headers);
+    for (const http::header& field : message.headers) {
+        const bool replaced = added.resume_behind && named(field.name, names.last_event_id);
+        if (!replaced && !set_by_front(field, names) &&
+            !concerns_connection(field, of_connection)) {
+            add(text, field.name, field.value);
+        }
+    }
+    add(text, names.deadline_ms, absl::StrCat(added.time_left.count()));
+    add(text, names.expected_endpoint, added.expected_endpoint.text());
+    if (!added.workspace.empty()) {
+        add(text, names.workspace, added.workspace.text());
+    }
+    if (added.resume_behind) {
+        add(text, names.last_event_id, absl::StrCat(*added.resume_behind));
+    }
+    if (!added.backup_at.empty()) {
+        add(text, names.backup_at, added.backup_at);
+    }
+    if (!added.memory_from.empty()) {
+        add(text, names.memory_from, added.memory_from);
+    }
+    const bool may_have_no_body = message.method == "GET" || message.method == "HEAD";
+    if (!message.body.empty() || !may_have_no_body) {
+        add(text, "Content-Length", absl::StrCat(message.body.size()));
+    }
+    return absl::StrCat(text, "\r\n", message.body);
+}
+
+forwarding::call_size size_of(const caller_request& what, const header_names& names)
+{
+    const auto text = what.message.header_value(names.call_size);
+    if (!text) {
+        return {};
+    }
+    const auto parts = core::split(*text, ',');
+    const auto prompt = core::parse_number<std::uint64_t>(parts.front());
+    const auto output = core::parse_number<std::uint64_t>(parts.back());
+    if (parts.size() != 2 || !prompt || !output) {
+        return {}; // Only steers the choice of an engine; the engine judges the field.
+    }
+    return {*prompt, *output};
+}
+
+std::optional<std::chrono::milliseconds> deadline_of(const caller_request& what,
+                                                     const header_names& names)
+{
+    const auto count = number_of<std::int64_t>(what.message.header_value(names.deadline_ms));
+    if (!count || *count < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(*count);
+}
+
+std::optional<std::uint64_t> resume_point_of(const caller_request& what, const header_names& names)
+{
+    return number_of<std::uint64_t>(what.message.header_value(names.last_event_id));
+}
+
+std::vector<http::header> answer_fields(const std::vector<http::header>& received)
+{
+    const auto of_connection = named_by_connection(received);
+    std::vector<http::header> kept;
+    std::ranges::copy_if(received, std::back_inserter(kept), [&](const http::header& field) {
+        return !concerns_connection(field, of_connection);
+    });
+    return kept;
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/stream_call.cpp
@@ -0,0 +1,332 @@
+#include "stream_call.h"
+
+#include "own_answer.h"
+
+#include <forwarding/backup_choice.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+using forwarding::attempt_end;
+using forwarding::next_step;
+using std::chrono::milliseconds;
+
+constexpr unsigned status_ok = 200;
+
+// A silent engine is asked by a new connection after this long: events come every 30 to 200 ms, and
+// an engine reads a prompt for up to two seconds before the first one.
+constexpr milliseconds check_while_flowing{250};
+constexpr milliseconds check_before_output{500};
+// Several round trips between failure domains; a lost first packet costs a second check.
+constexpr milliseconds check_timeout{150};
+
+// A flowing stream goes on elsewhere after this multiple of the longest gap that users accept, an
+// engine without output after this share of the time to the first output; without targets, after
+// the times below.
+constexpr double gap_multiple = 1.5;
+constexpr double target_share = 0.6;
+constexpr milliseconds default_gap{2'000};
+constexpr milliseconds default_first{5'000};
+
+constexpr milliseconds connect_timeout{200};
+// Before engines that were tried already are tried again.
+constexpr milliseconds resend_pause{100};
+
+milliseconds scaled(milliseconds whole, double factor)
+{
+    return milliseconds(static_cast<milliseconds::rep>(double(whole.count()) * factor));
+}
+
+core::instant now()
+{
+    return core::instant::clock::now();
+}
+
+} // namespace
+
+std::optional<core::endpoint> stream_call::copy_holder() const
+{
+    if (!copy_at_ || !setting_.context.endpoints.load()->lists(*copy_at_) ||
+        setting_.context.standing.of(copy_at_->name).avoid_until > now()) {
+        return std::nullopt;
+    }
+    return copy_at_;
+}
+
+std::optional<core::endpoint> stream_call::choose_copy(const core::endpoint& runner) const
+{
+    const auto* const service = setting_.rules->find_service(service_);
+    if (!setting_.context.settings.backups || !setting_.by.resumable || service == nullptr ||
+        !service->engine || !service->engine->keeps_backups) {
+        return std::nullopt;
+    }
+    const auto all = candidates(true);
+    const auto chosen =
+        forwarding::choose_backup(all, runner, setting_.context.turn.fetch_add(1), now());
+    return chosen ? std::optional(all[*chosen].what) : std::nullopt;
+}
+
+void stream_call::send()
+{
+    if (const auto holder = copy_holder()) {
+        send_to(*holder, true);
+        return;
+    }
+    const auto untried = candidates(false);
+    const auto all = untried.empty() ? candidates(true) : untried;
+    const auto endpoint = choose(all);
+    if (endpoint && untried.empty()) {
+        send_later();
+    }
+    else if (endpoint) {
+        send_to(*endpoint, false);
+    }
+    else if (progress_.may_have_run || progress_.delivering) {
+        fail("no_endpoint", status_bad_gateway);
+    }
+    else {
+        refuse("no_endpoint");
+    }
+}
+
+void stream_call::send_later()
+{
+    tried_.clear();
+    const std::weak_ptr<forwarded_call> weak = weak_from_this();
+    resend_timer_ = std::make_shared<lazy_timer>(setting_.pool.lane(), [this, weak] {
+        const auto self = weak.lock();
+        if (self != nullptr && !over()) {
+            send();
+        }
+    });
+    resend_timer_->set(now() + resend_pause);
+}
+
+void stream_call::send_to(const core::endpoint& endpoint, bool from_copy)
+{
+    request_head head;
+    head.resume_behind = last_event_;
+    if (from_copy) {
+        head.memory_from = absl::StrCat(core::to_string(endpoint.where), "/", request_id_);
+    }
+    copy_at_ = choose_copy(endpoint);
+    if (copy_at_) {
+        head.backup_at = core::to_string(copy_at_->where);
+    }
+    accepted_ = flowing_ = false;
+    from_copy_ = from_copy;
+    framer_ = event_framer();
+    failure_body_.clear();
+    last_heard_ = now();
+    current_ = attempt_at(endpoint, std::move(head), connect_timeout);
+    watch_silence();
+}
+
+void stream_call::on_head(upstream_attempt& attempt)
+{
+    if (&attempt != current_.get()) {
+        return;
+    }
+    note_load(attempt);
+    last_heard_ = now();
+    accepted_ = attempt.answer().status() == status_ok && trusted(attempt.answer());
+    if (accepted_ && head_.headers.empty()) {
+        head_ = {status_ok, answer_fields(attempt.answer().headers()), {}};
+    }
+}
+
+void stream_call::on_body(upstream_attempt& attempt, std::string part)
+{
+    if (&attempt != current_.get()) {
+        return;
+    }
+    last_heard_ = now();
+    if (!accepted_) {
+        failure_body_ += part;
+        return;
+    }
+    deliver(attempt, framer_.feed(part));
+    if (framer_.overflowed()) {
+        lose(attempt_end::spoiled, "event is too long");
+    }
+}
+
+void stream_call::deliver(upstream_attempt& attempt, const std::vector<framed_event>& events)
+{
+    std::string out;
+    for (const framed_event& event : events) {
+        // An engine that reads the prompt again may repeat events that the caller has.
+        if (event.id && last_event_ && *event.id <= *last_event_) {
+            continue;
+        }
+        last_event_ = event.id ? event.id : last_event_;
+        out += event.text;
+    }
+    if (out.empty()) {
+        return;
+    }
+    if (!std::exchange(flowing_, true)) {
+        setting_.context.standing.first_output(attempt.endpoint().name, size_.prompt_tokens);
+        setting_.context.standing.succeeded(attempt.endpoint().name);
+    }
+    const auto to = sink();
+    if (to == nullptr) {
+        return;
+    }
+    if (!std::exchange(progress_.delivering, true)) {
+        to->start_stream(head_);
+    }
+    to->write(out);
+}
+
+void stream_call::on_complete(upstream_attempt& attempt)
+{
+    if (over() || &attempt != current_.get()) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (!accepted_) {
+        const auto end = end_of(attempt.answer());
+        lose(end, absl::StrCat("status ", attempt.answer().status()));
+        return;
+    }
+    if (framer_.within_event() || !progress_.delivering) {
+        lose(attempt_end::spoiled, "stream ended within an event");
+        return;
+    }
+    settle(attempt);
+    cancel_attempts();
+    if (const auto to = sink()) {
+        to->finish();
+    }
+    finish("served", status_ok);
+}
+
+void stream_call::on_end(upstream_attempt& attempt, attempt_end end, const std::string& detail)
+{
+    if (over() || &attempt != current_.get()) {
+        return;
+    }
+    lose(end, detail);
+}
+
+void stream_call::lose(attempt_end end, const std::string& detail)
+{
+    const auto self = shared_from_this();
+    const auto lost = std::exchange(current_, nullptr);
+    if (check_ != nullptr) {
+        check_->cancel();
+    }
+    lost->cancel();
+    note_end(*lost, end, detail);
+    if (from_copy_ || !forwarding::may_have_run(end)) {
+        // The holder has no copy, or failed with it: the prompt is read anew from here on.
+        copy_at_.reset();
+    }
+    const auto step = decide(end);
+    if (step == next_step::send_again) {
+        send();
+    }
+    else if (step == next_step::pass_failure) {
+        pass_on(lost->answer(), std::move(failure_body_));
+    }
+    else if (step == next_step::refuse) {
+        refuse(to_string(end));
+    }
+    else {
+        fail(to_string(end), status_bad_gateway);
+    }
+}
+
+core::duration stream_call::longest_silence() const
+{
+    const auto& by = setting_.by;
+    if (flowing_ || progress_.delivering) {
+        return by.longest_gap.count() > 0 ? scaled(by.longest_gap, gap_multiple) : default_gap;
+    }
+    return by.target.count() > 0 ? scaled(by.target, target_share) : default_first;
+}
+
+void stream_call::watch_silence()
+{
+    if (silence_timer_ == nullptr) {
+        const std::weak_ptr<forwarded_call> weak = weak_from_this();
+        silence_timer_ = std::make_shared<lazy_timer>(setting_.pool.lane(), [this, weak] {
+            const auto self = weak.lock();
+            if (self != nullptr && !over()) {
+                check_silence();
+            }
+        });
+    }
+    const auto patience = flowing_ ? check_while_flowing : check_before_output;
+    silence_timer_->set(std::max(now(), last_heard_) + patience);
+}
+
+void stream_call::check_silence()
+{
+    if (current_ == nullptr) {
+        return;
+    }
+    const auto silent_for = now() - last_heard_;
+    const auto patience = flowing_ ? check_while_flowing : check_before_output;
+    if (silent_for < patience) {
+        silence_timer_->set(last_heard_ + patience);
+        return;
+    }
+    if (silent_for >= longest_silence()) {
+        lose(attempt_end::silent, "no output in time");
+        return;
+    }
+    if (check_ != nullptr) {
+        check_->cancel();
+    }
+    const std::weak_ptr<forwarded_call> weak = weak_from_this();
+    check_ =
+        std::make_shared<liveness_check>(setting_.pool, current_->endpoint().where,
+                                         [this, weak, asked = std::weak_ptr(current_)](bool alive) {
+                                             const auto self = weak.lock();
+                                             if (self != nullptr && !over() && !alive &&
+                                                 asked.lock() == current_ && current_ != nullptr) {
+                                                 lose(attempt_end::silent, "no longer reachable");
+                                             }
+                                         });
+    check_->start(check_timeout);
+    watch_silence();
+}
+
+void stream_call::expire()
+{
+    const bool sent = current_ != nullptr && current_->sent();
+    cancel_attempts();
+    if (sent || progress_.may_have_run || progress_.delivering) {
+        fail("timeout", status_gateway_timeout);
+        return;
+    }
+    refuse("timeout");
+}
+
+void stream_call::cancel_attempts()
+{
+    if (const auto running = std::exchange(current_, nullptr)) {
+        settle(*running);
+        running->cancel();
+    }
+    if (check_ != nullptr) {
+        check_->cancel();
+    }
+    if (silence_timer_ != nullptr) {
+        silence_timer_->stop();
+    }
+    if (resend_timer_ != nullptr) {
+        resend_timer_->stop();
+    }
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/stream_call.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "event_framer.h"
+#include "forwarded_call.h"
+#include "liveness_check.h"
+
+#include <http/response.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ej::front {
+
+/// A call whose answer is a stream of events. Whole events are passed on as they arrive; when the
+/// engine is lost, the stream goes on at another one behind the last event, within the same answer.
+class stream_call final : public forwarded_call {
+public:
+    using forwarded_call::forwarded_call;
+
+    void on_head(upstream_attempt& attempt) override;
+    void on_body(upstream_attempt& attempt, std::string part) override;
+    void on_complete(upstream_attempt& attempt) override;
+    void on_end(upstream_attempt& attempt, forwarding::attempt_end end,
+                const std::string& detail) override;
+
+private:
+    void send() override;
+    void expire() override;
+    void cancel_attempts() override;
+
+    void send_to(const core::endpoint& endpoint, bool from_copy);
+    void send_later();
+    [[nodiscard]] std::optional<core::endpoint> copy_holder() const;
+    [[nodiscard]] std::optional<core::endpoint> choose_copy(const core::endpoint& runner) const;
+    void deliver(upstream_attempt& attempt, const std::vector<framed_event>& events);
+    void lose(forwarding::attempt_end end, const std::string& detail);
+    void watch_silence();
+    void check_silence();
+    [[nodiscard]] core::duration longest_silence() const;
+
+    attempt_ptr current_;
+    event_framer framer_;
+    std::string failure_body_;
+    bool accepted_ = false;  // The current attempt's answer is a stream of events.
+    bool flowing_ = false;   // The current attempt has delivered an event.
+    bool from_copy_ = false; // The current attempt goes on from a copy of the memory.
+    http::response head_;    // Of the first engine; stands for the whole answer.
+    std::optional<std::uint64_t> last_event_;
+    std::optional<core::endpoint> copy_at_; // Keeps a copy of the current attempt's memory.
+    core::instant last_heard_{};
+    std::shared_ptr<lazy_timer> silence_timer_;
+    std::shared_ptr<lazy_timer> resend_timer_;
+    std::shared_ptr<liveness_check> check_;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/upstream_attempt.cpp
@@ -0,0 +1,279 @@
+#include "upstream_attempt.h"
+
+#include <core/text.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+using forwarding::attempt_end;
+
+constexpr std::size_t read_bytes = 8'192;
+
+// Unanswered bytes for this long mean that the other end is gone without a word; several round
+// trips and one retransmission fit in between failure domains.
+constexpr int unacknowledged_ms = 1'500;
+
+// An idle connection is given up this long before the endpoint closes it, so that no request
+// crosses the close; and kept for `idle_default` where the endpoint does not say.
+constexpr std::chrono::milliseconds idle_margin{700};
+constexpr std::chrono::milliseconds idle_default{2'000};
+
+/// How long the endpoint keeps the connection open while it is idle.
+core::duration kept_open(std::string_view keep_alive)
+{
+    for (std::string_view part : core::split(keep_alive, ',')) {
+        constexpr std::string_view field = "timeout=";
+        part = core::trimmed(part);
+        if (!part.starts_with(field)) {
+            continue;
+        }
+        if (const auto seconds = core::parse_number<int>(part.substr(field.size()))) {
+            return std::chrono::seconds(*seconds) - idle_margin;
+        }
+    }
+    return idle_default;
+}
+
+} // namespace
+
+upstream_attempt::upstream_attempt(upstream_pool& pool, core::endpoint endpoint, std::string echo,
+                                   std::string request_id)
+    : pool_(pool), endpoint_(std::move(endpoint)), echo_(std::move(echo)),
+      request_id_(std::move(request_id))
+{
+}
+
+void upstream_attempt::start(std::weak_ptr<attempt_listener> listener, std::string message,
+                             bool head_only, core::duration connect_timeout)
+{
+    listener_ = std::move(listener);
+    message_ = std::move(message);
+    head_only_ = head_only;
+    parser_ = std::make_unique<answer_parser>();
+    parser_->skip(head_only_);
+    started_ = core::instant::clock::now();
+    connection_ = pool_.take(endpoint_.where, started_);
+    if (connection_ != nullptr) {
+        send();
+        return;
+    }
+    connect(connect_timeout);
+}
+
+void upstream_attempt::connect(core::duration timeout)
+{
+    connection_ = std::make_shared<upstream_connection>(pool_.lane());
+    error_code error;
+    const auto number = asio::ip::make_address(endpoint_.where.host, error);
+    if (error) {
+        // Told later, so that the listener is never called from within `start`.
+        asio::post(pool_.lane(), [self = shared_from_this()] {
+            self->ended(attempt_end::not_sent, "address is no IP number");
+        });
+        return;
+    }
+    connect_timer_ = std::make_shared<lazy_timer>(pool_.lane(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->ended(attempt_end::not_sent, "no connection in time");
+        }
+    });
+    connect_timer_->set(started_ + timeout);
+    connection_->socket.async_connect(
+        tcp::endpoint(number, endpoint_.where.port),
+        [self = shared_from_this()](const error_code& failure) { self->connected(failure); });
+}
+
+void upstream_attempt::connected(const error_code& error)
+{
+    if (over_) {
+        return;
+    }
+    connect_timer_->stop();
+    if (error) {
+        ended(attempt_end::not_sent, "connect: " + error.message());
+        return;
+    }
+    error_code ignored; // Options only tune the connection.
+    connection_->socket.set_option(tcp::no_delay(true), ignored);
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    connection_->socket.set_option(user_timeout(unacknowledged_ms), ignored);
+    connection_->socket.non_blocking(true, ignored);
+    send();
+}
+
+void upstream_attempt::send()
+{
+    sent_ = true;
+    asio::async_write(connection_->socket, asio::buffer(message_),
+                      [self = shared_from_this()](const error_code& error, std::size_t) {
+                          // A failed write shows in the read as well, behind an early answer.
+                          self->written_ = !error;
+                      });
+    read();
+}
+
+void upstream_attempt::read()
+{
+    connection_->socket.async_read_some(
+        connection_->buffer.prepare(read_bytes),
+        [self = shared_from_this()](const error_code& error, std::size_t count) {
+            self->received(error, count);
+        });
+}
+
+void upstream_attempt::received(const error_code& error, std::size_t count)
+{
+    if (over_) {
+        return;
+    }
+    if (error) {
+        end_of_connection(error);
+        return;
+    }
+    connection_->buffer.commit(count);
+    if (parse() && !over_) {
+        read();
+    }
+}
+
+/// Parses what has arrived; true if more is to be read.
+bool upstream_attempt::parse()
+{
+    auto& buffer = connection_->buffer;
+    while (buffer.size() > 0 && !parser_->is_done()) {
+        error_code error;
+        const auto used = parser_->put(buffer.data(), error);
+        buffer.consume(used);
+        if (error == wire::error::need_more) {
+            break;
+        }
+        if (error) {
+            ended(attempt_end::spoiled, "answer is no HTTP: " + error.message());
+            return false;
+        }
+    }
+    if (!parser_->is_header_done()) {
+        return true;
+    }
+    if (!head_seen_) {
+        head_read();
+    }
+    if (over_) {
+        return false;
+    }
+    auto part = parser_->take_body();
+    if (!part.empty() && !foreign_) {
+        if (const auto listener = listener_.lock()) {
+            listener->on_body(*this, std::move(part));
+        }
+    }
+    if (over_ || !parser_->is_done()) {
+        return !over_;
+    }
+    if (parser_->interim() || foreign_) {
+        parser_ = std::make_unique<answer_parser>();
+        parser_->skip(head_only_);
+        head_seen_ = foreign_ = false;
+        return buffer.size() == 0 || parse();
+    }
+    complete();
+    return false;
+}
+
+bool upstream_attempt::belongs_here()
+{
+    const auto echoed = parser_->header(echo_);
+    return request_id_.empty() || echoed.empty() || echoed == request_id_;
+}
+
+void upstream_attempt::head_read()
+{
+    head_seen_ = true;
+    if (parser_->interim()) {
+        return;
+    }
+    if (!belongs_here()) {
+        // A surplus answer to an earlier request of this connection; the awaited one follows.
+        foreign_ = true;
+        return;
+    }
+    if (const auto listener = listener_.lock()) {
+        listener->on_head(*this);
+    }
+}
+
+void upstream_attempt::complete()
+{
+    over_ = true;
+    finish_connection();
+    if (const auto listener = listener_.lock()) {
+        listener->on_complete(*this);
+    }
+}
+
+bool upstream_attempt::reusable() const
+{
+    return written_ && parser_->keep_alive() && connection_->buffer.size() == 0 && !unframed_;
+}
+
+void upstream_attempt::finish_connection()
+{
+    if (!reusable()) {
+        close();
+        return;
+    }
+    connection_->usable_until =
+        core::instant::clock::now() + kept_open(parser_->header("Keep-Alive"));
+    pool_.keep(endpoint_.where, connection_);
+}
+
+void upstream_attempt::end_of_connection(const error_code& error)
+{
+    const bool clean_end = error == asio::error::eof;
+    if (clean_end && head_seen_ && !foreign_ && parser_->need_eof()) {
+        error_code failure;
+        parser_->put_eof(failure);
+        if (!failure) {
+            unframed_ = true;
+            complete();
+            return;
+        }
+    }
+    ended(attempt_end::broken, head_seen_ ? "answer broke off: " + error.message()
+                                          : "connection broke: " + error.message());
+}
+
+void upstream_attempt::ended(attempt_end end, const std::string& detail)
+{
+    if (over_) {
+        return;
+    }
+    cancel();
+    if (const auto listener = listener_.lock()) {
+        listener->on_end(*this, end, detail);
+    }
+}
+
+void upstream_attempt::cancel()
+{
+    over_ = true;
+    if (connect_timer_ != nullptr) {
+        connect_timer_->stop();
+    }
+    close();
+}
+
+void upstream_attempt::close()
+{
+    if (connection_ != nullptr) {
+        error_code ignored; // The connection is given up in any case.
+        connection_->socket.close(ignored);
+    }
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/upstream_attempt.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "answer_parser.h"
+#include "attempt_listener.h"
+#include "lazy_timer.h"
+#include "net.h"
+#include "upstream_connection.h"
+#include "upstream_pool.h"
+
+#include <core/endpoint.h>
+#include <core/instant.h>
+
+#include <memory>
+#include <string>
+
+namespace ej::front {
+
+/// One request at one endpoint: connection, sending, reading. Used on one lane.
+class upstream_attempt : public std::enable_shared_from_this<upstream_attempt> {
+public:
+    /// `pool` outlives the attempt. `echo` is the field in which answers name their request and
+    /// `request_id` the value that belongs here; an empty id accepts every answer.
+    upstream_attempt(upstream_pool& pool, core::endpoint endpoint, std::string echo,
+                     std::string request_id);
+
+    /// Sends `message`; `listener` hears what follows until `cancel`.
+    void start(std::weak_ptr<attempt_listener> listener, std::string message, bool head_only,
+               core::duration connect_timeout);
+
+    /// Breaks the connection; the listener hears nothing more.
+    void cancel();
+
+    [[nodiscard]] const core::endpoint& endpoint() const { return endpoint_; }
+    [[nodiscard]] const answer_parser& answer() const { return *parser_; }
+
+    /// True once the first byte may have reached the endpoint.
+    [[nodiscard]] bool sent() const { return sent_; }
+
+    /// True if the end of the body was the end of the connection.
+    [[nodiscard]] bool unframed() const { return unframed_; }
+
+    [[nodiscard]] core::instant started() const { return started_; }
+
+private:
+    void connect(core::duration timeout);
+    void connected(const error_code& error);
+    void send();
+    void read();
+    void received(const error_code& error, std::size_t count);
+    bool parse();
+    bool belongs_here();
+    void head_read();
+    void complete();
+    void end_of_connection(const error_code& error);
+    void ended(forwarding::attempt_end end, const std::string& detail);
+    [[nodiscard]] bool reusable() const;
+    void finish_connection();
+    void close();
+
+    upstream_pool& pool_;
+    core::endpoint endpoint_;
+    std::string echo_;
+    std::string request_id_;
+    std::weak_ptr<attempt_listener> listener_;
+    std::string message_;
+    upstream_connection_ptr connection_;
+    std::unique_ptr<answer_parser> parser_;
+    std::shared_ptr<lazy_timer> connect_timer_;
+    core::instant started_{};
+    bool head_only_ = false;
+    bool sent_ = false;
+    bool written_ = false;
+    bool head_seen_ = false;
+    bool foreign_ = false; // An answer to another request is being skipped.
+    bool unframed_ = false;
+    bool over_ = false;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/upstream_connection.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "net.h"
+
+#include <core/endpoint.h>
+#include <core/instant.h>
+
+#include <memory>
+
+namespace ej::front {
+
+/// A connection to an endpoint, used for one request at a time on one lane.
+struct upstream_connection {
+    explicit upstream_connection(asio::io_context& lane) : socket(lane) {}
+
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    bool fresh = true;             ///< No request was sent on it yet.
+    core::instant usable_until{};  ///< The endpoint closes it when it is idle longer.
+    std::uint64_t idle_period = 0; ///< Counts its stays in the pool.
+};
+
+using upstream_connection_ptr = std::shared_ptr<upstream_connection>;
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/upstream_pool.cpp
@@ -0,0 +1,95 @@
+#include "upstream_pool.h"
+
+#include <algorithm>
+
+namespace ej::front {
+
+namespace {
+
+// Idle connections of a lane to one endpoint; a burst's further ones are closed.
+constexpr std::size_t max_idle = 6;
+
+void close(upstream_connection& connection)
+{
+    error_code ignored; // The connection is given up in any case.
+    connection.socket.close(ignored);
+}
+
+/// Open, and nothing has arrived on it: neither its end nor a surplus answer.
+bool quiet(upstream_connection& connection)
+{
+    error_code error;
+    char byte = 0;
+    connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+
+upstream_connection_ptr upstream_pool::take(const core::address& where, core::instant now)
+{
+    const auto found = idle_.find(where);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    auto& list = found->second;
+    while (!list.empty()) {
+        const auto connection = list.back();
+        list.pop_back();
+        ++connection->idle_period;
+        if (now < connection->usable_until && quiet(*connection)) {
+            error_code ignored; // The wait for surplus bytes ends with its period.
+            connection->socket.cancel(ignored);
+            return connection;
+        }
+        close(*connection);
+    }
+    return nullptr;
+}
+
+void upstream_pool::keep(const core::address& where, const upstream_connection_ptr& connection)
+{
+    auto& list = idle_[where];
+    if (list.size() >= max_idle) {
+        close(*list.front());
+        list.erase(list.begin());
+    }
+    connection->fresh = false;
+    list.push_back(connection);
+    watch(where, connection);
+}
+
+void upstream_pool::watch(const core::address& where, const upstream_connection_ptr& connection)
+{
+    const auto period = connection->idle_period;
+    connection->socket.async_wait(tcp::socket::wait_read,
+                                  [this, where, connection, period](const error_code&) {
+                                      if (connection->idle_period != period) {
+                                          return;
+                                      }
+                                      std::erase(idle_[where], connection);
+                                      close(*connection);
+                                  });
+}
+
+void upstream_pool::drop(const core::address& where)
+{
+    const auto found = idle_.find(where);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (const auto& connection : found->second) {
+        ++connection->idle_period;
+        close(*connection);
+    }
+    idle_.erase(found);
+}
+
+void upstream_pool::clear()
+{
+    while (!idle_.empty()) {
+        drop(idle_.begin()->first);
+    }
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/upstream_pool.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "net.h"
+#include "upstream_connection.h"
+
+#include <core/address.h>
+#include <core/endpoint.h>
+#include <core/instant.h>
+
+#include <map>
+#include <vector>
+
+namespace ej::front {
+
+/// Idle connections to endpoints, by address. A connection on which anything arrives while it is
+/// idle is closed, so that a surplus answer never reaches a later request. Used on one lane.
+class upstream_pool {
+public:
+    explicit upstream_pool(asio::io_context& lane) : lane_(lane) {}
+
+    /// An idle connection to `where`, or null.
+    [[nodiscard]] upstream_connection_ptr take(const core::address& where, core::instant now);
+
+    /// Keeps `connection` for the next request.
+    void keep(const core::address& where, const upstream_connection_ptr& connection);
+
+    /// Closes the idle connections to `where`.
+    void drop(const core::address& where);
+
+    /// Closes all idle connections.
+    void clear();
+
+    [[nodiscard]] asio::io_context& lane() { return lane_; }
+
+private:
+    void watch(const core::address& where, const upstream_connection_ptr& connection);
+
+    asio::io_context& lane_;
+    std::map<core::address, std::vector<upstream_connection_ptr>> idle_;
+};
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/whole_call.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "forwarded_call.h"
+
+#include <string>
+#include <vector>
+
+namespace ej::front {
+
+/// A call whose answer is checked whole before any of it goes to the caller. A slow idempotent call
+/// is sent to a second endpoint, and the first good answer counts.
+class whole_call final : public forwarded_call {
+public:
+    using forwarded_call::forwarded_call;
+
+    void on_head(upstream_attempt& attempt) override;
+    void on_body(upstream_attempt& attempt, std::string part) override;
+    void on_complete(upstream_attempt& attempt) override;
+    void on_end(upstream_attempt& attempt, forwarding::attempt_end end,
+                const std::string& detail) override;
+
+private:
+    struct running {
+        attempt_ptr attempt;
+        std::string body;
+    };
+
+    void send() override;
+    void expire() override;
+    void cancel_attempts() override;
+    void follow(forwarding::attempt_end end, const upstream_attempt& attempt, std::string body);
+    void arm_second_send();
+    void second_send();
+    [[nodiscard]] core::duration connect_timeout() const;
+    std::vector<running>::iterator find(const upstream_attempt& attempt);
+
+    std::vector<running> running_;
+    std::shared_ptr<lazy_timer> second_timer_;
+};
+
+} // namespace ej::front
--- a/libs/runtime/src/pause_for.h
+++ b/libs/http/include/http/pause_for.h
@@ -4,9 +4,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
-namespace ej::runtime {
+namespace ej::http {
 
 /// Waits on a timer; the thread is free meanwhile.
 boost::asio::awaitable<void> pause_for(core::duration time);
 
-} // namespace ej::runtime
+} // namespace ej::http
--- a/libs/runtime/src/pause_for.cpp
+++ b/libs/http/src/pause_for.cpp
@@ -1,8 +1,8 @@
-#include "pause_for.h"
+#include "beast.h"
 
-#include "asio.h"
+#include <http/pause_for.h>
 
-namespace ej::runtime {
+namespace ej::http {
 
 asio::awaitable<void> pause_for(core::duration time)
 {
@@ -11,4 +11,4 @@
     co_await timer.async_wait(no_throw(error));
 }
 
-} // namespace ej::runtime
+} // namespace ej::http
--- /dev/null
+++ b/libs/logging/src/line_queue.cpp
@@ -0,0 +1,118 @@
+#include "line_queue.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace ej::logging {
+
+namespace {
+
+// Several seconds of lines under load; small against a VM's memory.
+constexpr std::size_t max_bytes = std::size_t{1} << 20;
+
+// Lines of this time are written together: a wake-up a line would cost more than the line.
+constexpr std::chrono::milliseconds gather{100};
+
+// How long the end of the process waits for a reader that does not read.
+constexpr int last_words_ms = 100;
+
+/// True if `descriptor` takes bytes within `timeout_ms`.
+bool writable(int descriptor, int timeout_ms)
+{
+    pollfd asked{descriptor, POLLOUT, 0};
+    return ::poll(&asked, 1, timeout_ms) > 0 && (asked.revents & POLLOUT) != 0;
+}
+
+/// Writes `text` whole; false when the reader has gone.
+bool write_all(int descriptor, std::string_view text)
+{
+    while (!text.empty()) {
+        const auto written = ::write(descriptor, text.data(), text.size());
+        if (written < 0 && errno != EINTR) {
+            return false;
+        }
+        if (written > 0) {
+            text.remove_prefix(static_cast<std::size_t>(written));
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+line_queue::line_queue(int descriptor)
+    : descriptor_(descriptor), state_(std::make_shared<state>()),
+      thread_([descriptor, shared = state_] { write_lines(descriptor, *shared); })
+{
+}
+
+line_queue::~line_queue()
+{
+    {
+        const std::scoped_lock lock(state_->mutex);
+        state_->ending = true;
+    }
+    state_->changed.notify_one();
+    if (writable(descriptor_, last_words_ms)) {
+        thread_.join();
+    }
+    else {
+        // The thread hangs in a write that nobody reads; the process ends without it.
+        thread_.detach();
+    }
+}
+
+void line_queue::push(std::string line)
+{
+    const std::scoped_lock lock(state_->mutex);
+    if (state_->bytes + line.size() > max_bytes) {
+        ++state_->dropped;
+        return;
+    }
+    state_->bytes += line.size();
+    state_->lines.push_back(std::move(line));
+    if (state_->lines.size() == 1) {
+        state_->changed.notify_one();
+    }
+}
+
+std::uint64_t line_queue::dropped() const
+{
+    const std::scoped_lock lock(state_->mutex);
+    return state_->dropped;
+}
+
+void line_queue::write_lines(int descriptor, state& shared)
+{
+    std::unique_lock lock(shared.mutex);
+    for (;;) {
+        shared.changed.wait(lock, [&] { return shared.ending || !shared.lines.empty(); });
+        if (!shared.ending) {
+            shared.changed.wait_for(lock, gather, [&] { return shared.ending; });
+        }
+        if (shared.lines.empty()) {
+            return;
+        }
+        std::string text;
+        for (const std::string& line : std::exchange(shared.lines, {})) {
+            text += line;
+        }
+        shared.bytes = 0;
+        if (shared.reported != shared.dropped) {
+            text += "log lines dropped total=" + std::to_string(shared.dropped) + "\n";
+            shared.reported = shared.dropped;
+        }
+        lock.unlock();
+        if (!write_all(descriptor, text)) {
+            return;
+        }
+        lock.lock();
+    }
+}
+
+} // namespace ej::logging
--- /dev/null
+++ b/libs/logging/src/line_queue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace ej::logging {
+
+/// Writes lines to a file descriptor on a thread of its own. A reader that does not keep up never
+/// delays the caller: lines beyond the bound are dropped and counted, and the count is written as
+/// a line of its own when there is room again. Thread-safe.
+class line_queue {
+public:
+    explicit line_queue(int descriptor);
+
+    /// Writes what is queued as far as the reader takes it at once.
+    ~line_queue();
+    line_queue(const line_queue&) = delete;
+    line_queue& operator=(const line_queue&) = delete;
+    line_queue(line_queue&&) = delete;
+    line_queue& operator=(line_queue&&) = delete;
+
+    /// Queues a line that ends with a newline, or drops it.
+    void push(std::string line);
+
+    /// Lines dropped so far.
+    [[nodiscard]] std::uint64_t dropped() const;
+
+private:
+    // Shared with the thread, which may outlive the queue while it hangs in a write.
+    struct state {
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::deque<std::string> lines;
+        std::size_t bytes = 0;
+        std::uint64_t dropped = 0;
+        std::uint64_t reported = 0; // Of the dropped lines.
+        bool ending = false;
+    };
+
+    static void write_lines(int descriptor, state& shared);
+
+    int descriptor_;
+    std::shared_ptr<state> state_;
+    std::thread thread_;
+};
+
+} // namespace ej::logging
--- a/libs/logging/src/log.cpp
+++ b/libs/logging/src/log.cpp
@@ -1,10 +1,14 @@
 #include <logging/log.h>
 
+#include "queue_appender.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <memory>
@@ -55,6 +59,17 @@
     return text + '"';
 }
 
+log4cplus::SharedAppenderPtr make_appender(output where)
+{
+    if (where == output::standard_output) {
+        return log4cplus::SharedAppenderPtr(new queue_appender(STDOUT_FILENO));
+    }
+    constexpr bool to_standard_error = true;
+    constexpr bool flush_each_line = true;
+    return log4cplus::SharedAppenderPtr(
+        new log4cplus::ConsoleAppender(to_standard_error, flush_each_line));
+}
+
 } // namespace
 
 std::optional<level> parse_level(std::string_view name)
@@ -66,13 +81,10 @@
     return found->second;
 }
 
-void start(level lowest)
+void start(level lowest, output where)
 {
     static const log4cplus::Initializer library;
-    constexpr bool to_standard_error = true;
-    constexpr bool flush_each_line = true;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(to_standard_error, flush_each_line));
+    log4cplus::SharedAppenderPtr appender = make_appender(where);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(line_pattern));
     auto target = logger();
     target.removeAllAppenders();
@@ -80,6 +92,21 @@
     target.setLogLevel(library_level(lowest));
 }
 
+std::uint64_t dropped_lines()
+{
+    std::uint64_t total = 0;
+    for (const log4cplus::SharedAppenderPtr& one : logger().getAllAppenders()) {
+        const auto* const queued = dynamic_cast<const queue_appender*>(one.get());
+        total += queued == nullptr ? 0 : queued->dropped();
+    }
+    return total;
+}
+
+void stop()
+{
+    logger().removeAllAppenders();
+}
+
 void log(level how, std::string_view message, const std::vector<field>& fields)
 {
     auto target = logger();
--- /dev/null
+++ b/libs/platform/include/platform/store.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <platform/call_counts.h>
+#include <platform/client_settings.h>
+#include <platform/granted_lease.h>
+#include <platform/store_listing.h>
+#include <platform/store_protocol.h>
+#include <platform/store_write.h>
+
+#include <http/client.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ej::platform {
+
+/// Longest answer that is read: a page holds at most 1 MB of values, base64 adds a third.
+inline constexpr std::size_t max_answer_bytes = std::size_t{4} << 20;
+
+/// Calls a key-value store in the protocol that it is given; never repeats a call. Thread-safe.
+/// Errors: those of `store_protocol` and of `http::client`. A commit without a usable answer may
+/// have taken effect, or may still do so.
+class store {
+public:
+    /// `transport` outlives the store.
+    store(http::client& transport, client_settings settings,
+          std::shared_ptr<const store_protocol> protocol);
+
+    /// All keys that begin with `prefix`, page by page; `as_of` is that of the first page, so that
+    /// following from there misses nothing.
+    boost::asio::awaitable<absl::StatusOr<store_listing>> scan(std::string prefix);
+
+    /// The changes later than `after`; empty when there were none within `wait`.
+    boost::asio::awaitable<absl::StatusOr<store_listing>>
+    follow(std::string prefix, core::revision after, std::chrono::milliseconds wait);
+
+    /// All of `writes` or none.
+    boost::asio::awaitable<absl::StatusOr<core::revision>> commit(std::vector<store_write> writes);
+
+    boost::asio::awaitable<absl::StatusOr<granted_lease>>
+    grant(std::chrono::milliseconds time_to_live);
+
+    boost::asio::awaitable<absl::Status> keep(lease_id lease);
+
+    [[nodiscard]] const call_counts& counts() const { return counts_; }
+
+private:
+    boost::asio::awaitable<absl::StatusOr<http::response>> call(call_kind kind, http::request what,
+                                                                core::duration deadline);
+
+    http::client& transport_;
+    client_settings settings_;
+    std::shared_ptr<const store_protocol> protocol_;
+    call_counts counts_;
+};
+
+} // namespace ej::platform
--- /dev/null
+++ b/libs/platform/include/platform/store_protocol.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <platform/granted_lease.h>
+#include <platform/lease_id.h>
+#include <platform/store_listing.h>
+#include <platform/store_write.h>
+
+#include <http/request.h>
+#include <http/response.h>
+
+#include <core/revision.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace ej::platform {
+
+/// Encodes the calls to a key-value store and decodes its answers. Stateless and thread-safe.
+/// Errors of the decoders: Internal for an answer that makes no sense, Unavailable for one that
+/// says that nothing was done, and those named below.
+class store_protocol {
+public:
+    store_protocol() = default;
+    virtual ~store_protocol() = default;
+    store_protocol(const store_protocol&) = delete;
+    store_protocol& operator=(const store_protocol&) = delete;
+    store_protocol(store_protocol&&) = delete;
+    store_protocol& operator=(store_protocol&&) = delete;
+
+    /// The keys that begin with `prefix`, behind the key `after`.
+    [[nodiscard]] virtual http::request scan(const std::string& prefix,
+                                             const std::string& after) const = 0;
+    [[nodiscard]] virtual absl::StatusOr<store_listing>
+    scan_answer(const http::response& answer) const = 0;
+
+    /// The changes to such keys later than `after`; waits up to `wait` for the first one.
+    [[nodiscard]] virtual http::request follow(const std::string& prefix, core::revision after,
+                                               std::chrono::milliseconds wait) const = 0;
+    /// Error: OutOfRange when the store no longer has these changes.
+    [[nodiscard]] virtual absl::StatusOr<store_listing>
+    follow_answer(const http::response& answer) const = 0;
+
+    /// All of `writes` or none; the revision that they got.
+    [[nodiscard]] virtual http::request commit(const std::vector<store_write>& writes) const = 0;
+    /// Errors: Aborted when a condition does not hold, NotFound when the lease has ended.
+    [[nodiscard]] virtual absl::StatusOr<core::revision>
+    commit_answer(const http::response& answer) const = 0;
+
+    /// A new lease.
+    [[nodiscard]] virtual http::request grant(std::chrono::milliseconds time_to_live) const = 0;
+    [[nodiscard]] virtual absl::StatusOr<granted_lease>
+    grant_answer(const http::response& answer) const = 0;
+
+    /// Renews a lease.
+    [[nodiscard]] virtual http::request keep(const lease_id& lease) const = 0;
+    /// Error: NotFound when it has ended.
+    [[nodiscard]] virtual absl::Status keep_answer(const http::response& answer) const = 0;
+};
+
+} // namespace ej::platform
--- /dev/null
+++ b/libs/platform/include/platform/store_write.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <platform/lease_id.h>
+
+#include <core/revision.h>
+
+#include <compare>
+#include <optional>
+#include <string>
+
+namespace ej::platform {
+
+/// A key to be written or removed.
+struct store_write {
+    std::string key;
+    std::optional<std::string> value;          ///< Unset: the key is removed.
+    lease_id lease;                            ///< Empty: the key stays until it is removed.
+    std::optional<core::revision> if_revision; ///< Only if the key has it; 0: is absent.
+
+    friend auto operator<=>(const store_write&, const store_write&) = default;
+};
+
+} // namespace ej::platform
--- /dev/null
+++ b/libs/platform/src/store.cpp
@@ -0,0 +1,111 @@
+#include <utility>
+
+#include <platform/store.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace ej::platform {
+
+namespace asio = boost::asio;
+
+store::store(http::client& transport, client_settings settings,
+             std::shared_ptr<const store_protocol> protocol)
+    : transport_(transport), settings_(std::move(settings)), protocol_(std::move(protocol))
+{
+}
+
+asio::awaitable<absl::StatusOr<http::response>> store::call(call_kind kind, http::request what,
+                                                            core::duration deadline)
+{
+    counts_.begin(kind);
+    http::call_options options;
+    options.deadline = deadline;
+    options.connect_timeout = settings_.deadline;
+    options.max_body_bytes = max_answer_bytes;
+    absl::StatusOr<http::response> answer =
+        co_await transport_.fetch(settings_.platform, std::move(what), options);
+    if (!answer.ok()) {
+        counts_.fail(kind);
+    }
+    co_return answer;
+}
+
+asio::awaitable<absl::StatusOr<store_listing>> store::scan(std::string prefix)
+{
+    store_listing all;
+    std::string after;
+    for (bool first = true;; first = false) {
+        http::request what = protocol_->scan(prefix, after);
+        const auto answer = co_await call(call_kind::list, std::move(what), settings_.deadline);
+        if (!answer.ok()) {
+            co_return answer.status();
+        }
+        auto page = protocol_->scan_answer(*answer);
+        if (!page.ok()) {
+            counts_.fail(call_kind::list);
+            co_return page.status();
+        }
+        if (first) {
+            all.as_of = page->as_of;
+        }
+        const bool more = page->more && !page->items.empty();
+        std::ranges::move(page->items, std::back_inserter(all.items));
+        if (!more) {
+            co_return all;
+        }
+        after = all.items.back().key;
+    }
+}
+
+asio::awaitable<absl::StatusOr<store_listing>>
+store::follow(std::string prefix, core::revision after, std::chrono::milliseconds wait)
+{
+    http::request what = protocol_->follow(prefix, after, wait);
+    const core::duration deadline = settings_.deadline + wait;
+    const auto answer = co_await call(call_kind::watch, std::move(what), deadline);
+    if (!answer.ok()) {
+        co_return answer.status();
+    }
+    auto changes = protocol_->follow_answer(*answer);
+    if (!changes.ok()) {
+        counts_.fail(call_kind::watch);
+    }
+    co_return changes;
+}
+
+asio::awaitable<absl::StatusOr<core::revision>> store::commit(std::vector<store_write> writes)
+{
+    http::request what = protocol_->commit(writes);
+    const auto answer = co_await call(call_kind::write, std::move(what), settings_.deadline);
+    if (!answer.ok()) {
+        co_return answer.status();
+    }
+    auto revision = protocol_->commit_answer(*answer);
+    if (!revision.ok()) {
+        counts_.fail(call_kind::write);
+    }
+    co_return revision;
+}
+
+asio::awaitable<absl::StatusOr<granted_lease>> store::grant(std::chrono::milliseconds time_to_live)
+{
+    http::request what = protocol_->grant(time_to_live);
+    const auto answer = co_await call(call_kind::lease, std::move(what), settings_.deadline);
+    if (!answer.ok()) {
+        co_return answer.status();
+    }
+    co_return protocol_->grant_answer(*answer);
+}
+
+asio::awaitable<absl::Status> store::keep(lease_id lease)
+{
+    http::request what = protocol_->keep(lease);
+    const auto answer = co_await call(call_kind::lease, std::move(what), settings_.deadline);
+    if (!answer.ok()) {
+        co_return answer.status();
+    }
+    co_return protocol_->keep_answer(*answer);
+}
+
+} // namespace ej::platform
--- a/libs/runtime/src/action_driver.cpp
+++ b/libs/runtime/src/action_driver.cpp
@@ -3,7 +3,7 @@
 #include "action_driver.h"
 
 #include "action_attempt.h"
-#include "pause_for.h"
+#include <http/pause_for.h>
 
 #include <algorithm>
 #include <array>
@@ -71,7 +71,7 @@
 asio::awaitable<void> action_driver::tick(std::shared_ptr<action_driver> self)
 {
     for (;;) {
-        co_await pause_for(actions::tick_interval);
+        co_await http::pause_for(actions::tick_interval);
         self->clock_.update([](const actions::arrival_clock& clock) {
             return actions::ticked(clock, now(), wall_now());
         });
--- a/libs/runtime/src/claim_driver.cpp
+++ b/libs/runtime/src/claim_driver.cpp
@@ -2,7 +2,7 @@
 
 #include "claim_driver.h"
 
-#include "pause_for.h"
+#include <http/pause_for.h>
 
 #include <array>
 #include <chrono>
@@ -53,7 +53,7 @@
 {
     const auto turn = [](std::shared_ptr<claim_driver> self, bucket_number due,
                          core::duration wait) -> asio::awaitable<void> {
-        co_await pause_for(wait);
+        co_await http::pause_for(wait);
         actions::lane_event event;
         event.kind = actions::lane_event_kind::turn_came;
         self->apply(due, std::move(event));
--- a/libs/runtime/src/config_submitter.cpp
+++ b/libs/runtime/src/config_submitter.cpp
@@ -2,7 +2,7 @@
 
 #include "config_submitter.h"
 
-#include "pause_for.h"
+#include <http/pause_for.h>
 
 #include <config/catch_up.h>
 
@@ -87,7 +87,7 @@
 asio::awaitable<config::submission_event> config_submitter::read_log(core::duration delay)
 {
     if (delay > core::duration::zero()) {
-        co_await pause_for(delay);
+        co_await http::pause_for(delay);
     }
     co_return read_event(co_await store_.read_tail());
 }
--- a/libs/runtime/src/daemon_parts.cpp
+++ b/libs/runtime/src/daemon_parts.cpp
@@ -3,8 +3,8 @@
 #include "endpoint_adoption.h"
 #include "idempotent_runner.h"
 #include "member_action_forwarder.h"
-#include "pause_for.h"
 #include "platform_claim_store.h"
+#include <http/pause_for.h>
 
 #include <limits/shares.h>
 #include <routing/load_report.h>
@@ -139,7 +139,7 @@
             members_.members(), std::back_inserter(known),
             [](const membership::member_entry& one) { return config::member{one.vm, one.domain}; });
         config_.link().set_members(std::move(known));
-        co_await pause_for(members_interval);
+        co_await http::pause_for(members_interval);
     }
 }
 
--- a/libs/runtime/src/member_watch.cpp
+++ b/libs/runtime/src/member_watch.cpp
@@ -2,7 +2,7 @@
 
 #include "member_watch.h"
 
-#include "pause_for.h"
+#include <http/pause_for.h>
 
 #include <logging/log.h>
 #include <membership/list_pacing.h>
@@ -42,7 +42,8 @@
 asio::awaitable<void> member_watch::keep_time()
 {
     for (;;) {
-        co_await pause_for(std::max(members_.next_wake() - clock_now(), core::duration::zero()));
+        co_await http::pause_for(
+            std::max(members_.next_wake() - clock_now(), core::duration::zero()));
         members_.tick();
     }
 }
@@ -63,7 +64,7 @@
                              {{"error", listed.status().ToString()}});
             }
         }
-        co_await pause_for(interval);
+        co_await http::pause_for(interval);
     }
 }
 
@@ -73,7 +74,7 @@
         for (auto& endpoint : members_.watched()) {
             asio::co_spawn(executor_, ask_load(std::move(endpoint)), asio::detached);
         }
-        co_await pause_for(report_interval_);
+        co_await http::pause_for(report_interval_);
     }
 }
 
--- a/libs/runtime/src/target_watch.cpp
+++ b/libs/runtime/src/target_watch.cpp
@@ -2,7 +2,7 @@
 
 #include "target_watch.h"
 
-#include "pause_for.h"
+#include <http/pause_for.h>
 
 #include <logging/log.h>
 
@@ -34,7 +34,7 @@
     for (;;) {
         const auto reports = shared_->gate.reports();
         std::ranges::for_each(reports, [this](const admission::target_report& one) { show(one); });
-        co_await pause_for(interval);
+        co_await http::pause_for(interval);
     }
 }
 
--- a/libs/runtime/tests/member_service_test.cpp
+++ b/libs/runtime/tests/member_service_test.cpp
@@ -1,7 +1,7 @@
 #include "asio.h"
 
 #include "member_service.h"
-#include "pause_for.h"
+#include <http/pause_for.h>
 
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_future.hpp>
@@ -87,7 +87,7 @@
         for (auto* one : services) {
             one->tick();
         }
-        co_await pause_for(std::chrono::milliseconds(50));
+        co_await http::pause_for(std::chrono::milliseconds(50));
     }
 }
 
