--- a/endivejunction/src/parse_forward_settings.cpp
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -46,6 +46,8 @@
     add("listen", with_default("127.0.0.1:8080"), "HOST:PORT for callers; port 0: any");
     add("ready-listen", with_default("127.0.0.1:8081"),
         "HOST:PORT for the balancer and for metrics (/metrics); port 0: any");
+    add("peer-listen", with_default("127.0.0.1:8082"),
+        "HOST:PORT for datagrams of the other daemons");
     add("ready-path", with_default("/ready"), "path of the balancer's question");
     add("store", text(), "HOST:PORT of the platform's store");
     add("store-deadline-ms", ms(1'000), "longest time of a call to the store");
@@ -98,6 +100,7 @@
     front.domain = core::failure_domain_id(read.text("failure-domain"));
     front.listen = read.address("listen");
     front.ready_listen = read.address("ready-listen");
+    front.peer_listen = read.address("peer-listen");
     front.ready_path = read.text("ready-path");
     front.store = read.address("store");
     front.store_deadline = read.milliseconds("store-deadline-ms", max_interval_ms);
--- /dev/null
+++ b/libs/forwarding/include/forwarding/load_share.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <core/endpoint_id.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace ej::forwarding {
+
+/// One daemon's part of an endpoint's load.
+struct load_share {
+    core::endpoint_id endpoint;
+    std::uint32_t in_flight = 0;     ///< Requests that the daemon has there.
+    std::uint64_t tokens_unread = 0; ///< Prompt tokens of those without output yet.
+
+    friend auto operator<=>(const load_share&, const load_share&) = default;
+};
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/include/forwarding/peer_loads.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <forwarding/load_message.h>
+#include <forwarding/load_share.h>
+
+#include <core/endpoint_id.h>
+#include <core/instant.h>
+#include <core/vm_id.h>
+
+#include <chrono>
+#include <mutex>
+#include <unordered_map>
+
+namespace ej::forwarding {
+
+/// The loads that other daemons have told, summed by endpoint. Thread-safe: one lock, since every
+/// message and every choice touches most endpoints.
+class peer_loads {
+public:
+    /// A daemon that was not heard for so long counts as gone: three of its regular messages.
+    static constexpr core::duration validity = std::chrono::milliseconds(3'000);
+
+    /// Applies a message; older ones than the last of the same run are skipped.
+    void apply(const load_message& message, core::instant now);
+
+    /// Drops the loads of daemons that were not heard any more.
+    void expire(core::instant now);
+
+    /// The load of all other daemons at `endpoint`.
+    [[nodiscard]] load_share at(const core::endpoint_id& endpoint) const;
+
+private:
+    struct peer {
+        std::uint64_t start = 0;
+        std::uint64_t number = 0;
+        core::instant heard{};
+        std::unordered_map<core::endpoint_id, load_share> shares;
+    };
+
+    void set(peer& from, const load_share& share);
+    void clear(peer& from);
+
+    mutable std::mutex mutex_;
+    std::unordered_map<core::vm_id, peer> peers_;
+    std::unordered_map<core::endpoint_id, load_share> sums_;
+};
+
+} // namespace ej::forwarding
--- a/libs/forwarding/include/forwarding/standings.h
+++ b/libs/forwarding/include/forwarding/standings.h
@@ -2,7 +2,10 @@
 
 #include <forwarding/attempt_end.h>
 #include <forwarding/endpoint_standing.h>
+#include <forwarding/load_message.h>
 #include <forwarding/load_report.h>
+#include <forwarding/load_share.h>
+#include <forwarding/peer_loads.h>
 
 #include <concurrency/sharded.h>
 #include <core/endpoint_id.h>
@@ -10,6 +13,7 @@
 
 #include <cstdint>
 #include <set>
+#include <vector>
 
 namespace ej::forwarding {
 
@@ -37,6 +41,18 @@
     /// An event took `ratio` of its usual time.
     void paced(const core::endpoint_id& name, double ratio);
 
+    /// Another daemon told its load.
+    void hear(const load_message& message, core::instant now) { others_.apply(message, now); }
+
+    /// Forgets the loads of daemons that fell silent.
+    void expire(core::instant now) { others_.expire(now); }
+
+    /// This daemon's part of the load at `name`.
+    [[nodiscard]] load_share own_share(const core::endpoint_id& name);
+
+    /// This daemon's parts of all loads.
+    [[nodiscard]] std::vector<load_share> own_shares();
+
     /// What is known; the initial standing for an unknown endpoint.
     [[nodiscard]] endpoint_standing of(const core::endpoint_id& name);
 
@@ -45,6 +61,7 @@
 
 private:
     concurrency::sharded<core::endpoint_id, endpoint_standing> entries_;
+    peer_loads others_;
 };
 
 } // namespace ej::forwarding
--- a/libs/forwarding/src/endpoint_choices.cpp
+++ b/libs/forwarding/src/endpoint_choices.cpp
@@ -23,11 +23,12 @@
 /// Requests at the endpoint of all daemons, as far as this one can know.
 double requests_at(const endpoint_standing& known, core::instant now)
 {
+    const double told = double(known.in_flight) + double(known.others_in_flight);
     if (known.reported_at == core::instant{} || now - known.reported_at > report_validity) {
-        return known.in_flight;
+        return told;
     }
     const double since = double(known.in_flight) - double(known.in_flight_then);
-    return std::max(double(known.in_flight), double(known.reported) + since);
+    return std::max(told, double(known.reported) + since);
 }
 
 /// The candidate with the lowest score; endpoints to be avoided come after all others.
@@ -81,7 +82,8 @@
                                                     core::instant now) const override
     {
         return lowest(from, turn, now, [&](const candidate& one) {
-            const auto unread = double(one.standing.tokens_unread + size.prompt_tokens);
+            const auto unread = double(one.standing.tokens_unread +
+                                       one.standing.others_tokens_unread + size.prompt_tokens);
             const double busy =
                 ms_per_prompt_token * unread + ms_per_running * requests_at(one.standing, now);
             return one.standing.slowness * busy + (one.local ? 0 : ms_remote);
--- a/libs/forwarding/src/standings.cpp
+++ b/libs/forwarding/src/standings.cpp
@@ -106,12 +106,39 @@
     });
 }
 
-endpoint_standing standings::of(const core::endpoint_id& name)
+load_share standings::own_share(const core::endpoint_id& name)
 {
     return entries_.with(name, [&](auto& entries) {
+        const auto found = entries.find(name);
+        return found == entries.end()
+                   ? load_share{name, 0, 0}
+                   : load_share{name, found->second.in_flight, found->second.tokens_unread};
+    });
+}
+
+std::vector<load_share> standings::own_shares()
+{
+    std::vector<load_share> shares;
+    entries_.for_each_shard([&](const auto& entries) {
+        for (const auto& [name, known] : entries) {
+            if (known.in_flight > 0) {
+                shares.push_back({name, known.in_flight, known.tokens_unread});
+            }
+        }
+    });
+    return shares;
+}
+
+endpoint_standing standings::of(const core::endpoint_id& name)
+{
+    auto known = entries_.with(name, [&](auto& entries) {
         const auto found = entries.find(name);
         return found == entries.end() ? endpoint_standing{} : found->second;
     });
+    const auto others = others_.at(name);
+    known.others_in_flight = others.in_flight;
+    known.others_tokens_unread = others.tokens_unread;
+    return known;
 }
 
 void standings::retain(const std::set<core::endpoint_id>& known)
--- a/libs/front/include/front/front_settings.h
+++ b/libs/front/include/front/front_settings.h
@@ -22,6 +22,7 @@
     core::failure_domain_id domain;
     core::address listen;       ///< For callers.
     core::address ready_listen; ///< For the balancer's question and for metrics.
+    core::address peer_listen;  ///< For datagrams of the other daemons.
     std::string ready_path = "/ready";
     core::address store;
     core::duration store_deadline = std::chrono::seconds(1); ///< Of a call to the store; > 0.
--- a/libs/front/src/caller_listener.cpp
+++ b/libs/front/src/caller_listener.cpp
@@ -49,11 +49,20 @@
     asio::post(lanes_.front()->loop(), [this] { accept(); });
 }
 
+void caller_listener::stop()
+{
+    asio::post(lanes_.front()->loop(), [this] {
+        error_code ignored; // The process is about to end.
+        acceptor_.close(ignored);
+        pause_.cancel();
+    });
+}
+
 void caller_listener::accept()
 {
     lane& next = *lanes_[turn_++ % lanes_.size()];
     acceptor_.async_accept(next.loop(), [this, &next](const error_code& error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
+        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
             return;
         }
         if (!error) {
--- a/libs/front/src/caller_listener.h
+++ b/libs/front/src/caller_listener.h
@@ -24,6 +24,9 @@
     /// Begins to accept.
     void start();
 
+    /// Accepts no more; called from any thread.
+    void stop();
+
     /// The bound address.
     [[nodiscard]] core::address local() const { return local_; }
 
--- a/libs/front/src/forwarded_call.cpp
+++ b/libs/front/src/forwarded_call.cpp
@@ -139,8 +139,10 @@
         setting_.pool, endpoint, setting_.context.headers.request_id, request_id_);
     tried_.insert(endpoint.name);
     ++progress_.sends;
+    tokens_unread_ = size_.prompt_tokens;
     last_endpoint_ = endpoint.name.text();
     setting_.context.standing.begin(endpoint.name, size_.prompt_tokens);
+    tell_load(endpoint.name);
     counted_.insert(attempt.get());
     attempt->start(weak_from_this(), encode(request_, head, setting_.context.headers),
                    request_.message.method == "HEAD", connect_timeout);
@@ -150,7 +152,16 @@
 void forwarded_call::settle(upstream_attempt& attempt)
 {
     if (counted_.erase(&attempt) > 0) {
-        setting_.context.standing.end(attempt.endpoint().name, size_.prompt_tokens);
+        setting_.context.standing.end(attempt.endpoint().name, tokens_unread_);
+        tell_load(attempt.endpoint().name);
+    }
+}
+
+void forwarded_call::tell_load(const core::endpoint_id& endpoint) const
+{
+    // Plain calls are over before another daemon could make use of the news.
+    if (setting_.by.kind == core::work_kind::generation) {
+        setting_.context.load_changed(endpoint);
     }
 }
 
--- a/libs/front/src/forwarded_call.h
+++ b/libs/front/src/forwarded_call.h
@@ -72,6 +72,9 @@
     attempt_ptr attempt_at(const core::endpoint& endpoint, request_head head,
                            core::duration connect_timeout);
 
+    /// Tells the other daemons this one's load at an engine.
+    void tell_load(const core::endpoint_id& endpoint) const;
+
     /// The attempt is over: its load is no longer counted.
     void settle(upstream_attempt& attempt);
 
@@ -115,6 +118,7 @@
     core::service_id service_;
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
+    std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
 
 private:
     [[nodiscard]] core::service_id draw_service() const;
--- a/libs/front/src/front_context.h
+++ b/libs/front/src/front_context.h
@@ -10,12 +10,16 @@
 #include <forwarding/standings.h>
 
 #include <concurrency/snapshot.h>
+#include <core/address.h>
+#include <core/endpoint_id.h>
 #include <metrics/registry.h>
 
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace ej::front {
 
@@ -36,6 +40,10 @@
     forwarding::standings standing;
     forwarding::send_budget budget;
     metrics::registry metrics;
+    /// Where the other daemons hear of this one's load.
+    concurrency::snapshot<std::vector<core::address>> peers{std::vector<core::address>()};
+    /// Called on any thread when this daemon's load at an engine changes; set before the lanes run.
+    std::function<void(const core::endpoint_id&)> load_changed = [](const core::endpoint_id&) {};
     std::atomic<std::size_t> daemons{1};      ///< Daemons that share the budget, this one included.
     std::atomic<std::uint64_t> turn{0};       ///< Choices made; spreads equal endpoints.
     std::atomic<std::size_t> calls_open{0};   ///< Requests that have no final answer yet.
--- a/libs/front/src/front_daemon.cpp
+++ b/libs/front/src/front_daemon.cpp
@@ -6,6 +6,7 @@
 #include "daemon_entry.h"
 #include "front_context.h"
 #include "lane.h"
+#include "load_link.h"
 #include "ready_api.h"
 #include "store_follower.h"
 
@@ -29,7 +30,7 @@
 
 // The balancer asks once a second and takes a daemon out after two misses.
 constexpr milliseconds time_to_be_noticed{2'300};
-// Between two looks at the open requests while leaving.
+// Between two looks at the open requests while leaving, and for the last answers to leave.
 constexpr milliseconds leave_interval{50};
 // Before the end of the grace, when the process would be killed.
 constexpr milliseconds grace_margin{400};
@@ -47,8 +48,9 @@
           transport(loop.get_executor()),
           store(transport, store_settings(context.settings), where.protocol),
           follower(context, store, *where.layout), entry(context, store, *where.layout),
-          ready(context, store.counts())
+          ready(context, store.counts()), loads(context, loop)
     {
+        context.load_changed = [this](const core::endpoint_id& one) { loads.changed(one); };
         std::generate_n(std::back_inserter(lanes), context.settings.lanes,
                         [this] { return std::make_unique<lane>(context); });
         listener = std::make_unique<caller_listener>(lanes);
@@ -74,6 +76,7 @@
     store_follower follower;
     daemon_entry entry;
     ready_api ready;
+    load_link loads;
     std::vector<std::unique_ptr<lane>> lanes;
     std::unique_ptr<caller_listener> listener;
     std::thread thread;
@@ -92,9 +95,13 @@
     if (status.ok()) {
         status = made->ready.start(made->loop.get_executor(), chosen.ready_listen);
     }
+    if (status.ok()) {
+        status = made->loads.open(chosen.peer_listen);
+    }
     if (!status.ok()) {
         return status;
     }
+    made->loads.start();
     asio::co_spawn(
         made->loop, [&follower = made->follower] { return follower.run(); }, asio::detached);
     asio::co_spawn(made->loop, [&entry = made->entry] { return entry.run(); }, asio::detached);
@@ -118,15 +125,21 @@
     const auto earliest = began + time_to_be_noticed;
     asio::io_context waiting;
     asio::steady_timer timer(waiting);
-    for (auto now = began; now < last && (now < earliest || context.calls_open > 0);
-         now = core::instant::clock::now()) {
-        timer.expires_after(leave_interval);
-        timer.wait();
-    }
+    const auto wait_until = [&](core::instant end, const auto& done) {
+        while (core::instant::clock::now() < end && !done()) {
+            timer.expires_after(leave_interval);
+            timer.wait();
+        }
+    };
+    wait_until(earliest, [] { return false; });
+    // No more requests: callers go to the daemons that the balancer has in rotation.
+    parts_->listener->stop();
+    std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
+    wait_until(last, [&] { return context.calls_open == 0; });
     logging::log(logging::level::info, "left",
                  {{"calls_open", std::to_string(context.calls_open)},
                   {"callers_open", std::to_string(context.callers_open)}});
-    std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
+    // The last answers leave.
     timer.expires_after(leave_interval);
     timer.wait();
 }
--- /dev/null
+++ b/libs/front/src/load_link.cpp
@@ -0,0 +1,158 @@
+#include "load_link.h"
+
+#include "load_codec.h"
+
+#include <logging/log.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <span>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Changes of this time go out together; short against the time to read a prompt (about 1 s).
+constexpr milliseconds gather{4};
+// Between two messages with the whole load.
+constexpr milliseconds regular{1'000};
+// Shares in one datagram: about 40 bytes each.
+constexpr std::size_t shares_per_datagram = 30;
+
+core::instant now()
+{
+    return core::instant::clock::now();
+}
+
+} // namespace
+
+load_link::load_link(front_context& context, asio::io_context& loop)
+    : context_(context), loop_(loop), socket_(loop), change_timer_(loop), regular_timer_(loop)
+{
+}
+
+absl::Status load_link::open(const core::address& where)
+{
+    error_code error;
+    const auto number = asio::ip::make_address(where.host, error);
+    const udp::endpoint endpoint(number, where.port);
+    if (!error) {
+        socket_.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+        socket_.bind(endpoint, error);
+    }
+    if (!error) {
+        socket_.non_blocking(true, error);
+    }
+    if (error) {
+        return absl::UnavailableError("bind " + core::to_string(where) + ": " + error.message());
+    }
+    return absl::OkStatus();
+}
+
+void load_link::start()
+{
+    start_ = static_cast<std::uint64_t>(
+        std::chrono::system_clock::now().time_since_epoch().count());
+    receive();
+    tell_all();
+}
+
+void load_link::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(received_), sender_, [this](const error_code& error, std::size_t count) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            // Any other error concerns a datagram that was sent to a daemon that has gone.
+            if (!error) {
+                const auto message = decode_load(std::span(received_).first(count));
+                if (message.ok()) {
+                    context_.standing.hear(*message, now());
+                }
+                else {
+                    context_.metrics.count("load_messages_unreadable_total", {});
+                }
+            }
+            receive();
+        });
+}
+
+void load_link::changed(const core::endpoint_id& endpoint)
+{
+    const std::scoped_lock lock(mutex_);
+    const bool first = changes_.empty();
+    changes_.insert(endpoint);
+    if (first) {
+        asio::post(loop_, [this] {
+            change_timer_.expires_after(gather);
+            change_timer_.async_wait([this](const error_code& error) {
+                if (!error) {
+                    tell_changes();
+                }
+            });
+        });
+    }
+}
+
+void load_link::tell_changes()
+{
+    std::set<core::endpoint_id> changes;
+    {
+        const std::scoped_lock lock(mutex_);
+        changes.swap(changes_);
+    }
+    std::vector<forwarding::load_share> shares;
+    std::ranges::transform(
+        changes, std::back_inserter(shares),
+        [this](const core::endpoint_id& one) { return context_.standing.own_share(one); });
+    send(std::move(shares), false);
+}
+
+void load_link::tell_all()
+{
+    context_.standing.expire(now());
+    send(context_.standing.own_shares(), true);
+    regular_timer_.expires_after(regular);
+    regular_timer_.async_wait([this](const error_code& error) {
+        if (!error) {
+            tell_all();
+        }
+    });
+}
+
+void load_link::send(std::vector<forwarding::load_share> shares, bool whole)
+{
+    const auto peers = context_.peers.load();
+    if (peers->empty()) {
+        return;
+    }
+    std::size_t begin = 0;
+    do {
+        const auto count = std::min(shares.size() - begin, shares_per_datagram);
+        const auto first = shares.begin() + static_cast<std::ptrdiff_t>(begin);
+        const forwarding::load_message message{
+            context_.settings.vm, start_, ++number_, whole && begin == 0,
+            {first, first + static_cast<std::ptrdiff_t>(count)}};
+        const auto bytes = encode(message);
+        for (const core::address& peer : *peers) {
+            error_code error;
+            const auto host = asio::ip::make_address(peer.host, error);
+            if (!error) {
+                socket_.send_to(asio::buffer(bytes), udp::endpoint(host, peer.port), 0, error);
+            }
+            if (error) {
+                context_.metrics.count("load_messages_unsent_total", {});
+            }
+        }
+        begin += count;
+    } while (begin < shares.size());
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/front/src/load_link.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "front_context.h"
+#include "net.h"
+
+#include <core/address.h>
+#include <core/endpoint_id.h>
+
+#include <absl/status/status.h>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace ej::front {
+
+/// Tells the other daemons this one's load at engines and hears theirs, by datagrams: a lost one is
+/// made good by the next regular message. `changed` is thread-safe, the rest runs on the loop.
+class load_link {
+public:
+    /// Both outlive the link.
+    load_link(front_context& context, asio::io_context& loop);
+
+    /// Binds `where`. Error: Unavailable.
+    absl::Status open(const core::address& where);
+
+    /// Begins to send and to receive.
+    void start();
+
+    /// This daemon's load at `endpoint` is another one.
+    void changed(const core::endpoint_id& endpoint);
+
+private:
+    using udp = asio::ip::udp;
+
+
+    void receive();
+    void tell_changes();
+    void tell_all();
+    void send(std::vector<forwarding::load_share> shares, bool whole);
+
+    front_context& context_;
+    asio::io_context& loop_;
+    udp::socket socket_;
+    udp::endpoint sender_;
+    std::array<std::uint8_t, 65'536> received_{};
+    asio::steady_timer change_timer_;
+    asio::steady_timer regular_timer_;
+    std::uint64_t start_ = 0;
+    std::uint64_t number_ = 0;
+    std::mutex mutex_;
+    std::set<core::endpoint_id> changes_; // Under mutex_.
+};
+
+} // namespace ej::front
--- a/libs/front/src/store_follower.cpp
+++ b/libs/front/src/store_follower.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace ej::front {
 
@@ -65,6 +67,7 @@
     }
     std::set<core::endpoint_id> present;
     daemons_.clear();
+    peers_changed_ = true;
     for (const platform::store_item& item : listing->items) {
         apply(item);
         if (auto name = layout_.endpoint_of(item.key)) {
@@ -105,14 +108,21 @@
         apply_endpoint(*name, item);
     }
     else if (item.key.starts_with(layout_.daemons_prefix())) {
-        if (item.value) {
-            daemons_.insert(item.key);
-        }
-        else {
-            daemons_.erase(item.key);
-        }
-        context_.daemons = std::max<std::size_t>(daemons_.size(), 1);
+        apply_daemon(item);
+    }
+}
+
+void store_follower::apply_daemon(const platform::store_item& item)
+{
+    const bool own = item.key == layout_.daemons_prefix() + context_.settings.vm.text();
+    const auto where = item.value && !own ? core::parse_address(*item.value) : std::nullopt;
+    if (where) {
+        daemons_[item.key] = *where;
     }
+    else {
+        daemons_.erase(item.key);
+    }
+    peers_changed_ = true;
 }
 
 void store_follower::apply_rules(const std::string& value)
@@ -195,6 +205,13 @@
 
 void store_follower::publish()
 {
+    if (std::exchange(peers_changed_, false)) {
+        std::vector<core::address> peers;
+        std::ranges::transform(daemons_, std::back_inserter(peers),
+                               [](const auto& one) { return one.second; });
+        context_.daemons = peers.size() + 1;
+        context_.peers.store(std::move(peers));
+    }
     changed_ = log_.expire(now()) || changed_;
     if (!std::exchange(changed_, false)) {
         return;
--- a/libs/front/src/store_follower.h
+++ b/libs/front/src/store_follower.h
@@ -10,12 +10,15 @@
 #include <platform/store.h>
 #include <platform/store_listing.h>
 
+#include <core/address.h>
 #include <core/revision.h>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <map>
 #include <set>
+#include <string>
 
 namespace ej::front {
 
@@ -35,6 +38,7 @@
     void apply(const platform::store_item& item);
     void apply_rules(const std::string& value);
     void apply_endpoint(const core::endpoint_id& name, const platform::store_item& item);
+    void apply_daemon(const platform::store_item& item);
     void note_answer(const absl::Status& status);
     void publish();
 
@@ -42,10 +46,11 @@
     platform::store& store_;
     const store_layout& layout_;
     forwarding::fleet_log log_;
-    std::set<std::string> daemons_;
+    std::map<std::string, core::address> daemons_; // Where the others hear, by their keys.
     core::revision as_of_;
     bool listed_ = false; // False: the whole listing has to be read.
-    bool changed_ = false;
+    bool changed_ = false;       // The endpoints.
+    bool peers_changed_ = false;
     bool away_ = false;
 };
 
--- a/libs/front/src/stream_call.cpp
+++ b/libs/front/src/stream_call.cpp
@@ -173,7 +173,9 @@
         return;
     }
     if (!std::exchange(flowing_, true)) {
-        setting_.context.standing.first_output(attempt.endpoint().name, size_.prompt_tokens);
+        setting_.context.standing.first_output(attempt.endpoint().name,
+                                               std::exchange(tokens_unread_, 0));
+        tell_load(attempt.endpoint().name);
         setting_.context.standing.succeeded(attempt.endpoint().name);
     }
     const auto to = sink();
@@ -226,8 +228,8 @@
     }
     lost->cancel();
     note_end(*lost, end, detail);
-    if (from_copy_ || !forwarding::may_have_run(end)) {
-        // The holder has no copy, or failed with it: the prompt is read anew from here on.
+    if (from_copy_ || !flowing_) {
+        // There is no copy, or its holder failed with it: the prompt is read anew from here on.
         copy_at_.reset();
     }
     const auto step = decide(end);
