--- a/libs/forwarding/src/standings.cpp
+++ b/libs/forwarding/src/standings.cpp
@@ -18,16 +18,17 @@
     milliseconds longest;
 };
 
-// By attempt_end. Crashed endpoints are usually back after one to several seconds; a single failed
-// answer says little, since applications fail a part of their requests by themselves.
+// By attempt_end. A crashed endpoint is mostly back under another name after one to several seconds,
+// and its old entry goes soon after; a single failed answer says little, since applications fail a
+// part of their requests by themselves.
 constexpr std::array<avoidance, attempt_end_count> avoidances{{
-    {0, milliseconds(300), milliseconds(2'400)},   // not_sent
+    {0, milliseconds(1'000), milliseconds(4'000)}, // not_sent
     {0, milliseconds(100), milliseconds(400)},     // not_executed
-    {0, milliseconds(1'000), milliseconds(4'000)}, // misdirected
+    {0, milliseconds(4'000), milliseconds(4'000)}, // misdirected
     {2, milliseconds(500), milliseconds(2'000)},   // failed
     {2, milliseconds(500), milliseconds(2'000)},   // spoiled
-    {0, milliseconds(300), milliseconds(2'400)},   // broken
-    {0, milliseconds(500), milliseconds(4'000)},   // silent
+    {0, milliseconds(600), milliseconds(2'400)},   // broken
+    {0, milliseconds(1'000), milliseconds(4'000)}, // silent
 }};
 
 constexpr std::uint32_t max_doublings = 6;
--- a/libs/front/src/caller_connection.cpp
+++ b/libs/front/src/caller_connection.cpp
@@ -352,7 +352,7 @@
 void caller_connection::answered()
 {
     call_.reset();
-    if (!keep_alive_) {
+    if (!keep_alive_ || context_.leaving) {
         linger();
         return;
     }
