Attempts without a connection are not charged to the budget nor counted as sends

Cause: natal, cut off, refused calls with sends=1 since failed connects had used up its share of the budget; streams gave up after nine refused connects within 40 ms.

--- a/libs/forwarding/include/forwarding/call_progress.h
+++ b/libs/forwarding/include/forwarding/call_progress.h
@@ -9,7 +9,8 @@
 
 /// What has become of a request so far.
 struct call_progress {
-    std::uint32_t sends = 0;   ///< Attempts begun.
+    std::uint32_t sends = 0;   ///< Attempts that reached, or may have reached, an endpoint.
+    std::uint32_t unsent = 0;  ///< Attempts that found no connection.
     std::uint32_t runs = 0;    ///< Attempts that may have run at an endpoint that still lives.
     bool may_have_run = false; ///< Some endpoint may have begun to run it.
     bool delivering = false;   ///< The caller has the head of an answer.
--- a/libs/forwarding/src/call_policies.cpp
+++ b/libs/forwarding/src/call_policies.cpp
@@ -10,6 +10,10 @@
 // Sends of one request at most, those that certainly did not run included. More than three
 // endpoints that are full or gone in a row mean that the service is.
 constexpr std::uint32_t max_sends = 4;
+// Attempts without a connection cost endpoints nothing; the bound only ends a search among
+// endpoints that are all out of reach.
+constexpr std::uint32_t max_unsent = 6;
+constexpr std::uint32_t max_unsent_stream = 40;
 
 /// A request that cannot be sent again: told truly whether it may have run.
 next_step give_up(const call_progress& progress)
@@ -17,9 +21,10 @@
     return progress.may_have_run || progress.delivering ? next_step::fail : next_step::refuse;
 }
 
-bool may_send(const call_progress& progress, std::uint32_t most)
+bool may_send(const call_progress& progress, std::uint32_t most, std::uint32_t most_unsent)
 {
-    return !progress.expired && progress.budget_left && progress.sends < most;
+    return !progress.expired && progress.budget_left && progress.sends < most &&
+           progress.unsent < most_unsent;
 }
 
 } // namespace
@@ -30,7 +35,7 @@
     if (end == attempt_end::failed) {
         return next_step::pass_failure;
     }
-    if (!progress.may_have_run && may_send(progress, max_sends)) {
+    if (!progress.may_have_run && may_send(progress, max_sends, max_unsent)) {
         return next_step::send_again;
     }
     return give_up(progress);
@@ -39,7 +44,7 @@
 next_step repeatable_policy::after(attempt_end end, const call_progress& progress,
                                    const route& by) const
 {
-    if (may_send(progress, max_sends) && progress.runs < by.max_attempts) {
+    if (may_send(progress, max_sends, max_unsent) && progress.runs < by.max_attempts) {
         return next_step::send_again;
     }
     return end == attempt_end::failed ? next_step::pass_failure : give_up(progress);
@@ -49,7 +54,7 @@
                                   const route& by) const
 {
     // Engines that crashed do not count as runs, so that sends are bounded by themselves.
-    if (may_send(progress, by.max_attempts + max_sends) && progress.runs < by.max_attempts) {
+    if (may_send(progress, by.max_attempts + max_sends, max_unsent_stream) && progress.runs < by.max_attempts) {
         return next_step::send_again;
     }
     if (end == attempt_end::failed && !progress.delivering) {
--- a/libs/front/src/call_log.cpp
+++ b/libs/front/src/call_log.cpp
@@ -44,6 +44,7 @@
                   {"rules", std::to_string(rules_version.value())},
                   {"endpoint", endpoint},
                   {"sends", std::to_string(progress.sends)},
+                  {"unsent", std::to_string(progress.unsent)},
                   {"runs", std::to_string(progress.runs)},
                   {"took_ms", in_ms(took)}});
 }
--- a/libs/front/src/forwarded_call.cpp
+++ b/libs/front/src/forwarded_call.cpp
@@ -138,7 +138,6 @@
     auto attempt = std::make_shared<upstream_attempt>(
         setting_.pool, endpoint, setting_.context.headers.request_id, request_id_);
     tried_.insert(endpoint.name);
-    ++progress_.sends;
     tokens_unread_ = size_.prompt_tokens;
     last_endpoint_ = endpoint.name.text();
     setting_.context.standing.begin(endpoint.name, size_.prompt_tokens);
@@ -174,6 +173,7 @@
     if (end == attempt_end::misdirected || end == attempt_end::silent) {
         setting_.pool.drop(endpoint.where);
     }
+    ++(attempt.sent() ? progress_.sends : progress_.unsent);
     const bool ran = forwarding::may_have_run(end) && attempt.sent();
     progress_.may_have_run = progress_.may_have_run || ran;
     progress_.runs += ran ? 1 : 0;
@@ -188,7 +188,8 @@
     progress_.budget_left = true;
     auto step = policy.after(end, progress_, setting_.by);
     auto& context = setting_.context;
-    if (step == forwarding::next_step::send_again &&
+    // An attempt without a connection put no load on the service.
+    if (step == forwarding::next_step::send_again && end != attempt_end::not_sent &&
         !context.budget.take(service_, context.daemons, now())) {
         progress_.budget_left = false;
         context.metrics.count("sends_denied_total", {{"reason", "budget"}});
