--- a/libs/front/src/liveness_check.cpp
+++ b/libs/front/src/liveness_check.cpp
@@ -49,12 +49,9 @@
         connection_->socket.set_option(tcp::no_delay(true), ignored);
         connection_->socket.non_blocking(true, ignored);
         connection_->usable_until = core::instant::clock::now() + unused_for;
-        pool_.keep(where_, connection_);
-    }
-    else {
-        error_code ignored; // The connection is given up in any case.
-        connection_->socket.close(ignored);
+        pool_.keep(where_, std::exchange(connection_, nullptr));
     }
+    cancel();
     told(alive);
 }
 
@@ -64,8 +61,10 @@
     if (timer_ != nullptr) {
         timer_->stop();
     }
-    error_code ignored; // The connection is given up in any case.
-    connection_->socket.close(ignored);
+    if (const auto unused = std::exchange(connection_, nullptr)) {
+        error_code ignored; // The connection is given up in any case.
+        unused->socket.close(ignored);
+    }
 }
 
 } // namespace ej::front
