A resumed attempt that reads the prompt anew gets the time of a first output

First outputs are awaited up to 0.85 of the target: an engine that is late but alive mostly delivers before another one would.

--- a/libs/front/src/stream_call.cpp
+++ b/libs/front/src/stream_call.cpp
@@ -31,7 +31,7 @@
 // engine without output after this share of the time to the first output; without targets, after
 // the times below.
 constexpr double gap_multiple = 1.5;
-constexpr double target_share = 0.6;
+constexpr double target_share = 0.85;
 constexpr milliseconds default_gap{2'000};
 constexpr milliseconds default_first{5'000};
 
@@ -250,7 +250,8 @@
 core::duration stream_call::longest_silence() const
 {
     const auto& by = setting_.by;
-    if (flowing_ || progress_.delivering) {
+    // An engine that goes on from a copy reads little before its first event.
+    if (flowing_ || from_copy_) {
         return by.longest_gap.count() > 0 ? scaled(by.longest_gap, gap_multiple) : default_gap;
     }
     return by.target.count() > 0 ? scaled(by.target, target_share) : default_first;
