--- a/libs/forwarding/include/forwarding/standings.h
+++ b/libs/forwarding/include/forwarding/standings.h
@@ -8,11 +8,14 @@
 #include <forwarding/peer_loads.h>
 
 #include <concurrency/sharded.h>
+#include <core/address.h>
+#include <core/endpoint.h>
 #include <core/endpoint_id.h>
 #include <core/instant.h>
 
 #include <cstdint>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace ej::forwarding {
@@ -38,8 +41,9 @@
     /// The endpoint reported its load.
     void report(const core::endpoint_id& name, const load_report& load, core::instant now);
 
-    /// An event took `ratio` of its usual time.
-    void paced(const core::endpoint_id& name, double ratio);
+    /// An event of the engine at `where` took `ratio` of its usual time. Kept by address: a
+    /// restarted engine has another name and the same speed.
+    void paced(const core::address& where, double ratio);
 
     /// Another daemon told its load.
     void hear(const load_message& message, core::instant now) { others_.apply(message, now); }
@@ -53,14 +57,15 @@
     /// This daemon's parts of all loads.
     [[nodiscard]] std::vector<load_share> own_shares();
 
-    /// What is known; the initial standing for an unknown endpoint.
-    [[nodiscard]] endpoint_standing of(const core::endpoint_id& name);
+    /// What is known; the initial standing for an unknown one.
+    [[nodiscard]] endpoint_standing of(const core::endpoint& endpoint);
 
     /// Forgets endpoints that are not in `known` and have no request in flight.
     void retain(const std::set<core::endpoint_id>& known);
 
 private:
     concurrency::sharded<core::endpoint_id, endpoint_standing> entries_;
+    concurrency::sharded<std::string, double> slowness_; // By address.
     peer_loads others_;
 };
 
--- a/libs/forwarding/src/standings.cpp
+++ b/libs/forwarding/src/standings.cpp
@@ -32,7 +32,10 @@
 }};
 
 constexpr std::uint32_t max_doublings = 6;
-constexpr double pace_weight = 0.05; // Of the newest event in the moving average.
+// Of the newest event in the moving average. Other requests' prompts delay events, so that the
+// fastest ones tell an engine's own speed.
+constexpr double weight_of_faster = 0.2;
+constexpr double weight_of_slower = 0.01;
 constexpr double slowest = 8;        // Bounds of the pace against single outliers.
 constexpr double fastest = 0.2;
 
@@ -98,12 +101,15 @@
     });
 }
 
-void standings::paced(const core::endpoint_id& name, double ratio)
+void standings::paced(const core::address& where, double ratio)
 {
-    entries_.with(name, [&](auto& entries) {
-        endpoint_standing& known = entries[name];
-        const double bounded = std::clamp(ratio, fastest, slowest);
-        known.slowness += pace_weight * (bounded - known.slowness);
+    const auto key = core::to_string(where);
+    slowness_.with(key, [&](auto& entries) {
+        const auto [entry, added] = entries.try_emplace(key, std::clamp(ratio, fastest, slowest));
+        if (!added) {
+            const double change = std::clamp(ratio, fastest, slowest) - entry->second;
+            entry->second += (change < 0 ? weight_of_faster : weight_of_slower) * change;
+        }
     });
 }
 
@@ -130,12 +136,18 @@
     return shares;
 }
 
-endpoint_standing standings::of(const core::endpoint_id& name)
+endpoint_standing standings::of(const core::endpoint& endpoint)
 {
+    const auto& name = endpoint.name;
     auto known = entries_.with(name, [&](auto& entries) {
         const auto found = entries.find(name);
         return found == entries.end() ? endpoint_standing{} : found->second;
     });
+    const auto key = core::to_string(endpoint.where);
+    known.slowness = slowness_.with(key, [&](auto& entries) {
+        const auto found = entries.find(key);
+        return found == entries.end() ? 1.0 : found->second;
+    });
     const auto others = others_.at(name);
     known.others_in_flight = others.in_flight;
     known.others_tokens_unread = others.tokens_unread;
--- a/libs/front/src/forwarded_call.cpp
+++ b/libs/front/src/forwarded_call.cpp
@@ -110,7 +110,7 @@
     std::vector<forwarding::candidate> found;
     for (const core::endpoint& one : fleet->of(service_)) {
         if (again || !tried_.contains(one.name)) {
-            found.push_back({one, setting_.context.standing.of(one.name),
+            found.push_back({one, setting_.context.standing.of(one),
                              one.domain == setting_.context.settings.domain});
         }
     }
@@ -179,7 +179,7 @@
     progress_.runs += ran ? 1 : 0;
     context.metrics.count("attempts_ended_total", {{"end", std::string(to_string(end))}});
     log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
-                    context.standing.of(endpoint.name));
+                    context.standing.of(endpoint));
 }
 
 forwarding::next_step forwarded_call::decide(attempt_end end)
--- a/libs/front/src/stream_call.cpp
+++ b/libs/front/src/stream_call.cpp
@@ -35,6 +35,10 @@
 constexpr milliseconds default_gap{2'000};
 constexpr milliseconds default_first{5'000};
 
+// Time of an output token at an engine of usual speed, in ms (platform's sheet: a step takes 5.05 ms
+// and more).
+constexpr double usual_ms_per_token = 5.1;
+
 constexpr milliseconds connect_timeout{200};
 // Before engines that were tried already are tried again.
 constexpr milliseconds resend_pause{100};
@@ -54,7 +58,7 @@
 std::optional<core::endpoint> stream_call::copy_holder() const
 {
     if (!copy_at_ || !setting_.context.endpoints.load()->lists(*copy_at_) ||
-        setting_.context.standing.of(copy_at_->name).avoid_until > now()) {
+        setting_.context.standing.of(*copy_at_).avoid_until > now()) {
         return std::nullopt;
     }
     return copy_at_;
@@ -147,17 +151,33 @@
     if (&attempt != current_.get()) {
         return;
     }
-    last_heard_ = now();
+    const auto gap = now() - std::exchange(last_heard_, now());
     if (!accepted_) {
         failure_body_ += part;
         return;
     }
-    deliver(attempt, framer_.feed(part));
+    const auto events = framer_.feed(part);
+    // Several events at once were held up on the way and tell nothing of the engine.
+    if (flowing_ && events.size() == 1) {
+        note_pace(attempt, gap);
+    }
+    deliver(attempt, events);
     if (framer_.overflowed()) {
         lose(attempt_end::spoiled, "event is too long");
     }
 }
 
+void stream_call::note_pace(const upstream_attempt& attempt, core::duration gap) const
+{
+    const auto* const service = setting_.rules->find_service(service_);
+    if (service == nullptr || !service->engine) {
+        return;
+    }
+    const double usual = usual_ms_per_token * service->engine->tokens_per_event;
+    const double took = std::chrono::duration<double, std::milli>(gap).count();
+    setting_.context.standing.paced(attempt.endpoint().where, took / usual);
+}
+
 void stream_call::deliver(upstream_attempt& attempt, const std::vector<framed_event>& events)
 {
     std::string out;
--- a/libs/front/src/stream_call.h
+++ b/libs/front/src/stream_call.h
@@ -34,6 +34,7 @@
     [[nodiscard]] std::optional<core::endpoint> copy_holder() const;
     [[nodiscard]] std::optional<core::endpoint> choose_copy(const core::endpoint& runner) const;
     void deliver(upstream_attempt& attempt, const std::vector<framed_event>& events);
+    void note_pace(const upstream_attempt& attempt, core::duration gap) const;
     void lose(forwarding::attempt_end end, const std::string& detail);
     void watch_silence();
     void check_silence();
