--- a/libs/front/src/call_log.cpp
+++ b/libs/front/src/call_log.cpp
@@ -15,6 +15,25 @@
 
 } // namespace
 
+void log_attempt_begin(const std::string& request, const core::endpoint& endpoint,
+                       const forwarding::endpoint_standing& standing, const request_head& added)
+{
+    logging::log(
+        logging::level::info, "attempt began",
+        {{"request", request},
+         {"endpoint", endpoint.name.text()},
+         {"address", core::to_string(endpoint.where)},
+         {"domain", endpoint.domain.text()},
+         {"in_flight", std::to_string(standing.in_flight)},
+         {"others_in_flight", std::to_string(standing.others_in_flight)},
+         {"tokens_unread",
+          std::to_string(standing.tokens_unread + standing.others_tokens_unread)},
+         {"slowness", std::to_string(standing.slowness)},
+         {"behind", added.resume_behind ? std::to_string(*added.resume_behind) : "start"},
+         {"from_copy", added.memory_from.empty() ? "no" : "yes"},
+         {"time_left_ms", std::to_string(added.time_left.count())}});
+}
+
 void log_attempt_end(const std::string& request, const core::endpoint& endpoint,
                      forwarding::attempt_end end, const std::string& detail, core::duration took,
                      const forwarding::endpoint_standing& standing)
--- a/libs/front/src/call_log.h
+++ b/libs/front/src/call_log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "request_head.h"
+
 #include <forwarding/attempt_end.h>
 #include <forwarding/call_progress.h>
 #include <forwarding/endpoint_standing.h>
@@ -14,6 +16,11 @@
 
 namespace ej::front {
 
+/// Logs that an attempt begins, with the standing of its endpoint that led to the choice.
+void log_attempt_begin(const std::string& request, const core::endpoint& endpoint,
+                       const forwarding::endpoint_standing& standing,
+                       const request_head& added);
+
 /// Logs that an attempt ended badly, with what is known of its endpoint.
 void log_attempt_end(const std::string& request, const core::endpoint& endpoint,
                      forwarding::attempt_end end, const std::string& detail, core::duration took,
--- a/libs/front/src/forwarded_call.cpp
+++ b/libs/front/src/forwarded_call.cpp
@@ -140,6 +140,7 @@
     tried_.insert(endpoint.name);
     tokens_unread_ = size_.prompt_tokens;
     last_endpoint_ = endpoint.name.text();
+    log_attempt_begin(request_id_, endpoint, setting_.context.standing.of(endpoint), head);
     setting_.context.standing.begin(endpoint.name, size_.prompt_tokens);
     tell_load(endpoint.name);
     counted_.insert(attempt.get());
