--- a/libs/front/src/stream_call.cpp
+++ b/libs/front/src/stream_call.cpp
@@ -57,11 +57,9 @@
 
 std::optional<core::endpoint> stream_call::copy_holder() const
 {
-    if (!copy_at_ || !setting_.context.endpoints.load()->lists(*copy_at_) ||
-        setting_.context.standing.of(*copy_at_).avoid_until > now()) {
-        return std::nullopt;
-    }
-    return copy_at_;
+    // Tried even where other requests failed of late: reading the prompt again is the dearer way.
+    return copy_at_ && setting_.context.endpoints.load()->lists(*copy_at_) ? copy_at_
+                                                                           : std::nullopt;
 }
 
 std::optional<core::endpoint> stream_call::choose_copy(const core::endpoint& runner) const
