--- a/libs/front/src/call_gate.cpp
+++ b/libs/front/src/call_gate.cpp
@@ -66,10 +66,26 @@
             turn_away({status_unauthorized, "unauthenticated"});
             return nullptr;
         }
+        if (ends_too_late(*by)) {
+            turn_away({status_unavailable, "leaving"});
+            return nullptr;
+        }
         return make_call(pool, *by, holder);
     }
 
 private:
+    /// True if the daemon would be gone before the answer is. A balancer without other daemons
+    /// still sends callers here.
+    bool ends_too_late(const forwarding::route& by) const
+    {
+        const auto schedule = *context_.schedule.load();
+        if (!schedule || request_.arrived < schedule->noticed) {
+            return false;
+        }
+        return by.kind == core::work_kind::generation ||
+               request_.arrived + by.timeout > schedule->end;
+    }
+
     void turn_away(const denial& why)
     {
         const auto id = request_.message.header_value(context_.headers.request_id).value_or("");
--- a/libs/front/src/front_context.h
+++ b/libs/front/src/front_context.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "leave_schedule.h"
+
 #include <front/front_settings.h>
 #include <front/header_names.h>
 
@@ -19,6 +21,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace ej::front {
@@ -49,6 +52,8 @@
     std::atomic<std::size_t> calls_open{0};   ///< Requests that have no final answer yet.
     std::atomic<std::size_t> callers_open{0}; ///< Callers' connections.
     std::atomic<bool> leaving{false};         ///< SIGTERM was received.
+    /// Set before `leaving`.
+    concurrency::snapshot<std::optional<leave_schedule>> schedule{std::nullopt};
 };
 
 } // namespace ej::front
--- a/libs/front/src/front_daemon.cpp
+++ b/libs/front/src/front_daemon.cpp
@@ -119,10 +119,11 @@
 void front_daemon::leave()
 {
     auto& context = parts_->context;
-    context.leaving = true;
     const auto began = core::instant::clock::now();
     const auto last = began + context.settings.grace - grace_margin;
     const auto earliest = began + time_to_be_noticed;
+    context.schedule.store(leave_schedule{earliest, last});
+    context.leaving = true;
     asio::io_context waiting;
     asio::steady_timer timer(waiting);
     const auto wait_until = [&](core::instant end, const auto& done) {
@@ -132,10 +133,9 @@
         }
     };
     wait_until(earliest, [] { return false; });
-    // No more requests: callers go to the daemons that the balancer has in rotation.
-    parts_->listener->stop();
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
     wait_until(last, [&] { return context.calls_open == 0; });
+    parts_->listener->stop();
     logging::log(logging::level::info, "left",
                  {{"calls_open", std::to_string(context.calls_open)},
                   {"callers_open", std::to_string(context.callers_open)}});
