--- a/endivejunction/src/parse_forward_settings.cpp
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdlib>
@@ -51,7 +52,8 @@
     add("ready-path", with_default("/ready"), "path of the balancer's question");
     add("store", text(), "HOST:PORT of the platform's store");
     add("store-deadline-ms", ms(1'000), "longest time of a call to the store");
-    add("follow-interval-ms", ms(700), "time between two questions to the store for changes");
+    add("apply-ms", ms(2'000), "time within which a change of the configuration is in force");
+    add("drain-ms", ms(2'000), "time within which a leaving endpoint gets no new requests");
     add("grace-s", number(8), "time from SIGTERM to the end in s");
     add("lease-ms", ms(10'000), "time to live of this daemon's entry in the store");
     add("choice", with_default("first_output"),
@@ -104,7 +106,8 @@
     front.ready_path = read.text("ready-path");
     front.store = read.address("store");
     front.store_deadline = read.milliseconds("store-deadline-ms", max_interval_ms);
-    front.follow_interval = read.milliseconds("follow-interval-ms", max_interval_ms);
+    front.apply_within = std::min(read.milliseconds("apply-ms", max_interval_ms),
+                                  read.milliseconds("drain-ms", max_interval_ms));
     front.grace = seconds_of(read.fraction("grace-s", max_grace_ms / ms_per_second));
     front.lease = read.milliseconds("lease-ms", max_interval_ms);
     front.choice = read.text("choice");
--- a/libs/front/include/front/front_settings.h
+++ b/libs/front/include/front/front_settings.h
@@ -26,8 +26,8 @@
     std::string ready_path = "/ready";
     core::address store;
     core::duration store_deadline = std::chrono::seconds(1); ///< Of a call to the store; > 0.
-    core::duration follow_interval =
-        std::chrono::milliseconds(700);              ///< Between two questions for changes; > 0.
+    /// News of the store are in force within this time; > 0.
+    core::duration apply_within = std::chrono::milliseconds(2'000);
     core::duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end; > 0.
     core::duration lease = std::chrono::seconds(10); ///< Of this daemon's entry; > 0.
     std::string choice = "first_output";             ///< Name of the endpoint choice.
--- a/libs/front/src/store_follower.cpp
+++ b/libs/front/src/store_follower.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{800};
 
+// Between two questions for changes, as a share of the time within which they are to be in force:
+// the rest is for the answer of a slow store. Entries change several times a second, so that
+// waiting in the store would only mean more calls.
+constexpr double interval_share = 0.6;
+
 core::instant now()
 {
     return core::instant::clock::now();
@@ -30,7 +35,9 @@
 
 store_follower::store_follower(front_context& context, platform::store& store,
                                const store_layout& layout)
-    : context_(context), store_(store), layout_(layout)
+    : context_(context), store_(store), layout_(layout),
+      interval_(std::chrono::duration_cast<milliseconds>(interval_share *
+                                                         context.settings.apply_within))
 {
 }
 
@@ -49,7 +56,7 @@
         publish();
         if (status.ok()) {
             pause = first_pause;
-            co_await http::pause_for(context_.settings.follow_interval);
+            co_await http::pause_for(interval_);
         }
         else if (status.code() != absl::StatusCode::kOutOfRange) {
             co_await http::pause_for(pause);
@@ -84,8 +91,7 @@
 asio::awaitable<absl::Status> store_follower::follow()
 {
     std::string prefix = layout_.followed_prefix();
-    const auto wait = std::chrono::duration_cast<milliseconds>(context_.settings.follow_interval);
-    const auto changes = co_await store_.follow(std::move(prefix), as_of_, wait);
+    const auto changes = co_await store_.follow(std::move(prefix), as_of_, interval_);
     if (!changes.ok()) {
         // The store has dropped this part of its history: everything is listed again.
         listed_ = changes.status().code() != absl::StatusCode::kOutOfRange;
--- a/libs/front/src/store_follower.h
+++ b/libs/front/src/store_follower.h
@@ -16,6 +16,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <chrono>
 #include <map>
 #include <set>
 #include <string>
@@ -45,6 +46,7 @@
     front_context& context_;
     platform::store& store_;
     const store_layout& layout_;
+    std::chrono::milliseconds interval_;
     forwarding::fleet_log log_;
     std::map<std::string, core::address> daemons_; // Where the others hear, by their keys.
     core::revision as_of_;
