--- a/endivejunction/src/forward.cpp
+++ b/endivejunction/src/forward.cpp
@@ -4,7 +4,7 @@
 #include "settings_watch.h"
 
 #include <adapter/site.h>
-#include <front/front_daemon.h>
+#include <caller_front/front_daemon.h>
 #include <logging/log.h>
 
 #include <boost/asio/io_context.hpp>
--- a/endivejunction/src/forward_settings.h
+++ b/endivejunction/src/forward_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <front/front_settings.h>
+#include <caller_front/front_settings.h>
 #include <logging/level.h>
 
 #include <compare>
--- a/libs/front/include/front/front_daemon.h
+++ b/libs/caller_front/include/caller_front/front_daemon.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <front/front_settings.h>
-#include <front/site.h>
+#include <caller_front/front_settings.h>
+#include <caller_front/site.h>
 
 #include <core/address.h>
 
--- a/libs/front/include/front/header_names.h
+++ b/libs/caller_front/include/caller_front/header_names.h
@@ -20,9 +20,9 @@
     std::string backup_at = "EJ-Backup-At";     ///< HOST:PORT of the engine that keeps a copy.
     std::string memory_from = "EJ-Memory-From"; ///< HOST:PORT/REQUEST: goes on from that copy.
     // Set by endpoints.
-    std::string signature = "EJ-Signature";       ///< On every answer that an endpoint produced.
-    std::string not_executed = "EJ-Not-Executed"; ///< The endpoint did not run the request.
-    std::string load = "EJ-Load";                 ///< "RUNNING,WAITING,SLOTS".
+    std::string signature = "EJ-Signature";  ///< On every answer that an endpoint produced.
+    std::string not_executed = "EJ-Not-Run"; ///< The endpoint did not run the request.
+    std::string load = "EJ-Load";            ///< "RUNNING,WAITING,SLOTS".
     /// Fields that only the front may set; a caller's are dropped.
     std::vector<std::string> reserved;
 
--- a/libs/front/include/front/site.h
+++ b/libs/caller_front/include/caller_front/site.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <front/header_names.h>
-#include <front/store_layout.h>
+#include <caller_front/header_names.h>
+#include <caller_front/store_layout.h>
 
 #include <platform/store_protocol.h>
 
--- a/libs/front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -18,8 +18,7 @@
 
 /// Logs that an attempt begins, with the standing of its endpoint that led to the choice.
 void log_attempt_begin(const std::string& request, const core::endpoint& endpoint,
-                       const forwarding::endpoint_standing& standing,
-                       const request_head& added);
+                       const forwarding::endpoint_standing& standing, const request_head& added);
 
 /// Logs that an attempt ended badly, with what is known of its endpoint.
 void log_attempt_end(const std::string& request, const core::endpoint& endpoint,
--- a/libs/front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -4,8 +4,6 @@
 #include "call_log.h"
 #include "own_answer.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -20,43 +18,23 @@
 constexpr std::size_t read_bytes = 8'192;
 // Requests that a caller may send ahead of the answer to the current one.
 constexpr std::size_t max_read_ahead = std::size_t{64} << 10;
-// Output that waits for a caller that does not read; its streams would grow without bound.
-constexpr std::size_t max_unsent = std::size_t{4} << 20;
 // For a caller that does not read at all.
 constexpr seconds write_timeout{15};
 // Bounds of what is read and dropped behind a refusal, so that the caller gets to read it.
 constexpr std::size_t max_lingered = std::size_t{64} << 20;
 constexpr seconds linger_timeout{3};
-constexpr unsigned http_1_1 = 11;
-constexpr unsigned status_no_content = 204;
-constexpr unsigned status_not_modified = 304;
 
 core::instant now()
 {
     return core::instant::clock::now();
 }
 
-std::string reason_phrase(unsigned status)
-{
-    const auto phrase = wire::obsolete_reason(static_cast<wire::status>(status));
-    return {phrase.data(), phrase.size()};
-}
-
-std::string head_text(const http::response& answer)
-{
-    std::string text =
-        absl::StrCat("HTTP/1.1 ", answer.status, " ", reason_phrase(answer.status), "\r\n");
-    for (const http::header& field : answer.headers) {
-        absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
-    }
-    return text;
-}
-
 } // namespace
 
 caller_connection::caller_connection(tcp::socket socket, front_context& context,
                                      upstream_pool& pool)
-    : socket_(std::move(socket)), context_(context), pool_(pool)
+    : socket_(std::move(socket)), context_(context), pool_(pool),
+      output_(socket_, [this](const error_code& error) { written(error); })
 {
     ++context_.callers_open;
 }
@@ -87,9 +65,8 @@
 void caller_connection::await_request()
 {
     phase_ = phase::idle;
-    parser_.reset();
     timer_->set(now() + limits().idle_timeout);
-    if (buffer_.size() > 0) {
+    if (reader_.buffer().size() > 0) {
         begin_request();
         return;
     }
@@ -100,11 +77,7 @@
 {
     const auto bounds = limits();
     phase_ = phase::reading;
-    continued_ = false;
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(bounds.max_header_bytes));
-    parser_->body_limit(bounds.max_body_bytes);
-    parser_->eager(true);
+    reader_.begin(bounds);
     timer_->set(now() + bounds.header_timeout);
     parse();
 }
@@ -115,7 +88,7 @@
         return;
     }
     socket_.async_read_some(
-        buffer_.prepare(read_bytes),
+        reader_.buffer().prepare(read_bytes),
         [self = shared_from_this()](const error_code& error, std::size_t count) {
             self->reading_ = false;
             self->received(error, count);
@@ -140,66 +113,45 @@
         read();
         return;
     }
-    buffer_.commit(count);
+    reader_.buffer().commit(count);
     if (phase_ == phase::idle) {
         begin_request();
     }
     else if (phase_ == phase::reading) {
         parse();
     }
-    else if (buffer_.size() < max_read_ahead) {
+    else if (reader_.buffer().size() < max_read_ahead) {
         read();
     }
 }
 
 void caller_connection::parse()
 {
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-        error_code error;
-        const bool had_header = parser_->is_header_done();
-        const auto used = parser_->put(buffer_.data(), error);
-        buffer_.consume(used);
-        if (parser_->is_header_done() && !had_header) {
-            arrived_ = now();
-            timer_->set(arrived_ + limits().idle_timeout);
-        }
-        if (error == wire::error::need_more) {
-            break;
-        }
-        if (error) {
-            reject(error);
-            return;
-        }
-    }
-    if (parser_->is_done()) {
-        parsed();
+    switch (reader_.advance()) {
+    case request_reader::progress::complete:
+        handle(reader_.take());
         return;
-    }
-    const bool waits = parser_->is_header_done() &&
-                       beast::iequals(parser_->get()[wire::field::expect], "100-continue");
-    if (waits && !std::exchange(continued_, true)) {
-        send("HTTP/1.1 100 Continue\r\n\r\n", false);
+    case request_reader::progress::faulty:
+        reject(reader_.fault());
+        return;
+    case request_reader::progress::body:
+        timer_->set(now() + limits().idle_timeout);
+        if (reader_.wants_continue()) {
+            send("HTTP/1.1 100 Continue\r\n\r\n", false);
+        }
+        break;
+    case request_reader::progress::header:
+        break;
     }
     read();
 }
 
-void caller_connection::parsed()
+void caller_connection::handle(caller_request request)
 {
     phase_ = phase::answering;
     timer_->clear();
-    auto message = parser_->release();
-    parser_.reset();
-    keep_alive_ = message.keep_alive() && !context_.leaving;
-    chunked_ = message.version() >= http_1_1;
-    caller_request request;
-    request.arrived = arrived_;
-    request.message.method = std::string(message.method_string());
-    request.message.target = std::string(message.target());
-    request.message.body = std::move(message.body());
-    std::ranges::transform(
-        message, std::back_inserter(request.message.headers), [](const auto& field) {
-            return http::header{std::string(field.name_string()), std::string(field.value())};
-        });
+    keep_alive_ = request.keep_alive && !context_.leaving;
+    chunked_ = request.takes_chunks;
     head_only_ = request.message.method == "HEAD";
     read(); // Sees the caller's close while the request runs.
     call_ = admit(context_, pool_, std::move(request), shared_from_this());
@@ -250,103 +202,37 @@
     }
 }
 
-void caller_connection::reply(const http::response& answer)
-{
-    if (phase_ != phase::answering) {
-        return;
-    }
-    auto text = head_text(answer);
-    const bool no_body = answer.status == status_no_content || answer.status == status_not_modified;
-    if (!no_body && !head_only_) {
-        absl::StrAppend(&text, "Content-Length: ", answer.body.size(), "\r\n");
-    }
-    keep_alive_ = keep_alive_ && !context_.leaving;
-    if (!keep_alive_) {
-        absl::StrAppend(&text, "Connection: close\r\n");
-    }
-    absl::StrAppend(&text, "\r\n");
-    if (!no_body && !head_only_) {
-        text += answer.body;
-    }
-    send(std::move(text), true);
-}
-
-void caller_connection::start_stream(const http::response& head)
-{
-    if (phase_ != phase::answering) {
-        return;
-    }
-    auto text = head_text(head);
-    keep_alive_ = keep_alive_ && chunked_ && !context_.leaving;
-    absl::StrAppend(&text, chunked_ ? "Transfer-Encoding: chunked\r\n" : "",
-                    keep_alive_ ? "" : "Connection: close\r\n", "\r\n");
-    send(std::move(text), false);
-}
-
-void caller_connection::write(const std::string& part)
-{
-    if (phase_ != phase::answering || part.empty()) {
-        return;
-    }
-    if (unsent_.size() > max_unsent) {
-        gone();
-        return;
-    }
-    send(chunked_ ? absl::StrCat(absl::Hex(part.size()), "\r\n", part, "\r\n") : part, false);
-}
-
-void caller_connection::finish()
-{
-    if (phase_ == phase::answering) {
-        send(chunked_ ? "0\r\n\r\n" : "", true);
-    }
-}
-
 void caller_connection::abort()
 {
     close();
 }
 
-void caller_connection::send(std::string text, bool last)
+void caller_connection::send(const std::string& text, bool last)
 {
-    unsent_ += text;
     last_written_ = last_written_ || last;
-    if (writing_.empty()) {
-        flush();
-    }
-}
-
-void caller_connection::flush()
-{
-    if (unsent_.empty()) {
-        if (std::exchange(last_written_, false)) {
-            answered();
-        }
+    if (text.empty() && !output_.busy()) {
+        written({});
         return;
     }
-    writing_ = std::exchange(unsent_, {});
     timer_->set(now() + write_timeout);
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const error_code& error, std::size_t) {
-                          self->flushed(error);
-                      });
+    output_.send(text, shared_from_this());
 }
 
-void caller_connection::flushed(const error_code& error)
+void caller_connection::written(const error_code& error)
 {
-    writing_.clear();
     if (phase_ == phase::closed) {
         return;
     }
     timer_->clear();
     if (error) {
         gone();
-        return;
     }
-    if (phase_ == phase::reading) {
+    else if (phase_ == phase::reading) {
         timer_->set(now() + limits().idle_timeout);
     }
-    flush();
+    else if (std::exchange(last_written_, false)) {
+        answered();
+    }
 }
 
 void caller_connection::answered()
@@ -367,7 +253,7 @@
     error_code ignored; // The caller may have closed already.
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     timer_->set(now() + linger_timeout);
-    buffer_.consume(buffer_.size());
+    reader_.buffer().consume(reader_.buffer().size());
     read();
 }
 
--- a/libs/front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -1,16 +1,17 @@
 #pragma once
 
+#include "caller_output.h"
 #include "forwarded_call.h"
 #include "front_context.h"
 #include "lazy_timer.h"
 #include "net.h"
 #include "reply_sink.h"
+#include "request_reader.h"
 #include "upstream_pool.h"
 
 #include <http/response.h>
 
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace ej::front {
@@ -40,8 +41,6 @@
     void abort() override;
 
 private:
-    using request_parser = wire::request_parser<wire::string_body>;
-
     /// What the connection is doing.
     enum class phase { idle, reading, answering, lingering, closed };
 
@@ -50,13 +49,12 @@
     void read();
     void received(const error_code& error, std::size_t count);
     void parse();
-    void parsed();
+    void handle(caller_request request);
     void reject(const error_code& error);
     void turn_away(unsigned status, std::string_view reason);
     void timed_out();
-    void send(std::string text, bool last);
-    void flush();
-    void flushed(const error_code& error);
+    void send(const std::string& text, bool last);
+    void written(const error_code& error);
     void answered();
     void linger();
     void gone();
@@ -66,20 +64,16 @@
     tcp::socket socket_;
     front_context& context_;
     upstream_pool& pool_;
-    beast::flat_buffer buffer_;
-    std::optional<request_parser> parser_;
+    request_reader reader_;
     std::shared_ptr<forwarded_call> call_;
     std::shared_ptr<lazy_timer> timer_;
     phase phase_ = phase::idle;
-    core::instant arrived_{};
     bool keep_alive_ = true;
     bool chunked_ = true;    // The caller understands a chunked answer.
     bool head_only_ = false; // The request was HEAD.
     bool reading_ = false;
-    bool continued_ = false; // The caller was told to send the body.
-    std::string unsent_;     // Waits for the write in progress.
-    std::string writing_;
-    bool last_written_ = false; // Nothing follows `unsent_` in this answer.
+    caller_output output_;
+    bool last_written_ = false; // Nothing follows in this answer.
     std::size_t lingered_ = 0;
 };
 
--- /dev/null
+++ b/libs/caller_front/src/caller_connection_reply.cpp
@@ -0,0 +1,67 @@
+#include "answer_text.h"
+#include "caller_connection.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace ej::front {
+
+namespace {
+
+// Output that waits for a caller that does not read; its streams would grow without bound.
+constexpr std::size_t max_unsent = std::size_t{4} << 20;
+
+} // namespace
+
+void caller_connection::reply(const http::response& answer)
+{
+    if (phase_ != phase::answering) {
+        return;
+    }
+    auto text = head_text(answer);
+    const bool no_body = has_no_body(answer.status);
+    if (!no_body && !head_only_) {
+        absl::StrAppend(&text, "Content-Length: ", answer.body.size(), "\r\n");
+    }
+    keep_alive_ = keep_alive_ && !context_.leaving;
+    if (!keep_alive_) {
+        absl::StrAppend(&text, "Connection: close\r\n");
+    }
+    absl::StrAppend(&text, "\r\n");
+    if (!no_body && !head_only_) {
+        text += answer.body;
+    }
+    send(text, true);
+}
+
+void caller_connection::start_stream(const http::response& head)
+{
+    if (phase_ != phase::answering) {
+        return;
+    }
+    auto text = head_text(head);
+    keep_alive_ = keep_alive_ && chunked_ && !context_.leaving;
+    absl::StrAppend(&text, chunked_ ? "Transfer-Encoding: chunked\r\n" : "",
+                    keep_alive_ ? "" : "Connection: close\r\n", "\r\n");
+    send(text, false);
+}
+
+void caller_connection::write(const std::string& part)
+{
+    if (phase_ != phase::answering || part.empty()) {
+        return;
+    }
+    if (output_.waiting() > max_unsent) {
+        gone();
+        return;
+    }
+    send(chunked_ ? chunk_text(part) : part, false);
+}
+
+void caller_connection::finish()
+{
+    if (phase_ == phase::answering) {
+        send(chunked_ ? "0\r\n\r\n" : "", true);
+    }
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/caller_front/src/caller_output.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "net.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace ej::front {
+
+/// Sends text to a caller in order; what is added during a write leaves with the next one. Used on
+/// one lane.
+class caller_output {
+public:
+    /// `socket` outlives the output. `written` is called when everything was sent, or with the
+    /// error that ended it.
+    caller_output(tcp::socket& socket, std::function<void(const error_code&)> written);
+
+    /// Sends `text`; `keeper` keeps the socket alive meanwhile.
+    void send(const std::string& text, std::shared_ptr<void> keeper);
+
+    /// True while something is being sent.
+    [[nodiscard]] bool busy() const { return !writing_.empty(); }
+
+    /// Bytes that wait for the write in progress.
+    [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
+
+private:
+    void write(std::shared_ptr<void> keeper);
+
+    tcp::socket& socket_;
+    std::function<void(const error_code&)> written_;
+    std::string waiting_;
+    std::string writing_;
+};
+
+} // namespace ej::front
--- a/libs/front/src/daemon_entry.cpp
+++ b/libs/caller_front/src/daemon_entry.cpp
@@ -51,7 +51,8 @@
     }
     std::vector<platform::store_write> writes;
     writes.push_back({layout_.daemons_prefix() + context_.settings.vm.text(),
-                      core::to_string(context_.settings.peer_listen), granted->lease, std::nullopt});
+                      core::to_string(context_.settings.peer_listen), granted->lease,
+                      std::nullopt});
     const auto written = co_await store_.commit(std::move(writes));
     if (written.ok()) {
         lease_ = granted->lease;
--- a/libs/front/src/daemon_entry.h
+++ b/libs/caller_front/src/daemon_entry.h
@@ -3,7 +3,7 @@
 #include "front_context.h"
 #include "net.h"
 
-#include <front/store_layout.h>
+#include <caller_front/store_layout.h>
 
 #include <platform/store.h>
 
--- a/libs/front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -2,8 +2,8 @@
 
 #include "leave_schedule.h"
 
-#include <front/front_settings.h>
-#include <front/header_names.h>
+#include <caller_front/front_settings.h>
+#include <caller_front/header_names.h>
 
 #include <forwarding/endpoint_choice.h>
 #include <forwarding/fleet.h>
--- a/libs/front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include <front/front_daemon.h>
+#include <caller_front/front_daemon.h>
 
 #include "caller_listener.h"
 #include "daemon_entry.h"
@@ -16,6 +16,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -45,7 +46,7 @@
 struct front_daemon::parts {
     parts(front_settings settings, site chosen)
         : where(std::move(chosen)), context(std::move(settings), where.headers),
-          transport(loop.get_executor()),
+          transport(asio::make_strand(loop)),
           store(transport, store_settings(context.settings), where.protocol),
           follower(context, store, *where.layout), entry(context, store, *where.layout),
           ready(context, store.counts()), loads(context, loop)
@@ -93,7 +94,7 @@
     const auto& chosen = made->context.settings;
     auto status = made->listener->open(chosen.listen);
     if (status.ok()) {
-        status = made->ready.start(made->loop.get_executor(), chosen.ready_listen);
+        status = made->ready.start(asio::make_strand(made->loop), chosen.ready_listen);
     }
     if (status.ok()) {
         status = made->loads.open(chosen.peer_listen);
--- a/libs/front/src/load_codec.cpp
+++ b/libs/caller_front/src/load_codec.cpp
@@ -33,8 +33,7 @@
 {
     return value.is_array() && value.size() == message_fields && value[0] == layout_version &&
            value[1].is_string() && is_count(value[2]) && is_count(value[3]) &&
-           value[4].is_boolean() && value[5].is_array() &&
-           std::ranges::all_of(value[5], is_share);
+           value[4].is_boolean() && value[5].is_array() && std::ranges::all_of(value[5], is_share);
 }
 
 } // namespace
--- a/libs/front/src/load_link.cpp
+++ b/libs/caller_front/src/load_link.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <random>
 #include <span>
 #include <utility>
 
@@ -57,8 +58,8 @@
 
 void load_link::start()
 {
-    start_ = static_cast<std::uint64_t>(
-        std::chrono::system_clock::now().time_since_epoch().count());
+    start_ =
+        static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
     receive();
     tell_all();
 }
@@ -137,9 +138,11 @@
     do {
         const auto count = std::min(shares.size() - begin, shares_per_datagram);
         const auto first = shares.begin() + static_cast<std::ptrdiff_t>(begin);
-        const forwarding::load_message message{
-            context_.settings.vm, start_, ++number_, whole && begin == 0,
-            {first, first + static_cast<std::ptrdiff_t>(count)}};
+        const forwarding::load_message message{context_.settings.vm,
+                                               start_,
+                                               ++number_,
+                                               whole && begin == 0,
+                                               {first, first + static_cast<std::ptrdiff_t>(count)}};
         const auto bytes = encode(message);
         for (const core::address& peer : *peers) {
             error_code error;
--- a/libs/front/src/load_link.h
+++ b/libs/caller_front/src/load_link.h
@@ -36,7 +36,6 @@
 private:
     using udp = asio::ip::udp;
 
-
     void receive();
     void tell_changes();
     void tell_all();
--- a/libs/front/src/own_answer.h
+++ b/libs/caller_front/src/own_answer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <front/header_names.h>
+#include <caller_front/header_names.h>
 
 #include <http/response.h>
 
--- a/libs/front/src/request_head.h
+++ b/libs/caller_front/src/request_head.h
@@ -2,7 +2,7 @@
 
 #include "caller_request.h"
 
-#include <front/header_names.h>
+#include <caller_front/header_names.h>
 
 #include <forwarding/call_size.h>
 
--- /dev/null
+++ b/libs/caller_front/src/silence_watch.cpp
@@ -0,0 +1,77 @@
+#include "silence_watch.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+// Several round trips between failure domains; a lost first packet costs a second check.
+constexpr std::chrono::milliseconds check_timeout{150};
+
+core::instant now()
+{
+    return core::instant::clock::now();
+}
+
+} // namespace
+
+silence_watch::silence_watch(upstream_pool& pool, given_up lost)
+    : pool_(pool), lost_(std::move(lost))
+{
+}
+
+void silence_watch::begin(core::address where, const forwarding::silence_bounds& bounds)
+{
+    stop();
+    where_ = std::move(where);
+    timer_ = std::make_shared<lazy_timer>(pool_.lane(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->look();
+        }
+    });
+    heard(bounds);
+}
+
+void silence_watch::heard(const forwarding::silence_bounds& bounds)
+{
+    bounds_ = bounds;
+    last_heard_ = now();
+    timer_->set(last_heard_ + bounds_.ask_after);
+}
+
+void silence_watch::stop()
+{
+    if (check_ != nullptr) {
+        std::exchange(check_, nullptr)->cancel();
+    }
+    if (timer_ != nullptr) {
+        std::exchange(timer_, nullptr)->stop();
+    }
+}
+
+void silence_watch::look()
+{
+    const auto silent_for = now() - last_heard_;
+    if (silent_for >= bounds_.give_up_after) {
+        stop();
+        lost_("no output in time");
+        return;
+    }
+    if (check_ != nullptr) {
+        check_->cancel();
+    }
+    check_ = std::make_shared<liveness_check>(pool_, where_, [weak = weak_from_this()](bool alive) {
+        const auto self = weak.lock();
+        if (self != nullptr && !alive) {
+            self->stop();
+            self->lost_("no longer reachable");
+        }
+    });
+    check_->start(check_timeout);
+    timer_->set(std::min(now() + bounds_.ask_after, last_heard_ + bounds_.give_up_after));
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/caller_front/src/silence_watch.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "lazy_timer.h"
+#include "liveness_check.h"
+#include "upstream_pool.h"
+
+#include <forwarding/silence_bounds.h>
+
+#include <core/address.h>
+#include <core/instant.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace ej::front {
+
+/// Watches over an engine that is to send: after a while of silence a new connection shows whether
+/// it is still there; after the longest accepted silence it is given up. Used on one lane.
+class silence_watch : public std::enable_shared_from_this<silence_watch> {
+public:
+    using given_up = std::function<void(const std::string& detail)>;
+
+    /// `pool` outlives the watch. `lost` is called when the engine is to be given up.
+    silence_watch(upstream_pool& pool, given_up lost);
+
+    /// Begins to watch the engine at `where`.
+    void begin(core::address where, const forwarding::silence_bounds& bounds);
+
+    /// The engine sent something; from now on other bounds hold.
+    void heard(const forwarding::silence_bounds& bounds);
+
+    /// Ends the watch until it begins anew.
+    void stop();
+
+    /// Since when the engine is silent.
+    [[nodiscard]] core::instant last_heard() const { return last_heard_; }
+
+private:
+    void look();
+
+    upstream_pool& pool_;
+    given_up lost_;
+    core::address where_;
+    forwarding::silence_bounds bounds_;
+    core::instant last_heard_{};
+    std::shared_ptr<lazy_timer> timer_;
+    std::shared_ptr<liveness_check> check_;
+};
+
+} // namespace ej::front
--- a/libs/front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -36,8 +36,8 @@
 store_follower::store_follower(front_context& context, platform::store& store,
                                const store_layout& layout)
     : context_(context), store_(store), layout_(layout),
-      interval_(std::chrono::duration_cast<milliseconds>(interval_share *
-                                                         context.settings.apply_within))
+      interval_(
+          std::chrono::duration_cast<milliseconds>(interval_share * context.settings.apply_within))
 {
 }
 
--- a/libs/front/src/store_follower.h
+++ b/libs/caller_front/src/store_follower.h
@@ -3,7 +3,7 @@
 #include "front_context.h"
 #include "net.h"
 
-#include <front/store_layout.h>
+#include <caller_front/store_layout.h>
 
 #include <forwarding/fleet_log.h>
 
@@ -15,9 +15,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <memory>
 #include <chrono>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -50,8 +50,8 @@
     forwarding::fleet_log log_;
     std::map<std::string, core::address> daemons_; // Where the others hear, by their keys.
     core::revision as_of_;
-    bool listed_ = false; // False: the whole listing has to be read.
-    bool changed_ = false;       // The endpoints.
+    bool listed_ = false;  // False: the whole listing has to be read.
+    bool changed_ = false; // The endpoints.
     bool peers_changed_ = false;
     bool away_ = false;
 };
--- a/libs/front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -20,34 +20,14 @@
 
 constexpr unsigned status_ok = 200;
 
-// A silent engine is asked by a new connection after this long: events come every 30 to 200 ms, and
-// an engine reads a prompt for up to two seconds before the first one.
-constexpr milliseconds check_while_flowing{250};
-constexpr milliseconds check_before_output{500};
-// Several round trips between failure domains; a lost first packet costs a second check.
-constexpr milliseconds check_timeout{150};
-
-// A flowing stream goes on elsewhere after this multiple of the longest gap that users accept, an
-// engine without output after this share of the time to the first output; without targets, after
-// the times below.
-constexpr double gap_multiple = 1.5;
-constexpr double target_share = 0.85;
-constexpr milliseconds default_gap{2'000};
-constexpr milliseconds default_first{5'000};
-
-// Time of an output token at an engine of usual speed, in ms (platform's sheet: a step takes 5.05 ms
-// and more).
+// Time of an output token at an engine of usual speed, in ms (platform's sheet: a step takes 5.05
+// ms and more).
 constexpr double usual_ms_per_token = 5.1;
 
 constexpr milliseconds connect_timeout{200};
 // Before engines that were tried already are tried again.
 constexpr milliseconds resend_pause{100};
 
-milliseconds scaled(milliseconds whole, double factor)
-{
-    return milliseconds(static_cast<milliseconds::rep>(double(whole.count()) * factor));
-}
-
 core::instant now()
 {
     return core::instant::clock::now();
@@ -126,9 +106,18 @@
     from_copy_ = from_copy;
     framer_ = event_framer();
     failure_body_.clear();
-    last_heard_ = now();
     current_ = attempt_at(endpoint, std::move(head), connect_timeout);
-    watch_silence();
+    if (silence_ == nullptr) {
+        const std::weak_ptr<forwarded_call> weak = weak_from_this();
+        silence_ =
+            std::make_shared<silence_watch>(setting_.pool, [this, weak](const std::string& detail) {
+                const auto self = weak.lock();
+                if (self != nullptr && !over() && current_ != nullptr) {
+                    lose(attempt_end::silent, detail);
+                }
+            });
+    }
+    silence_->begin(endpoint.where, bounds());
 }
 
 void stream_call::on_head(upstream_attempt& attempt)
@@ -137,7 +126,6 @@
         return;
     }
     note_load(attempt);
-    last_heard_ = now();
     accepted_ = attempt.answer().status() == status_ok && trusted(attempt.answer());
     if (accepted_ && head_.headers.empty()) {
         head_ = {status_ok, answer_fields(attempt.answer().headers()), {}};
@@ -149,7 +137,7 @@
     if (&attempt != current_.get()) {
         return;
     }
-    const auto gap = now() - std::exchange(last_heard_, now());
+    const auto gap = now() - silence_->last_heard();
     if (!accepted_) {
         failure_body_ += part;
         return;
@@ -160,6 +148,10 @@
         note_pace(attempt, gap);
     }
     deliver(attempt, events);
+    if (over() || &attempt != current_.get()) {
+        return;
+    }
+    silence_->heard(bounds());
     if (framer_.overflowed()) {
         lose(attempt_end::spoiled, "event is too long");
     }
@@ -241,9 +233,7 @@
 {
     const auto self = shared_from_this();
     const auto lost = std::exchange(current_, nullptr);
-    if (check_ != nullptr) {
-        check_->cancel();
-    }
+    silence_->stop();
     lost->cancel();
     note_end(*lost, end, detail);
     if (from_copy_ || !flowing_) {
@@ -265,61 +255,11 @@
     }
 }
 
-core::duration stream_call::longest_silence() const
+forwarding::silence_bounds stream_call::bounds() const
 {
-    const auto& by = setting_.by;
-    // An engine that goes on from a copy reads little before its first event.
-    if (flowing_ || from_copy_) {
-        return by.longest_gap.count() > 0 ? scaled(by.longest_gap, gap_multiple) : default_gap;
-    }
-    return by.target.count() > 0 ? scaled(by.target, target_share) : default_first;
-}
-
-void stream_call::watch_silence()
-{
-    if (silence_timer_ == nullptr) {
-        const std::weak_ptr<forwarded_call> weak = weak_from_this();
-        silence_timer_ = std::make_shared<lazy_timer>(setting_.pool.lane(), [this, weak] {
-            const auto self = weak.lock();
-            if (self != nullptr && !over()) {
-                check_silence();
-            }
-        });
-    }
-    const auto patience = flowing_ ? check_while_flowing : check_before_output;
-    silence_timer_->set(std::max(now(), last_heard_) + patience);
-}
-
-void stream_call::check_silence()
-{
-    if (current_ == nullptr) {
-        return;
-    }
-    const auto silent_for = now() - last_heard_;
-    const auto patience = flowing_ ? check_while_flowing : check_before_output;
-    if (silent_for < patience) {
-        silence_timer_->set(last_heard_ + patience);
-        return;
-    }
-    if (silent_for >= longest_silence()) {
-        lose(attempt_end::silent, "no output in time");
-        return;
-    }
-    if (check_ != nullptr) {
-        check_->cancel();
-    }
-    const std::weak_ptr<forwarded_call> weak = weak_from_this();
-    check_ =
-        std::make_shared<liveness_check>(setting_.pool, current_->endpoint().where,
-                                         [this, weak, asked = std::weak_ptr(current_)](bool alive) {
-                                             const auto self = weak.lock();
-                                             if (self != nullptr && !over() && !alive &&
-                                                 asked.lock() == current_ && current_ != nullptr) {
-                                                 lose(attempt_end::silent, "no longer reachable");
-                                             }
-                                         });
-    check_->start(check_timeout);
-    watch_silence();
+    using forwarding::stream_stage;
+    const auto before_output = from_copy_ ? stream_stage::resuming : stream_stage::reading;
+    return bounds_for(setting_.by, flowing_ ? stream_stage::flowing : before_output);
 }
 
 void stream_call::expire()
@@ -339,11 +279,8 @@
         settle(*running);
         running->cancel();
     }
-    if (check_ != nullptr) {
-        check_->cancel();
-    }
-    if (silence_timer_ != nullptr) {
-        silence_timer_->stop();
+    if (silence_ != nullptr) {
+        silence_->stop();
     }
     if (resend_timer_ != nullptr) {
         resend_timer_->stop();
--- a/libs/front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -2,7 +2,9 @@
 
 #include "event_framer.h"
 #include "forwarded_call.h"
-#include "liveness_check.h"
+#include "silence_watch.h"
+
+#include <forwarding/silence_bounds.h>
 
 #include <http/response.h>
 
@@ -36,9 +38,7 @@
     void deliver(upstream_attempt& attempt, const std::vector<framed_event>& events);
     void note_pace(const upstream_attempt& attempt, core::duration gap) const;
     void lose(forwarding::attempt_end end, const std::string& detail);
-    void watch_silence();
-    void check_silence();
-    [[nodiscard]] core::duration longest_silence() const;
+    [[nodiscard]] forwarding::silence_bounds bounds() const;
 
     attempt_ptr current_;
     event_framer framer_;
@@ -49,10 +49,8 @@
     http::response head_;    // Of the first engine; stands for the whole answer.
     std::optional<std::uint64_t> last_event_;
     std::optional<core::endpoint> copy_at_; // Keeps a copy of the current attempt's memory.
-    core::instant last_heard_{};
-    std::shared_ptr<lazy_timer> silence_timer_;
+    std::shared_ptr<silence_watch> silence_;
     std::shared_ptr<lazy_timer> resend_timer_;
-    std::shared_ptr<liveness_check> check_;
 };
 
 } // namespace ej::front
--- a/libs/forwarding/include/forwarding/endpoint_standing.h
+++ b/libs/forwarding/include/forwarding/endpoint_standing.h
@@ -10,8 +10,8 @@
 
 /// What this daemon knows of an endpoint's load and health. Immutable: an event gives a new one.
 struct endpoint_standing {
-    std::uint32_t in_flight = 0;      ///< This daemon's requests there.
-    std::uint64_t tokens_unread = 0;  ///< Prompt tokens of those without output yet.
+    std::uint32_t in_flight = 0;            ///< This daemon's requests there.
+    std::uint64_t tokens_unread = 0;        ///< Prompt tokens of those without output yet.
     std::uint32_t others_in_flight = 0;     ///< Other daemons' requests, as they told.
     std::uint64_t others_tokens_unread = 0; ///< Prompt tokens of those without output yet.
     std::uint32_t reported = 0;       ///< Running and waiting by its last report, of all daemons.
--- a/libs/forwarding/src/standings.cpp
+++ b/libs/forwarding/src/standings.cpp
@@ -18,9 +18,9 @@
     milliseconds longest;
 };
 
-// By attempt_end. A crashed endpoint is mostly back under another name after one to several seconds,
-// and its old entry goes soon after; a single failed answer says little, since applications fail a
-// part of their requests by themselves.
+// By attempt_end. A crashed endpoint is mostly back under another name after one to several
+// seconds, and its old entry goes soon after; a single failed answer says little, since
+// applications fail a part of their requests by themselves.
 constexpr std::array<avoidance, attempt_end_count> avoidances{{
     {0, milliseconds(1'000), milliseconds(4'000)}, // not_sent
     {0, milliseconds(100), milliseconds(400)},     // not_executed
@@ -36,7 +36,7 @@
 // fastest ones tell an engine's own speed.
 constexpr double weight_of_faster = 0.2;
 constexpr double weight_of_slower = 0.01;
-constexpr double slowest = 8;        // Bounds of the pace against single outliers.
+constexpr double slowest = 8; // Bounds of the pace against single outliers.
 constexpr double fastest = 0.2;
 
 } // namespace
