--- a/libs/forwarding/include/forwarding/endpoint_record.h
+++ b/libs/forwarding/include/forwarding/endpoint_record.h
@@ -10,8 +10,9 @@
 
 /// An endpoint as it registers itself in the store.
 struct endpoint_record {
-    core::endpoint what;  ///< Its incarnation is the time of its start.
-    bool leaving = false; ///< Takes no new requests.
+    core::endpoint what;
+    bool leaving = false;         ///< Takes no new requests.
+    std::uint64_t started_ms = 0; ///< Start of this incarnation, in Unix milliseconds.
 
     friend auto operator<=>(const endpoint_record&, const endpoint_record&) = default;
 };
--- a/libs/forwarding/include/forwarding/fleet.h
+++ b/libs/forwarding/include/forwarding/fleet.h
@@ -16,6 +16,8 @@
 class fleet {
 public:
     fleet() = default;
+    /// Of several records with one address only that of the latest start counts: the entries of
+    /// crashed endpoints stay for a while, and addresses are used again.
     explicit fleet(std::vector<endpoint_record> records);
 
     /// The endpoints of `service` that are not leaving; empty for an unknown service.
--- a/libs/forwarding/src/fleet.cpp
+++ b/libs/forwarding/src/fleet.cpp
@@ -1,5 +1,6 @@
 #include <forwarding/fleet.h>
 
+#include <map>
 #include <numeric>
 #include <utility>
 
@@ -7,7 +8,14 @@
 
 fleet::fleet(std::vector<endpoint_record> records)
 {
+    std::map<core::address, endpoint_record> latest;
     for (endpoint_record& record : records) {
+        const auto [known, added] = latest.try_emplace(record.what.where, record);
+        if (!added && known->second.started_ms < record.started_ms) {
+            known->second = std::move(record);
+        }
+    }
+    for (auto& [where, record] : latest) {
         if (!record.leaving) {
             by_service_[record.what.service].push_back(std::move(record.what));
         }
--- /dev/null
+++ b/stand_ins/fleet/include/fleet/store_stand_in.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <http/server.h>
+
+#include <core/address.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace ej::fleet {
+
+/// The users' store: keys with revisions, ranges, watches, transactions and leases. Leases never
+/// run out by themselves. Thread-safe.
+class store_stand_in {
+public:
+    store_stand_in();
+    ~store_stand_in();
+    store_stand_in(const store_stand_in&) = delete;
+    store_stand_in& operator=(const store_stand_in&) = delete;
+    store_stand_in(store_stand_in&&) = delete;
+    store_stand_in& operator=(store_stand_in&&) = delete;
+
+    [[nodiscard]] core::address address() const;
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    /// While set, every call is answered 503.
+    void be_away(bool away) { away_ = away; }
+
+    /// Drops the history: watches behind now are answered 410.
+    void drop_history();
+
+    /// Number of calls so far.
+    [[nodiscard]] std::uint64_t calls() const { return calls_; }
+
+private:
+    struct item {
+        std::string value;
+        bool removed = false;
+        std::uint64_t revision = 0;
+    };
+
+    boost::asio::awaitable<void> answer(std::shared_ptr<http::exchange> asked);
+    http::response range(const std::string& prefix);
+    http::response changes(const std::string& prefix, std::uint64_t after, bool& empty);
+    http::response commit(const std::string& body);
+
+    std::atomic<bool> away_{false};
+    std::atomic<std::uint64_t> calls_{0};
+    std::mutex mutex_;
+    std::map<std::string, item> items_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t history_from_ = 0;
+    boost::asio::io_context loop_{1};
+    std::unique_ptr<http::server> server_;
+    std::thread thread_;
+};
+
+} // namespace ej::fleet
--- /dev/null
+++ b/stand_ins/fleet/src/store_stand_in.cpp
@@ -0,0 +1,181 @@
+#include <utility>
+
+#include <fleet/store_stand_in.h>
+
+#include <http/pause_for.h>
+
+#include <absl/strings/escaping.h>
+#include <boost/asio/strand.hpp>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <stdexcept>
+
+namespace ej::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_gone = 410;
+constexpr unsigned status_conflict = 412;
+constexpr unsigned status_unavailable = 503;
+constexpr std::chrono::milliseconds watch_interval{5};
+
+/// The value of `name` in the query of `target`; empty if there is none.
+std::string query_value(const std::string& target, const std::string& name)
+{
+    const auto begin = target.find(name + "=");
+    if (begin == std::string::npos) {
+        return {};
+    }
+    const auto start = begin + name.size() + 1;
+    return target.substr(start, target.find('&', start) - start);
+}
+
+http::response reply(const json& body)
+{
+    return {status_ok, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+} // namespace
+
+store_stand_in::store_stand_in()
+{
+    const auto executor = boost::asio::make_strand(loop_);
+    auto started = http::server::start(executor, {"127.0.0.1", 0}, {},
+                                       [this](auto asked) { return answer(std::move(asked)); });
+    if (!started.ok()) {
+        throw std::runtime_error(std::string(started.status().message()));
+    }
+    server_ = *std::move(started);
+    thread_ = std::thread([this] { loop_.run(); });
+}
+
+store_stand_in::~store_stand_in()
+{
+    loop_.stop();
+    thread_.join();
+}
+
+core::address store_stand_in::address() const
+{
+    return server_->local();
+}
+
+void store_stand_in::put(const std::string& key, const std::string& value)
+{
+    const std::scoped_lock lock(mutex_);
+    items_[key] = {value, false, ++revision_};
+}
+
+void store_stand_in::remove(const std::string& key)
+{
+    const std::scoped_lock lock(mutex_);
+    items_[key] = {"", true, ++revision_};
+}
+
+void store_stand_in::drop_history()
+{
+    const std::scoped_lock lock(mutex_);
+    history_from_ = ++revision_;
+}
+
+http::response store_stand_in::range(const std::string& prefix)
+{
+    const std::scoped_lock lock(mutex_);
+    json items = json::array();
+    for (const auto& [key, one] : items_) {
+        if (!one.removed && key.starts_with(prefix)) {
+            items.push_back({{"key", key},
+                             {"value", absl::Base64Escape(one.value)},
+                             {"revision", one.revision},
+                             {"createdRev", one.revision},
+                             {"lease", 0}});
+        }
+    }
+    return reply({{"items", items}, {"morePages", false}, {"currentRev", revision_}});
+}
+
+http::response store_stand_in::changes(const std::string& prefix, std::uint64_t after, bool& empty)
+{
+    const std::scoped_lock lock(mutex_);
+    empty = false;
+    if (after < history_from_) {
+        return {status_gone, {}, ""};
+    }
+    json events = json::array();
+    for (const auto& [key, one] : items_) {
+        if (one.revision <= after || !key.starts_with(prefix)) {
+            continue;
+        }
+        json event{{"key", key}, {"revision", one.revision}};
+        if (one.removed) {
+            event["tombstone"] = true;
+        }
+        else {
+            event["value"] = absl::Base64Escape(one.value);
+        }
+        events.push_back(std::move(event));
+    }
+    empty = events.empty();
+    return reply({{"events", events}, {"currentRev", revision_}});
+}
+
+http::response store_stand_in::commit(const std::string& body)
+{
+    const auto asked = json::parse(body);
+    const std::scoped_lock lock(mutex_);
+    for (const json& row : asked["expectedRevision"]) {
+        const auto known = items_.find(row["key"].get<std::string>());
+        const std::uint64_t revision =
+            known == items_.end() || known->second.removed ? 0 : known->second.revision;
+        if (revision != row["revision"].get<std::uint64_t>()) {
+            return {status_conflict, {}, "{}"};
+        }
+    }
+    ++revision_;
+    for (const json& row : asked["writes"]) {
+        std::string value;
+        absl::Base64Unescape(row["value"].get<std::string>(), &value);
+        items_[row["key"].get<std::string>()] = {value, false, revision_};
+    }
+    return reply({{"revision", revision_}});
+}
+
+boost::asio::awaitable<void> store_stand_in::answer(std::shared_ptr<http::exchange> asked)
+{
+    ++calls_;
+    const auto& target = asked->received().target;
+    http::response made{status_not_found, {}, ""};
+    if (away_) {
+        made.status = status_unavailable;
+    }
+    else if (target.starts_with("/v1/kv-range")) {
+        made = range(query_value(target, "prefix"));
+    }
+    else if (target.starts_with("/v1/kv-watch")) {
+        const auto after = std::stoull(query_value(target, "after"));
+        const std::chrono::milliseconds wait(std::stoll(query_value(target, "waitMs")));
+        bool empty = true;
+        for (std::chrono::milliseconds waited{0};; waited += watch_interval) {
+            made = changes(query_value(target, "prefix"), after, empty);
+            if (!empty || waited >= wait || away_) {
+                break;
+            }
+            co_await http::pause_for(watch_interval);
+        }
+    }
+    else if (target == "/v1/kv-txn") {
+        made = commit(asked->received().body);
+    }
+    else if (target == "/v1/kv-lease" || target.starts_with("/v1/kv-keep")) {
+        made = reply({{"lease", 7}, {"ttlMs", 10'000}});
+    }
+    const auto status = co_await asked->respond(std::move(made));
+    static_cast<void>(status); // A daemon that ends does not read its last answer.
+}
+
+} // namespace ej::fleet
--- /dev/null
+++ b/tests/forward/caller.cpp
@@ -0,0 +1,132 @@
+#include "caller.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <vector>
+
+namespace ej::forward_tests {
+
+namespace {
+
+// A guard against a hang; no test waits for it.
+constexpr int longest_wait_ms = 20'000;
+
+} // namespace
+
+caller::caller(const core::address& where) : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+{
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    to.sin_port = htons(where.port);
+    if (::connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
+        throw std::runtime_error("daemon does not listen");
+    }
+}
+
+caller::~caller()
+{
+    close();
+}
+
+void caller::close()
+{
+    if (socket_ >= 0) {
+        ::close(socket_);
+        socket_ = -1;
+    }
+}
+
+void caller::send(const std::string& text) const
+{
+    std::size_t sent = 0;
+    while (sent < text.size()) {
+        const auto count = ::send(socket_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            return; // The answer tells why.
+        }
+        sent += static_cast<std::size_t>(count);
+    }
+}
+
+bool caller::read_more()
+{
+    pollfd asked{socket_, POLLIN, 0};
+    if (::poll(&asked, 1, longest_wait_ms) <= 0) {
+        return false;
+    }
+    constexpr std::size_t read_bytes = 16'384;
+    std::vector<char> part(read_bytes);
+    const auto count = ::recv(socket_, part.data(), part.size(), 0);
+    bytes_.append(part.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    return count > 0;
+}
+
+std::string caller::read_until(const std::string& text)
+{
+    while (bytes_.find(text) == std::string::npos && read_more()) {
+    }
+    return bytes_;
+}
+
+std::string caller::read_answer()
+{
+    const std::string length_field = "Content-Length: ";
+    for (;;) {
+        const auto head_end = bytes_.find("\r\n\r\n");
+        if (head_end != std::string::npos) {
+            const auto head = bytes_.substr(0, head_end + 2);
+            const auto length = head.find(length_field);
+            std::size_t whole = std::string::npos;
+            if (length != std::string::npos) {
+                whole = head_end + 4 + std::stoul(head.substr(length + length_field.size()));
+            }
+            else if (const auto last = bytes_.find("\r\n0\r\n\r\n"); last != std::string::npos) {
+                whole = last + 7;
+            }
+            if (whole != std::string::npos && bytes_.size() >= whole) {
+                const auto answer = bytes_.substr(0, whole);
+                bytes_.erase(0, whole);
+                return answer;
+            }
+        }
+        if (!read_more()) {
+            return bytes_;
+        }
+    }
+}
+
+bool caller::closed_within(std::chrono::milliseconds time) const
+{
+    pollfd asked{socket_, POLLIN, 0};
+    if (::poll(&asked, 1, static_cast<int>(time.count())) <= 0) {
+        return false;
+    }
+    char byte = 0;
+    return ::recv(socket_, &byte, 1, 0) <= 0;
+}
+
+std::string joined_chunks(const std::string& answer)
+{
+    std::string body;
+    auto place = answer.find("\r\n\r\n") + 4;
+    while (place < answer.size()) {
+        const auto line_end = answer.find("\r\n", place);
+        constexpr int hexadecimal = 16;
+        const auto size = std::stoul(answer.substr(place, line_end - place), nullptr, hexadecimal);
+        if (size == 0) {
+            break;
+        }
+        body += answer.substr(line_end + 2, size);
+        place = line_end + 2 + size + 2;
+    }
+    return body;
+}
+
+} // namespace ej::forward_tests
--- /dev/null
+++ b/tests/forward/stream_call_test.cpp
@@ -0,0 +1,213 @@
+#include "caller.h"
+#include "world.h"
+
+#include <catch2/catch.hpp>
+
+namespace ej::forward_tests {
+
+namespace {
+
+using fleet::endpoint_stand_in;
+using fleet::event_chunk;
+using fleet::field_of;
+using fleet::step;
+using fleet::step_kind;
+using fleet::stream_head;
+
+constexpr int last_event = 12;
+
+std::string plain_event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: word" + std::to_string(id) + "\n\n";
+}
+
+std::string whole_stream(int from = 1)
+{
+    std::string text;
+    for (int id = from; id <= last_event; ++id) {
+        text += plain_event(id);
+    }
+    return text;
+}
+
+/// The steps that stream the events behind the request's Last-Event-Id, `until` at most.
+std::vector<step> stream(const std::string& request, int until)
+{
+    const auto behind = field_of(request, "Last-Event-Id");
+    std::vector<step> steps{{step_kind::send, stream_head(request)}};
+    for (int id = behind.empty() ? 1 : std::stoi(behind) + 1; id <= until; ++id) {
+        steps.push_back({step_kind::send, event_chunk(id)});
+        steps.push_back({step_kind::wait, "", std::chrono::milliseconds(5)});
+    }
+    if (until == last_event) {
+        steps.push_back({step_kind::send, fleet::last_chunk()});
+    }
+    return steps;
+}
+
+std::vector<step> whole(const std::string& request, int)
+{
+    return stream(request, last_event);
+}
+
+/// Streams up to event 5 and half of the next one, then ends as `how` says.
+endpoint_stand_in::script breaks(step_kind how)
+{
+    return [how](const std::string& request, int) {
+        auto steps = stream(request, 5);
+        steps.push_back({step_kind::send, event_chunk(6).substr(0, 9)});
+        steps.push_back({how, ""});
+        return steps;
+    };
+}
+
+const std::string tokens = "Endivejunction-Token-Usage: 5000,72\r\n";
+
+} // namespace
+
+TEST_CASE("a stream is passed on whole, in pieces as they come")
+{
+    world in;
+    const endpoint_stand_in engine(whole);
+    in.add("i-1", "llm", engine);
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    const auto answer = one.read_answer();
+    CHECK(answer.find("Endivejunction-Response-Signature: signed") != std::string::npos);
+    CHECK(joined_chunks(answer) == whole_stream());
+}
+
+TEST_CASE("a stream goes on at another engine within one answer, each event once")
+{
+    const auto how = GENERATE(step_kind::close, step_kind::reset, step_kind::hang);
+    world in;
+    const endpoint_stand_in first(breaks(how));
+    const endpoint_stand_in second(whole);
+    in.add("i-1", "llm", first);
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    REQUIRE(one.read_until("word5").find("word5") != std::string::npos);
+    in.add("i-2", "llm", second, "z2");
+    const auto answer = one.read_answer();
+    CHECK(joined_chunks(answer) == whole_stream());
+    REQUIRE(second.requests().size() == 1);
+    CHECK(field_of(second.requests().front(), "Last-Event-Id") == "5");
+    if (how == step_kind::hang) {
+        // The engine that hangs is told to stop.
+        CHECK(world::eventually([&] { return first.abandoned() == 1; }));
+    }
+}
+
+TEST_CASE("an engine that is no longer there is noticed by its silence")
+{
+    world in;
+    endpoint_stand_in first(breaks(step_kind::hang));
+    const endpoint_stand_in second(whole);
+    in.add("i-1", "llm", first);
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    REQUIRE(one.read_until("word5").find("word5") != std::string::npos);
+    first.go_dark();
+    in.add("i-2", "llm", second, "z2");
+    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+}
+
+TEST_CASE("a stream goes on from the copy of its memory")
+{
+    world in;
+    const endpoint_stand_in first(breaks(step_kind::reset));
+    const endpoint_stand_in second(whole);
+    in.add("i-1", "llm", first, "z1");
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    in.add("i-2", "llm", second, "z2");
+    REQUIRE(in.knows_endpoints(2));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+    REQUIRE(first.requests().size() == 1);
+    REQUIRE(second.requests().size() == 1);
+    const auto copy_at = core::to_string(second.address());
+    CHECK(field_of(first.requests().front(), "Endivejunction-Kv-Backup") == copy_at);
+    CHECK(field_of(second.requests().front(), "Kv-From") == copy_at + "/id1");
+}
+
+TEST_CASE("without a copy at its holder the prompt is read again")
+{
+    world in;
+    const endpoint_stand_in first(breaks(step_kind::reset));
+    const endpoint_stand_in second([](const std::string& text, int) -> std::vector<step> {
+        if (!field_of(text, "Kv-From").empty()) {
+            return {{step_kind::send, "HTTP/1.1 503 X\r\nEndivejunction-Not-Executed: 1\r\n"
+                                      "Content-Length: 0\r\n\r\n"}};
+        }
+        return stream(text, last_event);
+    });
+    in.add("i-1", "llm", first, "z1");
+    in.add("i-2", "llm", second, "z2");
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(2));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+}
+
+TEST_CASE("a stream that no engine finishes does not look complete")
+{
+    world in;
+    const endpoint_stand_in engine(breaks(step_kind::reset));
+    in.add("i-1", "llm", engine);
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    const auto answer = one.read_answer();
+    CHECK(answer.find("word5") != std::string::npos);
+    CHECK(answer.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE("a caller that resumes gets what follows its last event")
+{
+    world in;
+    const endpoint_stand_in engine(whole);
+    in.add("i-1", "llm", engine);
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens + "Last-Event-Id: 7\r\n"));
+    CHECK(joined_chunks(one.read_answer()) == whole_stream(8));
+}
+
+TEST_CASE("a caller that leaves its stream ends the engine's work")
+{
+    world in;
+    const endpoint_stand_in engine([](const std::string& text, int) {
+        auto steps = stream(text, 5);
+        steps.push_back({step_kind::hang, ""});
+        return steps;
+    });
+    in.add("i-1", "llm", engine);
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    REQUIRE(one.read_until("word5").find("word5") != std::string::npos);
+    one.close();
+    CHECK(world::eventually([&] { return engine.abandoned() == 1; }));
+}
+
+} // namespace ej::forward_tests
