Tests of the decisions, parsers, codecs and the log queue; the queue ends although its reader hangs

The test of a reader that does not read hung: at its end the queue joined a thread that was blocked in a write, since the pipe had room for a part of the text.

--- /dev/null
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -0,0 +1,218 @@
+#include "answer_parser.h"
+#include "event_framer.h"
+#include "load_codec.h"
+#include "request_head.h"
+#include "request_reader.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace ej::front {
+
+namespace {
+
+/// `text` in pieces of random lengths.
+std::vector<std::string> pieces_of(const std::string& text)
+{
+    std::vector<std::string> pieces;
+    for (std::size_t place = 0; place < text.size();) {
+        const auto length =
+            std::min<std::size_t>(*rc::gen::inRange<std::size_t>(1, 40), text.size() - place);
+        pieces.push_back(text.substr(place, length));
+        place += length;
+    }
+    return pieces;
+}
+
+/// `text` with a few bytes replaced, dropped or doubled.
+std::string mutated(std::string text)
+{
+    const auto changes = *rc::gen::inRange(1, 5);
+    for (int change = 0; change < changes && !text.empty(); ++change) {
+        const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+        switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+            text[place] = *rc::gen::element('\r', '\n', ' ', ':', '0', '\0', '\x80', 'a');
+            break;
+        case 1:
+            text.erase(place, 1);
+            break;
+        case 2:
+            text.insert(place, 1, text[place]);
+            break;
+        default:
+            text.insert(place, *rc::gen::element<std::string>(
+                                   "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n",
+                                   "\r\n\r\n", "GET / HTTP/1.1\r\n", "0\r\n\r\n"));
+        }
+    }
+    return text;
+}
+
+constexpr std::string_view chunked_field = "transfer-encoding";
+
+/// Reads all requests of `text` given in `pieces`; the last one may be cut or faulty.
+std::vector<caller_request> read_all(const std::vector<std::string>& pieces, bool& faulty)
+{
+    request_reader reader;
+    reader.begin({});
+    std::vector<caller_request> requests;
+    faulty = false;
+    const auto take = [&](const std::string& piece) {
+        const auto room = reader.buffer().prepare(piece.size());
+        std::copy(piece.begin(), piece.end(), static_cast<char*>(room.data()));
+        reader.buffer().commit(piece.size());
+        while (!faulty) {
+            const auto progress = reader.advance();
+            faulty = progress == request_reader::progress::faulty;
+            if (progress != request_reader::progress::complete) {
+                return;
+            }
+            requests.push_back(reader.take());
+            reader.begin({});
+        }
+    };
+    std::ranges::for_each(pieces, take);
+    return requests;
+}
+
+} // namespace
+
+TEST_CASE("requests are the same however their bytes are cut")
+{
+    const bool holds = rc::check([] {
+        std::string text;
+        const auto count = *rc::gen::inRange(1, 4);
+        for (int number = 0; number < count; ++number) {
+            text += *rc::gen::element<std::string>(
+                "GET /a HTTP/1.1\r\nHost: h\r\nX: 1\r\n\r\n",
+                "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+                "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3\r\nabc\r\n0\r\n\r\n");
+        }
+        bool faulty = false;
+        const auto whole = read_all({text}, faulty);
+        RC_ASSERT(!faulty && whole.size() == static_cast<std::size_t>(count));
+        const auto cut = read_all(pieces_of(text), faulty);
+        RC_ASSERT(!faulty && cut.size() == whole.size());
+        for (std::size_t index = 0; index < whole.size(); ++index) {
+            RC_ASSERT(cut[index].message == whole[index].message);
+        }
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("no mutated request is read with both a length and chunks, or smuggles one in its body")
+{
+    const bool holds = rc::check([] {
+        const std::string text = mutated(*rc::gen::element<std::string>(
+            "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+            "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n0\r\n\r\n"));
+        bool faulty = false;
+        for (const auto& one : read_all(pieces_of(text), faulty)) {
+            const auto chunked = one.message.header_value("Transfer-Encoding").has_value();
+            const auto length = one.message.header_value("Content-Length");
+            // RC_ASSERT evaluates both sides of an operator.
+            if (length) {
+                RC_ASSERT(!chunked);
+                RC_ASSERT(std::stoull(*length) == one.message.body.size());
+            }
+            // What goes to the endpoint has one head and exactly the body that was read.
+            const auto sent = encode(one, {}, {});
+            const auto head_end = sent.find("\r\n\r\n");
+            RC_ASSERT(sent.substr(head_end + 4) == one.message.body);
+            auto head = sent.substr(0, head_end);
+            std::ranges::transform(head, head.begin(), [](unsigned char character) {
+                return static_cast<char>(std::tolower(character));
+            });
+            RC_ASSERT(head.find(chunked_field) == std::string::npos);
+        }
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("an answer is the same however its bytes are cut, and mutated ones end")
+{
+    const bool holds = rc::check([] {
+        const auto original = *rc::gen::element<std::string>(
+            "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        const bool broken = *rc::gen::arbitrary<bool>();
+        const auto text = broken ? mutated(original) : original;
+        const auto run = [](const std::vector<std::string>& pieces) {
+            answer_parser parser;
+            std::string pending;
+            std::string body;
+            for (const auto& piece : pieces) {
+                pending += piece;
+                while (!pending.empty() && !parser.is_done()) {
+                    error_code error;
+                    const auto used = parser.put(asio::buffer(pending), error);
+                    pending.erase(0, used);
+                    body += parser.take_body();
+                    if (error) {
+                        break;
+                    }
+                }
+            }
+            return std::pair(parser.is_done(), body);
+        };
+        const auto cut = run(pieces_of(text));
+        const bool whole = cut.first && (cut.second == "hello" || cut.second == "abc");
+        const bool as_expected = broken || whole;
+        RC_ASSERT(as_expected);
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("events are cut as a split of the whole text says")
+{
+    const bool holds = rc::check([] {
+        std::string text;
+        std::vector<std::string> expected;
+        const auto count = *rc::gen::inRange(0, 6);
+        for (int number = 1; number <= count; ++number) {
+            const std::string end = *rc::gen::element<std::string>("\n\n", "\r\n\r\n");
+            const std::string line = end.substr(0, end.size() / 2);
+            expected.push_back("id: " + std::to_string(number) + line + "data: x" + end);
+            text += expected.back();
+        }
+        event_framer framer;
+        std::vector<framed_event> events;
+        for (const auto& piece : pieces_of(text + "id: 99\ndata: cut")) {
+            std::ranges::move(framer.feed(piece), std::back_inserter(events));
+        }
+        RC_ASSERT(events.size() == expected.size());
+        for (std::size_t index = 0; index < events.size(); ++index) {
+            RC_ASSERT(events[index].text == expected[index]);
+            RC_ASSERT(events[index].id == index + 1);
+        }
+        RC_ASSERT(framer.within_event());
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("load messages survive their encoding; other datagrams are refused")
+{
+    const forwarding::load_message message{
+        core::vm_id("vm"), 7, 9, true, {{core::endpoint_id("x"), 3, 12'000}}};
+    const auto bytes = encode(message);
+    REQUIRE(decode_load(bytes).ok());
+    CHECK(*decode_load(bytes) == message);
+    const bool holds = rc::check([&] {
+        auto changed = bytes;
+        changed[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+            *rc::gen::arbitrary<std::uint8_t>();
+        changed.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+        const auto decoded = decode_load(changed); // Does not crash.
+        RC_ASSERT(decoded.ok() || !decoded.status().message().empty());
+    });
+    CHECK(holds);
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/forwarding/tests/fleet_log_test.cpp
@@ -0,0 +1,122 @@
+#include <forwarding/fleet_log.h>
+
+#include <catch2/catch.hpp>
+
+namespace ej::forwarding {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const core::endpoint_id name("i-1");
+
+endpoint_record record(std::uint64_t started = 1, bool leaving = false,
+                       const std::string& endpoint = "i-1", std::uint16_t port = 1)
+{
+    endpoint_record made;
+    made.what.name = core::endpoint_id(endpoint);
+    made.what.incarnation = core::incarnation_id(std::to_string(started));
+    made.what.service = core::service_id("s");
+    made.what.where = {"10.0.0.1", port};
+    made.leaving = leaving;
+    made.started_ms = started;
+    return made;
+}
+
+std::size_t known(const fleet_log& log)
+{
+    return log.current().of(core::service_id("s")).size();
+}
+
+const core::instant start{std::chrono::hours(1)};
+
+} // namespace
+
+TEST_CASE("an entry that goes while the store is there is gone at once")
+{
+    fleet_log log;
+    CHECK(log.put(name, record(), core::revision(5)));
+    CHECK(known(log) == 1);
+    CHECK(log.remove(name, core::revision(6), start));
+    CHECK(known(log) == 0);
+}
+
+TEST_CASE("older news change nothing")
+{
+    fleet_log log;
+    log.put(name, record(2), core::revision(5));
+    CHECK_FALSE(log.put(name, record(1), core::revision(4)));
+    CHECK_FALSE(log.remove(name, core::revision(4), start));
+    CHECK(known(log) == 1);
+    CHECK_FALSE(log.put(name, record(2), core::revision(6))); // Nothing but the revision.
+}
+
+TEST_CASE("an entry that lapsed during an outage has two seconds to come back")
+{
+    fleet_log log;
+    log.put(name, record(), core::revision(5));
+    log.outage();
+    log.answered(start);
+    CHECK_FALSE(log.remove(name, core::revision(6), start));
+    CHECK_FALSE(log.expire(start + milliseconds(1'900)));
+    CHECK(known(log) == 1);
+    SECTION("it comes back")
+    {
+        log.put(name, record(), core::revision(7));
+        CHECK_FALSE(log.expire(start + milliseconds(2'100)));
+        CHECK(known(log) == 1);
+    }
+    SECTION("it stays away")
+    {
+        CHECK(log.expire(start + milliseconds(2'100)));
+        CHECK(known(log) == 0);
+    }
+    SECTION("the store goes away again")
+    {
+        log.outage();
+        CHECK_FALSE(log.expire(start + milliseconds(5'000)));
+        CHECK(known(log) == 1);
+    }
+}
+
+TEST_CASE("an entry that a whole listing lacks is removed, a newer one is not")
+{
+    fleet_log log;
+    log.put(name, record(), core::revision(5));
+    log.put(core::endpoint_id("i-2"), record(1, false, "i-2", 2), core::revision(9));
+    log.retain({}, core::revision(7), start);
+    CHECK(known(log) == 1);
+}
+
+TEST_CASE("leaving holds for the incarnation that said it")
+{
+    fleet_log log;
+    log.put(name, record(1, true), core::revision(5));
+    log.put(name, record(1, false), core::revision(6));
+    CHECK(known(log) == 0);
+    log.remove(name, core::revision(7), start);
+    log.put(name, record(1, false), core::revision(8));
+    CHECK(known(log) == 0);
+    log.put(name, record(2, false), core::revision(9));
+    CHECK(known(log) == 1);
+}
+
+TEST_CASE("an unreadable entry names no endpoint")
+{
+    fleet_log log;
+    log.put(name, record(), core::revision(5));
+    CHECK(log.put(name, std::nullopt, core::revision(6)));
+    CHECK(known(log) == 0);
+}
+
+TEST_CASE("of several entries with one address the latest start counts")
+{
+    fleet_log log;
+    log.put(core::endpoint_id("i-new"), record(9, false, "i-new"), core::revision(6));
+    log.put(core::endpoint_id("i-old"), record(3, false, "i-old"), core::revision(7));
+    const auto fleet = log.current();
+    REQUIRE(fleet.of(core::service_id("s")).size() == 1);
+    CHECK(fleet.of(core::service_id("s")).front().name == core::endpoint_id("i-new"));
+}
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/tests/load_test.cpp
@@ -0,0 +1,189 @@
+#include <forwarding/backup_choice.h>
+#include <forwarding/endpoint_choice.h>
+#include <forwarding/peer_loads.h>
+#include <forwarding/send_budget.h>
+#include <forwarding/standings.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <vector>
+
+namespace ej::forwarding {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const core::instant start{std::chrono::hours(1)};
+
+candidate candidate_of(const std::string& name, const std::string& domain, bool local,
+                       endpoint_standing standing = {})
+{
+    core::endpoint what;
+    what.name = core::endpoint_id(name);
+    what.domain = core::failure_domain_id(domain);
+    return {what, standing, local};
+}
+
+std::string chosen(const std::string& strategy, const std::vector<candidate>& from,
+                   std::uint64_t turn = 0)
+{
+    const auto index = make_choice(strategy)->choose(from, {5'000, 700}, turn, start);
+    return index ? from[*index].what.name.text() : "";
+}
+
+} // namespace
+
+TEST_CASE("the sums of peers' loads are those of their last messages")
+{
+    const bool holds = rc::check([] {
+        peer_loads loads;
+        std::map<std::string, std::map<std::string, std::uint32_t>> model;
+        std::map<std::string, std::uint64_t> last;
+        const auto steps = *rc::gen::inRange(1, 40);
+        for (int step = 0; step < steps; ++step) {
+            load_message message;
+            const auto vm = *rc::gen::element<std::string>("a", "b", "c");
+            message.from = core::vm_id(vm);
+            message.start = 1;
+            message.number = *rc::gen::inRange<std::uint64_t>(1, 60);
+            message.whole = *rc::gen::arbitrary<bool>();
+            const auto endpoint = *rc::gen::element<std::string>("x", "y");
+            const auto count = *rc::gen::inRange<std::uint32_t>(0, 5);
+            message.shares = {{core::endpoint_id(endpoint), count, count * 10ULL}};
+            loads.apply(message, start);
+            if (message.number > last[vm]) {
+                last[vm] = message.number;
+                if (message.whole) {
+                    model[vm].clear();
+                }
+                model[vm][endpoint] = count;
+            }
+            for (const auto* const name : {"x", "y"}) {
+                std::uint32_t sum = 0;
+                for (const auto& [peer, shares] : model) {
+                    const auto found = shares.find(name);
+                    sum += found == shares.end() ? 0 : found->second;
+                }
+                const auto told = loads.at(core::endpoint_id(name));
+                RC_ASSERT(told.in_flight == sum);
+                RC_ASSERT(told.tokens_unread == sum * 10ULL);
+            }
+        }
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("a daemon that starts anew or falls silent has no old load")
+{
+    peer_loads loads;
+    const core::endpoint_id x("x");
+    loads.apply({core::vm_id("a"), 1, 7, false, {{x, 3, 30}}}, start);
+    loads.apply({core::vm_id("a"), 2, 1, false, {}}, start);
+    CHECK(loads.at(x).in_flight == 0);
+    loads.apply({core::vm_id("a"), 2, 2, false, {{x, 2, 20}}}, start);
+    loads.expire(start + milliseconds(2'900));
+    CHECK(loads.at(x).in_flight == 2);
+    loads.expire(start + milliseconds(3'100));
+    CHECK(loads.at(x).in_flight == 0);
+}
+
+TEST_CASE("the engine whose first output comes first is chosen")
+{
+    endpoint_standing reading;
+    reading.others_tokens_unread = 5'000;
+    reading.others_in_flight = 1;
+    endpoint_standing slow;
+    slow.slowness = 1.6;
+    CHECK(chosen("first_output", {candidate_of("busy", "z1", true, reading),
+                                  candidate_of("free", "z2", false)}) == "free");
+    CHECK(chosen("first_output", {candidate_of("slow", "z1", true, slow),
+                                  candidate_of("usual", "z2", false)}) == "usual");
+    CHECK(chosen("first_output",
+                 {candidate_of("far", "z2", false), candidate_of("near", "z1", true)}) == "near");
+    CHECK(chosen("fewest_requests", {candidate_of("busy", "z1", true, reading),
+                                     candidate_of("free", "z2", false)}) == "free");
+}
+
+TEST_CASE("endpoints that failed come last, equal ones take turns")
+{
+    endpoint_standing failed;
+    failed.avoid_until = start + seconds(1);
+    for (const auto* const strategy : {"first_output", "fewest_requests", "round_robin"}) {
+        const std::vector<candidate> two{candidate_of("bad", "z1", true, failed),
+                                         candidate_of("good", "z2", false)};
+        CHECK(chosen(strategy, two, 0) == "good");
+        CHECK(chosen(strategy, two, 1) == "good");
+        CHECK(chosen(strategy, {two.front()}) == "bad");
+        CHECK(chosen(strategy, {}).empty());
+        const std::vector<candidate> equal{candidate_of("a", "z1", true),
+                                           candidate_of("b", "z1", true)};
+        CHECK(chosen(strategy, equal, 0) != chosen(strategy, equal, 1));
+    }
+    CHECK(make_choice("unheard_of") == nullptr);
+}
+
+TEST_CASE("a copy is kept in another failure domain if there is one")
+{
+    const auto runner = candidate_of("run", "z1", true);
+    const std::vector<candidate> all{runner, candidate_of("near", "z1", true),
+                                     candidate_of("far", "z2", false)};
+    CHECK(choose_backup(all, runner.what, 0, start) == 2);
+    CHECK(choose_backup(std::span(all).first(2), runner.what, 0, start) == 1);
+    CHECK_FALSE(choose_backup(std::span(all).first(1), runner.what, 0, start));
+}
+
+TEST_CASE("an endpoint that keeps failing is avoided for longer, and not after a success")
+{
+    standings known;
+    core::endpoint endpoint;
+    endpoint.name = core::endpoint_id("x");
+    known.failed(endpoint.name, attempt_end::silent, start);
+    const auto first = known.of(endpoint).avoid_until;
+    CHECK(first > start);
+    known.failed(endpoint.name, attempt_end::silent, start);
+    CHECK(known.of(endpoint).avoid_until > first);
+    known.succeeded(endpoint.name);
+    CHECK(known.of(endpoint).avoid_until <= start);
+    known.failed(endpoint.name, attempt_end::failed, start);
+    CHECK(known.of(endpoint).avoid_until <= start); // A single failure says little.
+}
+
+TEST_CASE("load that begins and ends is counted once, whatever happens between")
+{
+    standings known;
+    core::endpoint endpoint;
+    endpoint.name = core::endpoint_id("x");
+    known.begin(endpoint.name, 100);
+    known.begin(endpoint.name, 50);
+    known.first_output(endpoint.name, 100);
+    CHECK(known.of(endpoint).tokens_unread == 50);
+    known.end(endpoint.name, 0);
+    known.end(endpoint.name, 50);
+    CHECK(known.of(endpoint).in_flight == 0);
+    CHECK(known.of(endpoint).tokens_unread == 0);
+    CHECK(known.own_shares().empty());
+}
+
+TEST_CASE("further sends keep within the ratio and this daemon's part of the allowance")
+{
+    const core::service_id service("s");
+    const auto daemons = GENERATE(1, 4, 9);
+    send_budget budget({0.5, 18, seconds(10)});
+    for (int number = 0; number < 20; ++number) {
+        budget.first(service, start);
+    }
+    int taken = 0;
+    while (budget.take(service, static_cast<std::size_t>(daemons), start)) {
+        ++taken;
+    }
+    CHECK(taken == 10 + 18 / daemons);
+    CHECK_FALSE(budget.take(service, static_cast<std::size_t>(daemons), start + seconds(9)));
+    // All has left the window: the allowance alone is there again.
+    CHECK(budget.take(service, static_cast<std::size_t>(daemons), start + seconds(11)));
+}
+
+} // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/tests/rulebook_test.cpp
@@ -0,0 +1,86 @@
+#include <forwarding/rulebook.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace ej::forwarding {
+
+namespace {
+
+route route_of(std::string host, std::string prefix)
+{
+    route made;
+    made.name = host + prefix;
+    made.host = std::move(host);
+    made.prefix = std::move(prefix);
+    made.backends = {{core::service_id("s"), 1}};
+    return made;
+}
+
+/// Looks at every route.
+const route* naive_find(const std::vector<route>& routes, const std::string& host,
+                        const std::string& path)
+{
+    const route* best = nullptr;
+    for (const route& one : routes) {
+        if (one.host == host && path.starts_with(one.prefix) &&
+            (best == nullptr || one.prefix.size() > best->prefix.size())) {
+            best = &one;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix wins, as a look at every route says")
+{
+    const bool holds = rc::check([] {
+        const auto draw_path = [] {
+            std::string path = "/";
+            const auto parts = *rc::gen::inRange(0, 4);
+            for (int part = 0; part < parts; ++part) {
+                path += *rc::gen::element<std::string>("a", "b", "ab") + "/";
+            }
+            return path;
+        };
+        ruleset rules;
+        std::set<std::string> seen;
+        const auto count = *rc::gen::inRange(0, 12);
+        for (int number = 0; number < count; ++number) {
+            const auto prefix = draw_path();
+            const auto host = *rc::gen::element<std::string>("one", "two");
+            if (seen.insert(host + prefix).second) {
+                rules.routes.push_back(route_of(host, prefix));
+            }
+        }
+        const auto path = draw_path() + "x";
+        const auto routes = rules.routes;
+        const rulebook book(std::move(rules));
+        const auto* const found = book.find_route("ONE:80", path);
+        const auto* const expected = naive_find(routes, "one", path);
+        const std::string prefix = found == nullptr ? "none" : found->prefix;
+        const std::string expected_prefix = expected == nullptr ? "none" : expected->prefix;
+        RC_ASSERT(prefix == expected_prefix);
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("a key stands for its workspace; without workspaces no key is needed")
+{
+    ruleset rules;
+    rules.routes = {route_of("h", "/a/")};
+    CHECK_FALSE(rulebook(rules).requires_key(rules.routes.front()));
+    rules.workspaces = {{core::workspace_id("pilots"), {"k1", "k2"}, 3}};
+    const rulebook book(rules);
+    CHECK(book.requires_key(rules.routes.front()));
+    REQUIRE(book.find_holder("k2") != nullptr);
+    CHECK(*book.find_holder("k2") == key_holder{core::workspace_id("pilots"), 3});
+    CHECK(book.find_holder("") == nullptr);
+    rules.routes.front().needs_key = false;
+    CHECK_FALSE(book.requires_key(rules.routes.front()));
+}
+
+} // namespace ej::forwarding
--- a/libs/logging/src/line_queue.cpp
+++ b/libs/logging/src/line_queue.cpp
@@ -1,6 +1,5 @@
 #include "line_queue.h"
 
-#include <poll.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -19,14 +18,7 @@
 constexpr std::chrono::milliseconds gather{100};
 
 // How long the end of the process waits for a reader that does not read.
-constexpr int last_words_ms = 100;
-
-/// True if `descriptor` takes bytes within `timeout_ms`.
-bool writable(int descriptor, int timeout_ms)
-{
-    pollfd asked{descriptor, POLLOUT, 0};
-    return ::poll(&asked, 1, timeout_ms) > 0 && (asked.revents & POLLOUT) != 0;
-}
+constexpr std::chrono::milliseconds last_words{100};
 
 /// Writes `text` whole; false when the reader has gone.
 bool write_all(int descriptor, std::string_view text)
@@ -53,18 +45,16 @@
 
 line_queue::~line_queue()
 {
-    {
-        const std::scoped_lock lock(state_->mutex);
-        state_->ending = true;
-    }
-    state_->changed.notify_one();
-    if (writable(descriptor_, last_words_ms)) {
+    std::unique_lock lock(state_->mutex);
+    state_->ending = true;
+    state_->changed.notify_all();
+    if (state_->changed.wait_for(lock, last_words, [this] { return state_->finished; })) {
+        lock.unlock();
         thread_.join();
+        return;
     }
-    else {
-        // The thread hangs in a write that nobody reads; the process ends without it.
-        thread_.detach();
-    }
+    // The thread hangs in a write that nobody reads; the process ends without it.
+    thread_.detach();
 }
 
 void line_queue::push(std::string line)
@@ -90,29 +80,36 @@
 void line_queue::write_lines(int descriptor, state& shared)
 {
     std::unique_lock lock(shared.mutex);
-    for (;;) {
+    bool taken = true;
+    while (taken) {
         shared.changed.wait(lock, [&] { return shared.ending || !shared.lines.empty(); });
         if (!shared.ending) {
             shared.changed.wait_for(lock, gather, [&] { return shared.ending; });
         }
         if (shared.lines.empty()) {
-            return;
-        }
-        std::string text;
-        for (const std::string& line : std::exchange(shared.lines, {})) {
-            text += line;
-        }
-        shared.bytes = 0;
-        if (shared.reported != shared.dropped) {
-            text += "log lines dropped total=" + std::to_string(shared.dropped) + "\n";
-            shared.reported = shared.dropped;
+            break;
         }
+        const auto text = take_lines(shared);
         lock.unlock();
-        if (!write_all(descriptor, text)) {
-            return;
-        }
+        taken = write_all(descriptor, text);
         lock.lock();
     }
+    shared.finished = true;
+    shared.changed.notify_all();
+}
+
+std::string line_queue::take_lines(state& shared)
+{
+    std::string text;
+    for (const std::string& line : std::exchange(shared.lines, {})) {
+        text += line;
+    }
+    shared.bytes = 0;
+    if (shared.reported != shared.dropped) {
+        text += "log lines dropped total=" + std::to_string(shared.dropped) + "\n";
+        shared.reported = shared.dropped;
+    }
+    return text;
 }
 
 } // namespace ej::logging
--- a/libs/logging/src/line_queue.h
+++ b/libs/logging/src/line_queue.h
@@ -41,9 +41,11 @@
         std::uint64_t dropped = 0;
         std::uint64_t reported = 0; // Of the dropped lines.
         bool ending = false;
+        bool finished = false; // The thread writes nothing more.
     };
 
     static void write_lines(int descriptor, state& shared);
+    static std::string take_lines(state& shared);
 
     int descriptor_;
     std::shared_ptr<state> state_;
--- /dev/null
+++ b/libs/logging/tests/line_queue_test.cpp
@@ -0,0 +1,82 @@
+#include "line_queue.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ej::logging {
+
+namespace {
+
+struct pipe_ends {
+    pipe_ends() { REQUIRE(::pipe2(ends.data(), O_CLOEXEC) == 0); }
+    ~pipe_ends()
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+    pipe_ends(const pipe_ends&) = delete;
+    pipe_ends& operator=(const pipe_ends&) = delete;
+    pipe_ends(pipe_ends&&) = delete;
+    pipe_ends& operator=(pipe_ends&&) = delete;
+
+    std::array<int, 2> ends{};
+};
+
+std::string read_all(int descriptor)
+{
+    std::string text;
+    std::vector<char> part(65'536);
+    for (auto count = ::read(descriptor, part.data(), part.size()); count > 0;
+         count = ::read(descriptor, part.data(), part.size())) {
+        text.append(part.data(), static_cast<std::size_t>(count));
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("lines come out whole and in order")
+{
+    pipe_ends pipe;
+    {
+        line_queue lines(pipe.ends[1]);
+        for (int number = 0; number < 100; ++number) {
+            lines.push("line " + std::to_string(number) + "\n");
+        }
+    }
+    ::close(std::exchange(pipe.ends[1], ::dup(pipe.ends[0])));
+    std::string expected;
+    for (int number = 0; number < 100; ++number) {
+        expected += "line " + std::to_string(number) + "\n";
+    }
+    CHECK(read_all(pipe.ends[0]) == expected);
+}
+
+TEST_CASE("a reader that does not read delays no writer; lost lines are counted")
+{
+    pipe_ends pipe;
+    auto lines = std::make_unique<line_queue>(pipe.ends[1]);
+    const std::string line(1'000, 'x');
+    auto slowest = std::chrono::steady_clock::duration::zero();
+    for (int number = 0; number < 10'000; ++number) {
+        const auto began = std::chrono::steady_clock::now();
+        lines->push(line + "\n");
+        slowest = std::max(slowest, std::chrono::steady_clock::now() - began);
+    }
+    CHECK(lines->dropped() > 0);
+    // The reader never reads; a push that waited for it would never have returned.
+    CHECK(slowest < std::chrono::seconds(5));
+    lines.reset();
+}
+
+} // namespace ej::logging
