--- a/libs/logging/src/line_queue.cpp
+++ b/libs/logging/src/line_queue.cpp
@@ -1,8 +1,10 @@
 #include "line_queue.h"
 
+#include <pthread.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <chrono>
 #include <string_view>
 #include <utility>
@@ -20,6 +22,15 @@
 // How long the end of the process waits for a reader that does not read.
 constexpr std::chrono::milliseconds last_words{100};
 
+/// A reader that has gone is an error of the write, not the end of the process.
+void block_pipe_signal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 /// Writes `text` whole; false when the reader has gone.
 bool write_all(int descriptor, std::string_view text)
 {
@@ -79,6 +90,7 @@
 
 void line_queue::write_lines(int descriptor, state& shared)
 {
+    block_pipe_signal();
     std::unique_lock lock(shared.mutex);
     bool taken = true;
     while (taken) {
