Requests under which three endpoints died are refused, at all daemons

libs/suspects is wired into the front: a death is confirmed by a connection that fails, told to the other daemons by datagram, and counted by workspace, path and body (count_deaths(3)). Test: one prompt takes at most four of six engines down, an innocent one is served.

--- a/libs/caller_front/src/call_gate.cpp
+++ b/libs/caller_front/src/call_gate.cpp
@@ -1,9 +1,11 @@
 #include "call_gate.h"
 
 #include <core/text.h>
+#include <suspects/verdict.h>
 
 #include "call_log.h"
 #include "own_answer.h"
+#include "request_head.h"
 #include "stream_call.h"
 #include "whole_call.h"
 
@@ -70,7 +72,15 @@
             turn_away({status_unavailable, "leaving"});
             return nullptr;
         }
-        return make_call(pool, *by, holder);
+        // Routes without a key name the workspace of a caller that shows one.
+        const auto workspace = holder == nullptr ? core::workspace_id() : holder->workspace;
+        const auto digest = request_digest_of(workspace, request_);
+        if (context_.suspects.judge(digest, core::instant::clock::now()) ==
+            suspects::verdict::refuse) {
+            turn_away({status_unavailable, "suspect"});
+            return nullptr;
+        }
+        return make_call(pool, *by, workspace);
     }
 
 private:
@@ -98,11 +108,9 @@
     }
 
     std::shared_ptr<forwarded_call> make_call(upstream_pool& pool, const forwarding::route& by,
-                                              const forwarding::key_holder* holder)
+                                              core::workspace_id workspace)
     {
-        // A route that needs no key still names the workspace of a caller that shows one.
-        const auto workspace = holder == nullptr ? core::workspace_id() : holder->workspace;
-        call_setting setting{context_, pool, rules_, by, workspace};
+        call_setting setting{context_, pool, rules_, by, std::move(workspace)};
         if (by.kind == core::work_kind::generation) {
             return std::make_shared<stream_call>(std::move(setting), std::move(request_), sink_);
         }
--- a/libs/caller_front/src/call_log.cpp
+++ b/libs/caller_front/src/call_log.cpp
@@ -49,6 +49,16 @@
                   {"in_flight", std::to_string(standing.in_flight)}});
 }
 
+void log_death(const std::string& request, const core::endpoint& endpoint)
+{
+    logging::log(logging::level::info, "endpoint died under request",
+                 {{"request", request},
+                  {"endpoint", endpoint.name.text()},
+                  {"incarnation", endpoint.incarnation.text()},
+                  {"address", core::to_string(endpoint.where)},
+                  {"domain", endpoint.domain.text()}});
+}
+
 void log_call_end(const std::string& request, const forwarding::route& by,
                   core::revision rules_version, const std::string& endpoint,
                   const forwarding::call_progress& progress, std::string_view outcome,
--- a/libs/caller_front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -25,6 +25,9 @@
                      forwarding::attempt_end end, const std::string& detail, core::duration took,
                      const forwarding::endpoint_standing& standing);
 
+/// Logs that an endpoint died while it ran a request.
+void log_death(const std::string& request, const core::endpoint& endpoint);
+
 /// Logs that a call ended, with the route and version of the configuration that decided it.
 void log_call_end(const std::string& request, const forwarding::route& by,
                   core::revision rules_version, const std::string& endpoint,
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -3,9 +3,11 @@
 #include <core/text.h>
 
 #include "call_log.h"
+#include "liveness_check.h"
 #include "own_answer.h"
 
 #include <forwarding/call_policy.h>
+#include <suspects/verdict.h>
 
 #include <algorithm>
 #include <chrono>
@@ -21,6 +23,9 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned status_misdirected = 421;
+// Several round trips between failure domains.
+constexpr milliseconds death_check_timeout{150};
+
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 
@@ -44,6 +49,7 @@
     : setting_(std::move(setting)), request_(std::move(request)),
       request_id_(request_.message.header_value(setting_.context.headers.request_id).value_or("")),
       size_(size_of(request_, setting_.context.headers)), service_(draw_service()),
+      digest_(request_digest_of(setting_.workspace, request_)),
       deadline_(deadline_for(request_, setting_.context.headers, setting_.by)),
       sink_(std::move(sink))
 {
@@ -179,16 +185,44 @@
     progress_.may_have_run = progress_.may_have_run || ran;
     progress_.runs += ran ? 1 : 0;
     context.metrics.count("attempts_ended_total", {{"end", std::string(to_string(end))}});
+    if (attempt.sent() && (end == attempt_end::broken || end == attempt_end::silent)) {
+        ask_after(endpoint);
+    }
     log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
                     context.standing.of(endpoint));
 }
 
+void forwarded_call::ask_after(const core::endpoint& endpoint) const
+{
+    // A broken connection alone is no death: only an endpoint that is gone has died.
+    const auto check = std::make_shared<liveness_check>(
+        setting_.pool, endpoint.where,
+        [&context = setting_.context, endpoint, digest = digest_, id = request_id_](bool alive) {
+            if (alive) {
+                return;
+            }
+            const auto seen = context.suspects.note_death(
+                {{endpoint.name, endpoint.incarnation}, {digest}}, now());
+            if (!seen.running.empty()) {
+                log_death(id, endpoint);
+                context.metrics.count("deaths_seen_total", {});
+                context.death_seen(seen);
+            }
+        });
+    check->start(death_check_timeout);
+}
+
 forwarding::next_step forwarded_call::decide(attempt_end end)
 {
     const auto& policy = forwarding::policy_for(setting_.by);
     progress_.budget_left = true;
     auto step = policy.after(end, progress_, setting_.by);
     auto& context = setting_.context;
+    if (step == forwarding::next_step::send_again &&
+        context.suspects.judge(digest_, now()) == suspects::verdict::refuse) {
+        context.metrics.count("sends_denied_total", {{"reason", "suspect"}});
+        return progress_.may_have_run ? forwarding::next_step::fail : forwarding::next_step::refuse;
+    }
     // An attempt without a connection put no load on the service.
     if (step == forwarding::next_step::send_again && end != attempt_end::not_sent &&
         !context.budget.take(service_, context.daemons, now())) {
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -17,6 +17,8 @@
 #include <forwarding/route.h>
 #include <forwarding/rulebook.h>
 
+#include <suspects/request_digest.h>
+
 #include <core/endpoint.h>
 #include <core/endpoint_id.h>
 #include <core/instant.h>
@@ -116,12 +118,14 @@
     forwarding::call_size size_;
     forwarding::call_progress progress_;
     core::service_id service_;
+    suspects::request_digest digest_; // Equal when the caller sends the request again.
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
 
 private:
     [[nodiscard]] core::service_id draw_service() const;
+    void ask_after(const core::endpoint& endpoint) const;
 
     std::weak_ptr<reply_sink> sink_;
     std::shared_ptr<lazy_timer> deadline_timer_;
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -15,6 +15,9 @@
 #include <core/address.h>
 #include <core/endpoint_id.h>
 #include <metrics/registry.h>
+#include <suspects/count_deaths.h>
+#include <suspects/death_record.h>
+#include <suspects/suspect_table.h>
 
 #include <atomic>
 #include <cstddef>
@@ -26,6 +29,10 @@
 
 namespace ej::front {
 
+/// A request under which so many endpoints died is no longer sent. Engines crash by themselves, and
+/// a long stream may meet two such crashes.
+inline constexpr std::uint32_t deaths_to_refuse = 3;
+
 /// What all lanes of a daemon share. Each member is thread-safe.
 struct front_context {
     explicit front_context(front_settings chosen, header_names names)
@@ -42,11 +49,16 @@
     concurrency::snapshot<forwarding::fleet> endpoints{forwarding::fleet()};
     forwarding::standings standing;
     forwarding::send_budget budget;
+    suspects::suspect_table suspects{
+        std::make_unique<const suspects::count_deaths>(deaths_to_refuse)};
     metrics::registry metrics;
     /// Where the other daemons hear of this one's load.
     concurrency::snapshot<std::vector<core::address>> peers{std::vector<core::address>()};
     /// Called on any thread when this daemon's load at an engine changes; set before the lanes run.
     std::function<void(const core::endpoint_id&)> load_changed = [](const core::endpoint_id&) {};
+    /// Called on any thread when an endpoint died under requests; set before the lanes run.
+    std::function<void(const suspects::death_record&)> death_seen =
+        [](const suspects::death_record&) {};
     std::atomic<std::size_t> daemons{1};      ///< Daemons that share the budget, this one included.
     std::atomic<std::uint64_t> turn{0};       ///< Choices made; spreads equal endpoints.
     std::atomic<std::size_t> calls_open{0};   ///< Requests that have no final answer yet.
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -6,7 +6,7 @@
 #include "daemon_entry.h"
 #include "front_context.h"
 #include "lane.h"
-#include "load_link.h"
+#include "peer_link.h"
 #include "ready_api.h"
 #include "store_follower.h"
 
@@ -49,9 +49,10 @@
           transport(asio::make_strand(loop)),
           store(transport, store_settings(context.settings), where.protocol),
           follower(context, store, *where.layout), entry(context, store, *where.layout),
-          ready(context, store.counts()), loads(context, loop)
+          ready(context, store.counts()), peers(context, loop)
     {
-        context.load_changed = [this](const core::endpoint_id& one) { loads.changed(one); };
+        context.load_changed = [this](const core::endpoint_id& one) { peers.changed(one); };
+        context.death_seen = [this](const suspects::death_record& one) { peers.tell_death(one); };
         std::generate_n(std::back_inserter(lanes), context.settings.lanes,
                         [this] { return std::make_unique<lane>(context); });
         listener = std::make_unique<caller_listener>(lanes);
@@ -77,7 +78,7 @@
     store_follower follower;
     daemon_entry entry;
     ready_api ready;
-    load_link loads;
+    peer_link peers;
     std::vector<std::unique_ptr<lane>> lanes;
     std::unique_ptr<caller_listener> listener;
     std::thread thread;
@@ -97,12 +98,12 @@
         status = made->ready.start(asio::make_strand(made->loop), chosen.ready_listen);
     }
     if (status.ok()) {
-        status = made->loads.open(chosen.peer_listen);
+        status = made->peers.open(chosen.peer_listen);
     }
     if (!status.ok()) {
         return status;
     }
-    made->loads.start();
+    made->peers.start();
     asio::co_spawn(
         made->loop, [&follower = made->follower] { return follower.run(); }, asio::detached);
     asio::co_spawn(made->loop, [&entry = made->entry] { return entry.run(); }, asio::detached);
--- a/libs/caller_front/src/load_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -1,6 +1,6 @@
-#include "load_link.h"
+#include "peer_link.h"
 
-#include "load_codec.h"
+#include "peer_codec.h"
 
 #include <logging/log.h>
 
@@ -31,12 +31,12 @@
 
 } // namespace
 
-load_link::load_link(front_context& context, asio::io_context& loop)
+peer_link::peer_link(front_context& context, asio::io_context& loop)
     : context_(context), loop_(loop), socket_(loop), change_timer_(loop), regular_timer_(loop)
 {
 }
 
-absl::Status load_link::open(const core::address& where)
+absl::Status peer_link::open(const core::address& where)
 {
     error_code error;
     const auto number = asio::ip::make_address(where.host, error);
@@ -56,7 +56,7 @@
     return absl::OkStatus();
 }
 
-void load_link::start()
+void peer_link::start()
 {
     start_ =
         static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
@@ -64,7 +64,7 @@
     tell_all();
 }
 
-void load_link::receive()
+void peer_link::receive()
 {
     socket_.async_receive_from(
         asio::buffer(received_), sender_, [this](const error_code& error, std::size_t count) {
@@ -73,19 +73,38 @@
             }
             // Any other error concerns a datagram that was sent to a daemon that has gone.
             if (!error) {
-                const auto message = decode_load(std::span(received_).first(count));
+                const auto message = decode_peer(std::span(received_).first(count));
                 if (message.ok()) {
-                    context_.standing.hear(*message, now());
+                    apply(*message);
                 }
                 else {
-                    context_.metrics.count("load_messages_unreadable_total", {});
+                    context_.metrics.count("peer_messages_unreadable_total", {});
                 }
             }
             receive();
         });
 }
 
-void load_link::changed(const core::endpoint_id& endpoint)
+void peer_link::apply(const peer_message& message)
+{
+    if (const auto* const load = std::get_if<forwarding::load_message>(&message)) {
+        context_.standing.hear(*load, now());
+    }
+    else {
+        const auto known =
+            context_.suspects.note_death(std::get<suspects::death_record>(message), now());
+        if (!known.running.empty()) {
+            context_.metrics.count("deaths_heard_total", {});
+        }
+    }
+}
+
+void peer_link::tell_death(const suspects::death_record& seen)
+{
+    asio::post(loop_, [this, seen] { send(seen); });
+}
+
+void peer_link::changed(const core::endpoint_id& endpoint)
 {
     const std::scoped_lock lock(mutex_);
     const bool first = changes_.empty();
@@ -102,7 +121,7 @@
     }
 }
 
-void load_link::tell_changes()
+void peer_link::tell_changes()
 {
     std::set<core::endpoint_id> changes;
     {
@@ -113,13 +132,14 @@
     std::ranges::transform(
         changes, std::back_inserter(shares),
         [this](const core::endpoint_id& one) { return context_.standing.own_share(one); });
-    send(std::move(shares), false);
+    send_shares(std::move(shares), false);
 }
 
-void load_link::tell_all()
+void peer_link::tell_all()
 {
     context_.standing.expire(now());
-    send(context_.standing.own_shares(), true);
+    context_.suspects.expire(now());
+    send_shares(context_.standing.own_shares(), true);
     regular_timer_.expires_after(regular);
     regular_timer_.async_wait([this](const error_code& error) {
         if (!error) {
@@ -128,34 +148,38 @@
     });
 }
 
-void load_link::send(std::vector<forwarding::load_share> shares, bool whole)
+void peer_link::send_shares(std::vector<forwarding::load_share> shares, bool whole)
 {
-    const auto peers = context_.peers.load();
-    if (peers->empty()) {
-        return;
-    }
     std::size_t begin = 0;
     do {
         const auto count = std::min(shares.size() - begin, shares_per_datagram);
         const auto first = shares.begin() + static_cast<std::ptrdiff_t>(begin);
-        const forwarding::load_message message{context_.settings.vm,
-                                               start_,
-                                               ++number_,
-                                               whole && begin == 0,
-                                               {first, first + static_cast<std::ptrdiff_t>(count)}};
-        const auto bytes = encode(message);
-        for (const core::address& peer : *peers) {
-            error_code error;
-            const auto host = asio::ip::make_address(peer.host, error);
-            if (!error) {
-                socket_.send_to(asio::buffer(bytes), udp::endpoint(host, peer.port), 0, error);
-            }
-            if (error) {
-                context_.metrics.count("load_messages_unsent_total", {});
-            }
-        }
+        send(forwarding::load_message{context_.settings.vm,
+                                      start_,
+                                      ++number_,
+                                      whole && begin == 0,
+                                      {first, first + static_cast<std::ptrdiff_t>(count)}});
         begin += count;
     } while (begin < shares.size());
 }
 
+void peer_link::send(const peer_message& message)
+{
+    const auto peers = context_.peers.load();
+    if (peers->empty()) {
+        return;
+    }
+    const auto bytes = encode(message);
+    for (const core::address& peer : *peers) {
+        error_code error;
+        const auto host = asio::ip::make_address(peer.host, error);
+        if (!error) {
+            socket_.send_to(asio::buffer(bytes), udp::endpoint(host, peer.port), 0, error);
+        }
+        if (error) {
+            context_.metrics.count("peer_messages_unsent_total", {});
+        }
+    }
+}
+
 } // namespace ej::front
--- a/libs/caller_front/src/load_link.h
+++ b/libs/caller_front/src/peer_link.h
@@ -2,6 +2,7 @@
 
 #include "front_context.h"
 #include "net.h"
+#include "peer_message.h"
 
 #include <core/address.h>
 #include <core/endpoint_id.h>
@@ -17,12 +18,13 @@
 
 namespace ej::front {
 
-/// Tells the other daemons this one's load at engines and hears theirs, by datagrams: a lost one is
-/// made good by the next regular message. `changed` is thread-safe, the rest runs on the loop.
-class load_link {
+/// Tells the other daemons this one's load at engines and the deaths of endpoints that it saw, and
+/// hears theirs, by datagrams. A lost load is made good by the next regular message; a lost death
+/// only weakens a suspicion. `changed` and `tell_death` are thread-safe, the rest runs on the loop.
+class peer_link {
 public:
     /// Both outlive the link.
-    load_link(front_context& context, asio::io_context& loop);
+    peer_link(front_context& context, asio::io_context& loop);
 
     /// Binds `where`. Error: Unavailable.
     absl::Status open(const core::address& where);
@@ -33,13 +35,18 @@
     /// This daemon's load at `endpoint` is another one.
     void changed(const core::endpoint_id& endpoint);
 
+    /// An endpoint died; `seen` says more than was known here.
+    void tell_death(const suspects::death_record& seen);
+
 private:
     using udp = asio::ip::udp;
 
     void receive();
     void tell_changes();
     void tell_all();
-    void send(std::vector<forwarding::load_share> shares, bool whole);
+    void apply(const peer_message& message);
+    void send_shares(std::vector<forwarding::load_share> shares, bool whole);
+    void send(const peer_message& message);
 
     front_context& context_;
     asio::io_context& loop_;
--- a/libs/caller_front/src/request_head.cpp
+++ b/libs/caller_front/src/request_head.cpp
@@ -1,6 +1,7 @@
 #include "request_head.h"
 
 #include <core/text.h>
+#include <suspects/digest_of.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -122,6 +123,14 @@
     return {*prompt, *output};
 }
 
+suspects::request_digest request_digest_of(const core::workspace_id& workspace,
+                                           const caller_request& what)
+{
+    // A target holds no line break, so that no choice of path and body makes two requests equal.
+    return suspects::digest_of(workspace,
+                               absl::StrCat(what.message.target, "\n", what.message.body));
+}
+
 std::optional<std::chrono::milliseconds> deadline_of(const caller_request& what,
                                                      const header_names& names)
 {
--- a/libs/caller_front/src/request_head.h
+++ b/libs/caller_front/src/request_head.h
@@ -6,6 +6,8 @@
 
 #include <forwarding/call_size.h>
 
+#include <suspects/request_digest.h>
+
 #include <core/endpoint.h>
 #include <core/workspace_id.h>
 
@@ -34,6 +36,10 @@
 /// Size of the generation that the caller states; zeros when it states none.
 [[nodiscard]] forwarding::call_size size_of(const caller_request& what, const header_names& names);
 
+/// Tells requests apart by what they ask: workspace, path and body.
+[[nodiscard]] suspects::request_digest request_digest_of(const core::workspace_id& workspace,
+                                                         const caller_request& what);
+
 /// The caller's own deadline, if it states a readable one.
 [[nodiscard]] std::optional<std::chrono::milliseconds> deadline_of(const caller_request& what,
                                                                    const header_names& names);
--- a/libs/caller_front/tests/parsers_test.cpp
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -1,6 +1,6 @@
 #include "answer_parser.h"
 #include "event_framer.h"
-#include "load_codec.h"
+#include "peer_codec.h"
 #include "request_head.h"
 #include "request_reader.h"
 
@@ -197,20 +197,26 @@
     CHECK(holds);
 }
 
-TEST_CASE("load messages survive their encoding; other datagrams are refused")
+TEST_CASE("messages between daemons survive their encoding; other datagrams are refused")
 {
-    const forwarding::load_message message{
-        core::vm_id("vm"), 7, 9, true, {{core::endpoint_id("x"), 3, 12'000}}};
+    const peer_message message =
+        GENERATE(peer_message(forwarding::load_message{
+                     core::vm_id("vm"), 7, 9, true, {{core::endpoint_id("x"), 3, 12'000}}}),
+                 peer_message(suspects::death_record{
+                     {core::endpoint_id("x"), core::incarnation_id("1")},
+                     {suspects::request_digest(5), suspects::request_digest(9)}}));
     const auto bytes = encode(message);
-    REQUIRE(decode_load(bytes).ok());
-    CHECK(*decode_load(bytes) == message);
+    REQUIRE(decode_peer(bytes).ok());
+    CHECK(*decode_peer(bytes) == message);
     const bool holds = rc::check([&] {
         auto changed = bytes;
         changed[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
             *rc::gen::arbitrary<std::uint8_t>();
         changed.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
-        const auto decoded = decode_load(changed); // Does not crash.
-        RC_ASSERT(decoded.ok() || !decoded.status().message().empty());
+        const auto decoded = decode_peer(changed); // Does not crash.
+        const bool refused = !decoded.ok() && !decoded.status().message().empty();
+        const bool understood = decoded.ok();
+        RC_ASSERT(refused != understood);
     });
     CHECK(holds);
 }
--- a/libs/suspects/src/suspicion_policies.cpp
+++ b/libs/suspects/src/suspicion_policies.cpp
@@ -11,7 +11,6 @@
 // was isolated after the first, and five one that never was alone.
 constexpr std::uint32_t weight_alone = 2;
 constexpr std::uint32_t weight_to_refuse = 5;
-constexpr std::uint32_t deaths_to_refuse = 2;
 
 } // namespace
 
@@ -25,7 +24,7 @@
 
 verdict count_deaths::judge(const evidence& known) const
 {
-    return known.alone + known.shared >= deaths_to_refuse ? verdict::refuse : verdict::run;
+    return known.alone + known.shared >= deaths_ ? verdict::refuse : verdict::run;
 }
 
 verdict never_suspect::judge(const evidence&) const
--- a/tests/forward/stream_call_test.cpp
+++ b/tests/forward/stream_call_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <memory>
+
 namespace ej::forward_tests {
 
 namespace {
@@ -191,6 +194,48 @@
     CHECK(joined_chunks(one.read_answer()) == whole_stream(8));
 }
 
+TEST_CASE("a request that takes three engines down reaches no fourth, an innocent one is served")
+{
+    world in;
+    std::vector<std::unique_ptr<endpoint_stand_in>> engines;
+    std::vector<endpoint_stand_in*> live;
+    constexpr int engine_count = 6;
+    for (int number = 0; number < engine_count; ++number) {
+        const auto place = static_cast<std::size_t>(number);
+        engines.push_back(std::make_unique<endpoint_stand_in>(
+            [&live, place](const std::string& text, int) -> std::vector<step> {
+                if (!text.ends_with("poison")) {
+                    return stream(text, last_event);
+                }
+                live[place]->go_dark();
+                return {{step_kind::reset, ""}};
+            }));
+        live.push_back(engines.back().get());
+        in.add("i-" + std::to_string(number), "llm", *engines.back());
+    }
+    in.configure(1);
+    in.start();
+    REQUIRE(in.knows_endpoints(engine_count));
+    const auto ask = [&](const std::string& id, const std::string& body) {
+        caller one(in.callers());
+        one.send(request("POST", "/gen/x", id, body, tokens));
+        return one.read_answer();
+    };
+    for (int again = 0; again < 6; ++again) {
+        CHECK(ask("p" + std::to_string(again), "poison").find("\r\n0\r\n") == std::string::npos);
+    }
+    const auto struck = std::ranges::count_if(engines, [](const auto& one) {
+        const auto seen = one->requests();
+        return std::ranges::any_of(
+            seen, [](const std::string& text) { return text.ends_with("poison"); });
+    });
+    CHECK(struck >= 3);
+    // One more may be sent while the third death is being confirmed.
+    CHECK(struck <= 4);
+    CHECK(joined_chunks(ask("q", "prompt")) == whole_stream());
+    CHECK(ask("p9", "poison").find(" 503 ") != std::string::npos);
+}
+
 TEST_CASE("a caller that leaves its stream ends the engine's work")
 {
     world in;
