Lanes stop before the listener goes; a caller that does not read its answer ends its call

Cause of the first: ThreadSanitizer on the forward tests (5 warnings): the listener was destroyed while the first lane's thread still used it at the end of the process. Cause of the second, found by reading: at the write timeout the connection closed without its call, whose attempt went on.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -191,9 +191,11 @@
     switch (phase_) {
     case phase::idle:
     case phase::lingering:
-    case phase::answering:
         close();
         break;
+    case phase::answering:
+        gone(); // The caller does not read its answer.
+        break;
     case phase::reading:
         turn_away(status_request_timeout, "request_timeout");
         break;
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -60,6 +60,8 @@
 
     ~parts()
     {
+        // Before the listener goes, which the first lane's thread uses.
+        std::ranges::for_each(lanes, [](const auto& one) { one->stop(); });
         loop.stop();
         if (thread.joinable()) {
             thread.join();
--- a/libs/caller_front/src/lane.cpp
+++ b/libs/caller_front/src/lane.cpp
@@ -11,6 +11,11 @@
 }
 
 lane::~lane()
+{
+    stop();
+}
+
+void lane::stop()
 {
     loop_.stop();
     if (thread_.joinable()) {
--- a/libs/caller_front/src/lane.h
+++ b/libs/caller_front/src/lane.h
@@ -36,6 +36,9 @@
     /// Starts the thread.
     void run();
 
+    /// Ends the thread; nothing is served any more.
+    void stop();
+
 private:
     front_context& context_;
     asio::io_context loop_{1};
--- a/libs/logging/tests/line_queue_test.cpp
+++ b/libs/logging/tests/line_queue_test.cpp
@@ -64,8 +64,10 @@
 
 TEST_CASE("a reader that does not read delays no writer; lost lines are counted")
 {
-    pipe_ends pipe;
-    auto lines = std::make_unique<line_queue>(pipe.ends[1]);
+    // Its ends stay open: the queue's thread may hang in a write for as long as the process lives.
+    std::array<int, 2> pipe{};
+    REQUIRE(::pipe2(pipe.data(), O_CLOEXEC) == 0);
+    auto lines = std::make_unique<line_queue>(pipe[1]);
     const std::string line(1'000, 'x');
     auto slowest = std::chrono::steady_clock::duration::zero();
     for (int number = 0; number < 10'000; ++number) {
