--- /dev/null
+++ b/libs/caller_front/src/death_check.cpp
@@ -0,0 +1,38 @@
+#include "death_check.h"
+
+#include "call_log.h"
+#include "liveness_check.h"
+
+#include <chrono>
+#include <memory>
+
+namespace ej::front {
+
+namespace {
+
+// Several round trips between failure domains.
+constexpr std::chrono::milliseconds check_timeout{150};
+
+} // namespace
+
+void check_death(front_context& context, upstream_pool& pool, const core::endpoint& endpoint,
+                 suspects::request_digest digest, const std::string& request)
+{
+    // A broken connection alone is no death: only an endpoint that is gone has died.
+    const auto check = std::make_shared<liveness_check>(
+        pool, endpoint.where, [&context, endpoint, digest, request](bool alive) {
+            if (alive) {
+                return;
+            }
+            const auto seen = context.suspects.note_death(
+                {{endpoint.name, endpoint.incarnation}, {digest}}, core::instant::clock::now());
+            if (!seen.running.empty()) {
+                log_death(request, endpoint);
+                context.metrics.count("deaths_seen_total", {});
+                context.death_seen(seen);
+            }
+        });
+    check->start(check_timeout);
+}
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/caller_front/src/death_check.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "front_context.h"
+#include "upstream_pool.h"
+
+#include <suspects/request_digest.h>
+
+#include <core/endpoint.h>
+
+#include <string>
+
+namespace ej::front {
+
+/// Finds out whether `endpoint`, whose connection broke under a request, is gone; if so its death
+/// is noted and told to the other daemons. `context` and `pool` outlive the check.
+void check_death(front_context& context, upstream_pool& pool, const core::endpoint& endpoint,
+                 suspects::request_digest digest, const std::string& request);
+
+} // namespace ej::front
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -3,7 +3,7 @@
 #include <core/text.h>
 
 #include "call_log.h"
-#include "liveness_check.h"
+#include "death_check.h"
 #include "own_answer.h"
 
 #include <forwarding/call_policy.h>
@@ -23,9 +23,6 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned status_misdirected = 421;
-// Several round trips between failure domains.
-constexpr milliseconds death_check_timeout{150};
-
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 
@@ -186,32 +183,12 @@
     progress_.runs += ran ? 1 : 0;
     context.metrics.count("attempts_ended_total", {{"end", std::string(to_string(end))}});
     if (attempt.sent() && (end == attempt_end::broken || end == attempt_end::silent)) {
-        ask_after(endpoint);
+        check_death(context, setting_.pool, endpoint, digest_, request_id_);
     }
     log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
                     context.standing.of(endpoint));
 }
 
-void forwarded_call::ask_after(const core::endpoint& endpoint) const
-{
-    // A broken connection alone is no death: only an endpoint that is gone has died.
-    const auto check = std::make_shared<liveness_check>(
-        setting_.pool, endpoint.where,
-        [&context = setting_.context, endpoint, digest = digest_, id = request_id_](bool alive) {
-            if (alive) {
-                return;
-            }
-            const auto seen = context.suspects.note_death(
-                {{endpoint.name, endpoint.incarnation}, {digest}}, now());
-            if (!seen.running.empty()) {
-                log_death(id, endpoint);
-                context.metrics.count("deaths_seen_total", {});
-                context.death_seen(seen);
-            }
-        });
-    check->start(death_check_timeout);
-}
-
 forwarding::next_step forwarded_call::decide(attempt_end end)
 {
     const auto& policy = forwarding::policy_for(setting_.by);
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -125,7 +125,6 @@
 
 private:
     [[nodiscard]] core::service_id draw_service() const;
-    void ask_after(const core::endpoint& endpoint) const;
 
     std::weak_ptr<reply_sink> sink_;
     std::shared_ptr<lazy_timer> deadline_timer_;
