One copy of what stood twice; code without a use goes; headers say what holds

Flags, environment and log level are read by one function for serve and forward; core::parse_address calls parse_number; the calls share give_up and make_timer; one clock function in caller_front; the weighted draw of a service is a decision in libs/forwarding with its test. Removed, since nothing called them: resume_point_of, upstream_connection::fresh, upstream_pool::clear, standings::retain (so that standings of endpoints that are gone stay until the process ends: noted as open). Comments on runs and candidates said what the code did not do. No change of behaviour meant.

--- a/endivejunction/src/parse_forward_settings.cpp
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -130,13 +130,7 @@
     options::variables_map values;
     forward_settings settings;
     try {
-        const std::vector<std::string> flags(arguments.begin(), arguments.end());
-        options::store(options::command_line_parser(flags).options(known).run(), values);
-        options::store(options::parse_environment(known,
-                                                  [&](const std::string& variable) {
-                                                      return environment_option(known, variable);
-                                                  }),
-                       values);
+        store_arguments(arguments, known, values);
         settings.file = file_of(values);
         if (!settings.file.empty() && !read_file(settings.file, known, values, faults)) {
             return settings;
@@ -154,11 +148,7 @@
     settings_reader read(values, faults);
     settings.site = read.text("site");
     read_front(read, values, settings.front, faults);
-    const auto level = logging::parse_level(read.text("log-level"));
-    if (!level) {
-        faults.add("--log-level", "must be debug, info, warn or error");
-    }
-    settings.log_level = level.value_or(logging::level::info);
+    settings.log_level = read.log_level();
     return settings;
 }
 
--- a/endivejunction/src/parse_settings.cpp
+++ b/endivejunction/src/parse_settings.cpp
@@ -124,13 +124,7 @@
     const auto known = description();
     options::variables_map values;
     try {
-        const std::vector<std::string> flags(arguments.begin(), arguments.end());
-        options::store(options::command_line_parser(flags).options(known).run(), values);
-        options::store(options::parse_environment(known,
-                                                  [&](const std::string& variable) {
-                                                      return environment_option(known, variable);
-                                                  }),
-                       values);
+        store_arguments(arguments, known, values);
         options::notify(values);
     }
     catch (const options::error& error) {
@@ -155,11 +149,7 @@
     settings.daemon.classes = classes(read.list("class"), faults);
     settings.daemon.threads = read.number<std::size_t>("threads", max_threads);
     settings.daemon.list_interval = read.milliseconds("list-interval-ms", max_interval_ms);
-    const auto level = logging::parse_level(read.text("log-level"));
-    if (!level) {
-        faults.add("--log-level", "must be debug, info, warn or error");
-    }
-    settings.log_level = level.value_or(logging::level::info);
+    settings.log_level = read.log_level();
     return settings;
 }
 
--- a/endivejunction/src/settings_reader.h
+++ b/endivejunction/src/settings_reader.h
@@ -2,11 +2,13 @@
 
 #include <core/address.h>
 #include <core/findings.h>
+#include <logging/level.h>
 
 #include <boost/program_options/options_description.hpp>
 #include <boost/program_options/variables_map.hpp>
 
 #include <chrono>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,9 @@
     /// A time in ms, from 1 to `highest_ms`.
     std::chrono::milliseconds milliseconds(const std::string& name, unsigned highest_ms);
 
+    /// The level called by `log-level`.
+    logging::level log_level();
+
     /// All values of an option that may be repeated.
     [[nodiscard]] std::vector<std::string> list(const std::string& name) const;
 
@@ -49,9 +54,10 @@
     core::findings& faults_;
 };
 
-/// The option that the environment variable EJ_FLAG_NAME stands for; empty for other variables.
-[[nodiscard]] std::string
-environment_option(const boost::program_options::options_description& known,
-                   const std::string& variable);
+/// Stores flags, then environment variables EJ_FLAG_NAME of the options `known`; what is stored
+/// first counts. Throws boost::program_options::error.
+void store_arguments(std::span<const std::string> arguments,
+                     const boost::program_options::options_description& known,
+                     boost::program_options::variables_map& values);
 
 } // namespace ej
--- a/libs/caller_front/src/call_gate.cpp
+++ b/libs/caller_front/src/call_gate.cpp
@@ -1,5 +1,7 @@
 #include "call_gate.h"
 
+#include "clock.h"
+
 #include <core/text.h>
 #include <suspects/verdict.h>
 
@@ -75,8 +77,7 @@
         // Routes without a key name the workspace of a caller that shows one.
         const auto workspace = holder == nullptr ? core::workspace_id() : holder->workspace;
         const auto digest = request_digest_of(workspace, request_);
-        if (context_.suspects.judge(digest, core::instant::clock::now()) ==
-            suspects::verdict::refuse) {
+        if (context_.suspects.judge(digest, now()) == suspects::verdict::refuse) {
             turn_away({status_unavailable, "suspect"});
             return nullptr;
         }
--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -1,4 +1,5 @@
 #include "caller_connection.h"
+#include "clock.h"
 
 #include "call_gate.h"
 #include "call_log.h"
@@ -24,11 +25,6 @@
 constexpr std::size_t max_lingered = std::size_t{64} << 20;
 constexpr seconds linger_timeout{3};
 
-core::instant now()
-{
-    return core::instant::clock::now();
-}
-
 } // namespace
 
 caller_connection::caller_connection(tcp::socket socket, front_context& context,
--- a/libs/caller_front/src/death_check.cpp
+++ b/libs/caller_front/src/death_check.cpp
@@ -1,4 +1,5 @@
 #include "death_check.h"
+#include "clock.h"
 
 #include "call_log.h"
 #include "liveness_check.h"
@@ -25,7 +26,7 @@
                 return;
             }
             const auto seen = context.suspects.note_death(
-                {{endpoint.name, endpoint.incarnation}, {digest}}, core::instant::clock::now());
+                {{endpoint.name, endpoint.incarnation}, {digest}}, now());
             if (!seen.running.empty()) {
                 log_death(request, endpoint);
                 context.metrics.count("deaths_seen_total", {});
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -1,5 +1,7 @@
 #include "forwarded_call.h"
 
+#include "clock.h"
+
 #include <core/text.h>
 
 #include "call_log.h"
@@ -7,12 +9,13 @@
 #include "own_answer.h"
 
 #include <forwarding/call_policy.h>
+#include <forwarding/draw_service.h>
 #include <suspects/verdict.h>
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <iterator>
-#include <numeric>
 #include <utility>
 
 namespace ej::front {
@@ -26,11 +29,6 @@
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 
-core::instant now()
-{
-    return core::instant::clock::now();
-}
-
 /// The caller's deadline, or the route's timeout if that is shorter.
 core::instant deadline_for(const caller_request& request, const header_names& names,
                            const forwarding::route& by)
@@ -45,7 +43,10 @@
                                std::weak_ptr<reply_sink> sink)
     : setting_(std::move(setting)), request_(std::move(request)),
       request_id_(request_.message.header_value(setting_.context.headers.request_id).value_or("")),
-      size_(size_of(request_, setting_.context.headers)), service_(draw_service()),
+      size_(size_of(request_,
+                    setting_.context.headers)), // The identifier decides, so that requests are
+                                                // spread by weight without a random source.
+      service_(draw_service(setting_.by, std::hash<std::string>{}(request_id_))),
       digest_(request_digest_of(setting_.workspace, request_)),
       deadline_(deadline_for(request_, setting_.context.headers, setting_.by)),
       sink_(std::move(sink))
@@ -58,34 +59,11 @@
     --setting_.context.calls_open;
 }
 
-core::service_id forwarded_call::draw_service() const
-{
-    const auto& backends = setting_.by.backends;
-    if (backends.size() == 1) {
-        return backends.front().service;
-    }
-    const auto total = std::accumulate(
-        backends.begin(), backends.end(), std::uint64_t{0},
-        [](std::uint64_t sum, const forwarding::backend& one) { return sum + one.weight; });
-    // The identifier decides, so that equal requests are spread by weight without a random source.
-    std::uint64_t draw = std::hash<std::string>{}(request_id_) % total;
-    for (const forwarding::backend& one : backends) {
-        if (draw < one.weight) {
-            return one.service;
-        }
-        draw -= one.weight;
-    }
-    return backends.back().service;
-}
-
 void forwarded_call::start()
 {
-    deadline_timer_ = std::make_shared<lazy_timer>(setting_.pool.lane(), [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self != nullptr && !self->over_) {
-            self->progress_.expired = true;
-            self->expire();
-        }
+    deadline_timer_ = make_timer([this] {
+        progress_.expired = true;
+        expire();
     });
     deadline_timer_->set(deadline_);
     setting_.context.budget.first(service_, now());
@@ -277,6 +255,26 @@
     finish("failed:" + std::string(reason), status);
 }
 
+void forwarded_call::give_up(std::string_view reason, unsigned status)
+{
+    if (progress_.may_have_run || progress_.delivering) {
+        fail(reason, status);
+        return;
+    }
+    refuse(reason);
+}
+
+std::shared_ptr<lazy_timer> forwarded_call::make_timer(std::function<void()> action)
+{
+    return std::make_shared<lazy_timer>(setting_.pool.lane(),
+                                        [weak = weak_from_this(), action = std::move(action)] {
+                                            const auto self = weak.lock();
+                                            if (self != nullptr && !self->over_) {
+                                                action();
+                                            }
+                                        });
+}
+
 void forwarded_call::finish(std::string_view outcome, unsigned status)
 {
     if (std::exchange(over_, true)) {
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -24,6 +24,7 @@
 #include <core/instant.h>
 #include <core/workspace_id.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -62,8 +63,7 @@
     /// Breaks off what is still running.
     virtual void cancel_attempts() = 0;
 
-    /// The endpoints of the call's service that were not tried yet; all of them if all were tried
-    /// and `again` is set.
+    /// The endpoints of the call's service that were not tried yet; all of them with `again`.
     [[nodiscard]] std::vector<forwarding::candidate> candidates(bool again) const;
 
     /// The chosen one of `from`; empty if it is empty.
@@ -105,6 +105,13 @@
     /// Ends the call with a failure: the outcome is unknown.
     void fail(std::string_view reason, unsigned status);
 
+    /// Ends the call without an answer: with a refusal if it certainly has not run, else with a
+    /// failure of `status`.
+    void give_up(std::string_view reason, unsigned status);
+
+    /// A timer that calls `action` on the lane unless the call is over by then.
+    [[nodiscard]] std::shared_ptr<lazy_timer> make_timer(std::function<void()> action);
+
     /// Ends the call; its final state goes to the log and the metrics.
     void finish(std::string_view outcome, unsigned status);
 
@@ -124,8 +131,6 @@
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
 
 private:
-    [[nodiscard]] core::service_id draw_service() const;
-
     std::weak_ptr<reply_sink> sink_;
     std::shared_ptr<lazy_timer> deadline_timer_;
     std::set<const upstream_attempt*> counted_; // Their load is counted in the standings.
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -3,6 +3,7 @@
 #include <caller_front/front_daemon.h>
 
 #include "caller_listener.h"
+#include "clock.h"
 #include "daemon_entry.h"
 #include "front_context.h"
 #include "lane.h"
@@ -123,7 +124,7 @@
 void front_daemon::leave()
 {
     auto& context = parts_->context;
-    const auto began = core::instant::clock::now();
+    const auto began = now();
     const auto last = began + context.settings.grace - grace_margin;
     const auto earliest = began + time_to_be_noticed;
     context.schedule.store(leave_schedule{earliest, last});
@@ -131,7 +132,7 @@
     asio::io_context waiting;
     asio::steady_timer timer(waiting);
     const auto wait_until = [&](core::instant end, const auto& done) {
-        while (core::instant::clock::now() < end && !done()) {
+        while (now() < end && !done()) {
             timer.expires_after(leave_interval);
             timer.wait();
         }
--- a/libs/caller_front/src/lazy_timer.cpp
+++ b/libs/caller_front/src/lazy_timer.cpp
@@ -1,5 +1,7 @@
 #include "lazy_timer.h"
 
+#include "clock.h"
+
 #include <utility>
 
 namespace ej::front {
@@ -42,7 +44,7 @@
     if (!deadline_) {
         return;
     }
-    if (core::instant::clock::now() < *deadline_) {
+    if (now() < *deadline_) {
         arm(*deadline_);
         return;
     }
--- a/libs/caller_front/src/liveness_check.cpp
+++ b/libs/caller_front/src/liveness_check.cpp
@@ -1,5 +1,7 @@
 #include "liveness_check.h"
 
+#include "clock.h"
+
 #include <chrono>
 #include <utility>
 
@@ -31,7 +33,7 @@
             self->end(false);
         }
     });
-    timer_->set(core::instant::clock::now() + timeout);
+    timer_->set(now() + timeout);
     connection_->socket.async_connect(
         tcp::endpoint(number, where_.port),
         [self = shared_from_this()](const error_code& failure) { self->end(!failure); });
@@ -48,7 +50,7 @@
         error_code ignored; // Options only tune the connection.
         connection_->socket.set_option(tcp::no_delay(true), ignored);
         connection_->socket.non_blocking(true, ignored);
-        connection_->usable_until = core::instant::clock::now() + unused_for;
+        connection_->usable_until = now() + unused_for;
         pool_.keep(where_, std::exchange(connection_, nullptr));
     }
     cancel();
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -1,4 +1,5 @@
 #include "peer_link.h"
+#include "clock.h"
 
 #include "peer_codec.h"
 
@@ -24,11 +25,6 @@
 // Shares in one datagram: about 40 bytes each.
 constexpr std::size_t shares_per_datagram = 30;
 
-core::instant now()
-{
-    return core::instant::clock::now();
-}
-
 } // namespace
 
 peer_link::peer_link(front_context& context, asio::io_context& loop)
--- a/libs/caller_front/src/request_head.cpp
+++ b/libs/caller_front/src/request_head.cpp
@@ -67,12 +67,6 @@
     absl::StrAppend(&text, name, ": ", value, "\r\n");
 }
 
-template <class Number>
-std::optional<Number> number_of(const std::optional<std::string>& text)
-{
-    return text ? core::parse_number<Number>(core::trimmed(*text)) : std::nullopt;
-}
-
 } // namespace
 
 std::string encode(const caller_request& what, const request_head& added, const header_names& names)
@@ -134,18 +128,14 @@
 std::optional<std::chrono::milliseconds> deadline_of(const caller_request& what,
                                                      const header_names& names)
 {
-    const auto count = number_of<std::int64_t>(what.message.header_value(names.deadline_ms));
+    const auto text = what.message.header_value(names.deadline_ms);
+    const auto count = core::parse_number<std::int64_t>(core::trimmed(text.value_or("")));
     if (!count || *count < 0) {
         return std::nullopt;
     }
     return std::chrono::milliseconds(*count);
 }
 
-std::optional<std::uint64_t> resume_point_of(const caller_request& what, const header_names& names)
-{
-    return number_of<std::uint64_t>(what.message.header_value(names.last_event_id));
-}
-
 std::vector<http::header> answer_fields(const std::vector<http::header>& received)
 {
     const auto of_connection = named_by_connection(received);
--- a/libs/caller_front/src/request_head.h
+++ b/libs/caller_front/src/request_head.h
@@ -44,10 +44,6 @@
 [[nodiscard]] std::optional<std::chrono::milliseconds> deadline_of(const caller_request& what,
                                                                    const header_names& names);
 
-/// The event behind which the caller wants the stream to go on.
-[[nodiscard]] std::optional<std::uint64_t> resume_point_of(const caller_request& what,
-                                                           const header_names& names);
-
 /// The fields of an endpoint's answer that go to the caller.
 [[nodiscard]] std::vector<http::header> answer_fields(const std::vector<http::header>& received);
 
--- a/libs/caller_front/src/request_reader.cpp
+++ b/libs/caller_front/src/request_reader.cpp
@@ -1,5 +1,7 @@
 #include "request_reader.h"
 
+#include "clock.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
@@ -29,7 +31,7 @@
         const bool had_header = parser_->is_header_done();
         buffer_.consume(parser_->put(buffer_.data(), error));
         if (parser_->is_header_done() && !had_header) {
-            arrived_ = core::instant::clock::now();
+            arrived_ = now();
         }
         if (error == wire::error::need_more) {
             break;
--- a/libs/caller_front/src/silence_watch.cpp
+++ b/libs/caller_front/src/silence_watch.cpp
@@ -1,5 +1,7 @@
 #include "silence_watch.h"
 
+#include "clock.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -11,11 +13,6 @@
 // Several round trips between failure domains; a lost first packet costs a second check.
 constexpr std::chrono::milliseconds check_timeout{150};
 
-core::instant now()
-{
-    return core::instant::clock::now();
-}
-
 } // namespace
 
 silence_watch::silence_watch(upstream_pool& pool, given_up lost)
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -1,5 +1,7 @@
 #include "store_follower.h"
 
+#include "clock.h"
+
 #include <http/pause_for.h>
 
 #include <logging/log.h>
@@ -26,11 +28,6 @@
 // waiting in the store would only mean more calls.
 constexpr double interval_share = 0.6;
 
-core::instant now()
-{
-    return core::instant::clock::now();
-}
-
 } // namespace
 
 store_follower::store_follower(front_context& context, platform::store& store,
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -1,4 +1,5 @@
 #include "stream_call.h"
+#include "clock.h"
 
 #include "own_answer.h"
 
@@ -28,11 +29,6 @@
 // Before engines that were tried already are tried again.
 constexpr milliseconds resend_pause{100};
 
-core::instant now()
-{
-    return core::instant::clock::now();
-}
-
 } // namespace
 
 std::optional<core::endpoint> stream_call::copy_holder() const
@@ -70,24 +66,15 @@
     else if (endpoint) {
         send_to(*endpoint, false);
     }
-    else if (progress_.may_have_run || progress_.delivering) {
-        fail("no_endpoint", status_bad_gateway);
-    }
     else {
-        refuse("no_endpoint");
+        give_up("no_endpoint", status_bad_gateway);
     }
 }
 
 void stream_call::send_later()
 {
     tried_.clear();
-    const std::weak_ptr<forwarded_call> weak = weak_from_this();
-    resend_timer_ = std::make_shared<lazy_timer>(setting_.pool.lane(), [this, weak] {
-        const auto self = weak.lock();
-        if (self != nullptr && !over()) {
-            send();
-        }
-    });
+    resend_timer_ = make_timer([this] { send(); });
     resend_timer_->set(now() + resend_pause);
 }
 
@@ -264,13 +251,9 @@
 
 void stream_call::expire()
 {
-    const bool sent = current_ != nullptr && current_->sent();
+    progress_.may_have_run = progress_.may_have_run || (current_ != nullptr && current_->sent());
     cancel_attempts();
-    if (sent || progress_.may_have_run || progress_.delivering) {
-        fail("timeout", status_gateway_timeout);
-        return;
-    }
-    refuse("timeout");
+    give_up("timeout", status_gateway_timeout);
 }
 
 void stream_call::cancel_attempts()
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -1,5 +1,7 @@
 #include "upstream_attempt.h"
 
+#include "clock.h"
+
 #include <core/text.h>
 
 #include <algorithm>
@@ -56,7 +58,7 @@
     head_only_ = head_only;
     parser_ = std::make_unique<answer_parser>();
     parser_->skip(head_only_);
-    started_ = core::instant::clock::now();
+    started_ = now();
     connection_ = pool_.take(endpoint_.where, started_);
     if (connection_ != nullptr) {
         send();
@@ -227,8 +229,7 @@
         close();
         return;
     }
-    connection_->usable_until =
-        core::instant::clock::now() + kept_open(parser_->header("Keep-Alive"));
+    connection_->usable_until = now() + kept_open(parser_->header("Keep-Alive"));
     pool_.keep(endpoint_.where, connection_);
 }
 
--- a/libs/caller_front/src/upstream_connection.h
+++ b/libs/caller_front/src/upstream_connection.h
@@ -15,7 +15,6 @@
 
     tcp::socket socket;
     beast::flat_buffer buffer;
-    bool fresh = true;             ///< No request was sent on it yet.
     core::instant usable_until{};  ///< The endpoint closes it when it is idle longer.
     std::uint64_t idle_period = 0; ///< Counts its stays in the pool.
 };
--- a/libs/caller_front/src/upstream_pool.cpp
+++ b/libs/caller_front/src/upstream_pool.cpp
@@ -54,7 +54,6 @@
         close(*list.front());
         list.erase(list.begin());
     }
-    connection->fresh = false;
     list.push_back(connection);
     watch(where, connection);
 }
@@ -85,11 +84,4 @@
     idle_.erase(found);
 }
 
-void upstream_pool::clear()
-{
-    while (!idle_.empty()) {
-        drop(idle_.begin()->first);
-    }
-}
-
 } // namespace ej::front
--- a/libs/caller_front/src/upstream_pool.h
+++ b/libs/caller_front/src/upstream_pool.h
@@ -27,9 +27,6 @@
     /// Closes the idle connections to `where`.
     void drop(const core::address& where);
 
-    /// Closes all idle connections.
-    void clear();
-
     [[nodiscard]] asio::io_context& lane() { return lane_; }
 
 private:
--- a/libs/caller_front/src/whole_call.cpp
+++ b/libs/caller_front/src/whole_call.cpp
@@ -1,4 +1,5 @@
 #include "whole_call.h"
+#include "clock.h"
 
 #include "own_answer.h"
 
@@ -64,11 +65,7 @@
 {
     const auto endpoint = choose(candidates(false));
     if (!endpoint) {
-        if (progress_.may_have_run) {
-            fail("no_endpoint", status_bad_gateway);
-            return;
-        }
-        refuse("no_endpoint");
+        give_up("no_endpoint", status_bad_gateway);
         return;
     }
     running_.push_back({attempt_at(*endpoint, {}, connect_timeout()), {}});
@@ -81,24 +78,18 @@
         setting_.by.target.count() == 0 || second_timer_ != nullptr) {
         return;
     }
-    const std::weak_ptr<forwarded_call> weak = weak_from_this();
-    second_timer_ = std::make_shared<lazy_timer>(setting_.pool.lane(), [this, weak] {
-        if (const auto self = weak.lock()) {
-            second_send();
-        }
-    });
-    second_timer_->set(core::instant::clock::now() +
-                       share_of(setting_.by.target, second_send_share));
+    second_timer_ = make_timer([this] { second_send(); });
+    second_timer_->set(now() + share_of(setting_.by.target, second_send_share));
 }
 
 void whole_call::second_send()
 {
     auto& context = setting_.context;
-    if (over() || running_.size() != 1 || progress_.runs + 1 >= setting_.by.max_attempts) {
+    if (running_.size() != 1 || progress_.runs + 1 >= setting_.by.max_attempts) {
         return;
     }
     const auto endpoint = choose(candidates(false));
-    if (!endpoint || !context.budget.take(service_, context.daemons, core::instant::clock::now())) {
+    if (!endpoint || !context.budget.take(service_, context.daemons, now())) {
         return;
     }
     context.metrics.count("second_sends_total", {});
@@ -188,14 +179,11 @@
 
 void whole_call::expire()
 {
-    const bool sent =
+    progress_.may_have_run =
+        progress_.may_have_run ||
         std::ranges::any_of(running_, [](const running& one) { return one.attempt->sent(); });
     cancel_attempts();
-    if (sent || progress_.may_have_run) {
-        fail("timeout", status_gateway_timeout);
-        return;
-    }
-    refuse("timeout");
+    give_up("timeout", status_gateway_timeout);
 }
 
 void whole_call::cancel_attempts()
--- a/libs/core/src/address.cpp
+++ b/libs/core/src/address.cpp
@@ -1,6 +1,8 @@
 #include <core/address.h>
 
-#include <charconv>
+#include <core/text.h>
+
+#include <cstdint>
 
 namespace ej::core {
 
@@ -15,14 +17,11 @@
     if (colon == std::string_view::npos || colon == 0) {
         return std::nullopt;
     }
-    const auto digits = text.substr(colon + 1);
-    std::uint16_t port = 0;
-    const auto* const end = digits.data() + digits.size();
-    const auto [stop, error] = std::from_chars(digits.data(), end, port);
-    if (error != std::errc{} || stop != end) {
+    const auto port = parse_number<std::uint16_t>(text.substr(colon + 1));
+    if (!port) {
         return std::nullopt;
     }
-    return address{std::string(text.substr(0, colon)), port};
+    return address{std::string(text.substr(0, colon)), *port};
 }
 
 } // namespace ej::core
--- a/libs/forwarding/include/forwarding/call_progress.h
+++ b/libs/forwarding/include/forwarding/call_progress.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <core/instant.h>
-
 #include <compare>
 #include <cstdint>
 
@@ -11,7 +9,7 @@
 struct call_progress {
     std::uint32_t sends = 0;   ///< Attempts that reached, or may have reached, an endpoint.
     std::uint32_t unsent = 0;  ///< Attempts that found no connection.
-    std::uint32_t runs = 0;    ///< Attempts that may have run at an endpoint that still lives.
+    std::uint32_t runs = 0;    ///< Attempts that may have run.
     bool may_have_run = false; ///< Some endpoint may have begun to run it.
     bool delivering = false;   ///< The caller has the head of an answer.
     bool expired = false;      ///< The time for an answer is over.
--- a/libs/forwarding/include/forwarding/fleet.h
+++ b/libs/forwarding/include/forwarding/fleet.h
@@ -5,8 +5,7 @@
 #include <core/endpoint_id.h>
 #include <core/service_id.h>
 
-#include <algorithm>
-#include <memory>
+#include <cstddef>
 #include <unordered_map>
 #include <vector>
 
--- a/libs/forwarding/include/forwarding/standings.h
+++ b/libs/forwarding/include/forwarding/standings.h
@@ -14,7 +14,6 @@
 #include <core/instant.h>
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -60,9 +59,6 @@
     /// What is known; the initial standing for an unknown one.
     [[nodiscard]] endpoint_standing of(const core::endpoint& endpoint);
 
-    /// Forgets endpoints that are not in `known` and have no request in flight.
-    void retain(const std::set<core::endpoint_id>& known);
-
 private:
     concurrency::sharded<core::endpoint_id, endpoint_standing> entries_;
     concurrency::sharded<std::string, double> slowness_; // By address.
--- a/libs/forwarding/src/call_policies.cpp
+++ b/libs/forwarding/src/call_policies.cpp
@@ -53,7 +53,7 @@
 next_step resumable_policy::after(attempt_end end, const call_progress& progress,
                                   const route& by) const
 {
-    // Engines that crashed do not count as runs, so that sends are bounded by themselves.
+    // Sends that certainly did not run come on top of the route's attempts.
     if (may_send(progress, by.max_attempts + max_sends, max_unsent_stream) &&
         progress.runs < by.max_attempts) {
         return next_step::send_again;
--- a/libs/forwarding/src/fleet.cpp
+++ b/libs/forwarding/src/fleet.cpp
@@ -1,5 +1,6 @@
 #include <forwarding/fleet.h>
 
+#include <algorithm>
 #include <map>
 #include <numeric>
 #include <utility>
--- a/libs/forwarding/src/standings.cpp
+++ b/libs/forwarding/src/standings.cpp
@@ -154,13 +154,4 @@
     return known;
 }
 
-void standings::retain(const std::set<core::endpoint_id>& known)
-{
-    entries_.for_each_shard([&](auto& entries) {
-        std::erase_if(entries, [&](const auto& entry) {
-            return entry.second.in_flight == 0 && !known.contains(entry.first);
-        });
-    });
-}
-
 } // namespace ej::forwarding
--- a/libs/forwarding/tests/rulebook_test.cpp
+++ b/libs/forwarding/tests/rulebook_test.cpp
@@ -1,9 +1,12 @@
+#include <forwarding/draw_service.h>
 #include <forwarding/rulebook.h>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <map>
 #include <set>
+#include <string>
 
 namespace ej::forwarding {
 
@@ -83,4 +86,15 @@
     CHECK_FALSE(book.requires_key(rules.routes.front()));
 }
 
+TEST_CASE("requests are drawn to backends by their weights")
+{
+    route by = route_of("h", "/a/");
+    by.backends = {{core::service_id("old"), 3}, {core::service_id("new"), 1}};
+    std::map<std::string, int> drawn;
+    for (std::uint64_t draw = 0; draw < 40; ++draw) {
+        ++drawn[draw_service(by, draw).text()];
+    }
+    CHECK(drawn == std::map<std::string, int>{{"old", 30}, {"new", 10}});
+}
+
 } // namespace ej::forwarding
