An engine's 503 is passed on as a promise only with its own word, as an application's

Cause: the check that a status promises 'not run' stood in whole calls alone; stream calls passed the failure on unchanged. Moved to the end that both share (end_by). Test red first: 503 with the engine's signature.

--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -2,8 +2,6 @@
 
 #include "clock.h"
 
-#include <core/text.h>
-
 #include "call_log.h"
 #include "death_check.h"
 #include "own_answer.h"
@@ -210,17 +208,8 @@
 
 void forwarded_call::note_load(const upstream_attempt& attempt)
 {
-    const auto text = attempt.answer().header(setting_.context.headers.load);
-    const auto parts = core::split(text, ',');
-    if (parts.size() != 3) {
-        return;
-    }
-    const auto running = core::parse_number<std::uint32_t>(parts[0]);
-    const auto waiting = core::parse_number<std::uint32_t>(parts[1]);
-    const auto slots = core::parse_number<std::uint32_t>(parts[2]);
-    if (running && waiting && slots) {
-        setting_.context.standing.report(attempt.endpoint().name, {*running, *waiting, *slots},
-                                         now());
+    if (const auto load = load_of(attempt.answer().header(setting_.context.headers.load))) {
+        setting_.context.standing.report(attempt.endpoint().name, *load, now());
     }
 }
 
@@ -233,6 +222,20 @@
     finish(answer.status() < first_redirect ? "served" : "endpoint_failure", answer.status());
 }
 
+void forwarded_call::end_by(forwarding::next_step step, attempt_end end,
+                            const answer_parser& answer, std::string body)
+{
+    if (step == forwarding::next_step::pass_failure && !promises_not_run(answer.status())) {
+        pass_on(answer, std::move(body));
+    }
+    else if (step == forwarding::next_step::refuse) {
+        refuse(to_string(end));
+    }
+    else {
+        fail(to_string(end), status_bad_gateway);
+    }
+}
+
 void forwarded_call::refuse(std::string_view reason)
 {
     if (const auto to = sink()) {
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -99,6 +99,11 @@
     /// Passes an endpoint's whole answer on.
     void pass_on(const answer_parser& answer, std::string body);
 
+    /// Ends the call as `step` says, which is not to send again, after an attempt that ended by
+    /// `end` with `answer` and `body`.
+    void end_by(forwarding::next_step step, forwarding::attempt_end end,
+                const answer_parser& answer, std::string body);
+
     /// Ends the call with a refusal: the request has not run.
     void refuse(std::string_view reason);
 
--- a/libs/caller_front/src/own_answer.cpp
+++ b/libs/caller_front/src/own_answer.cpp
@@ -1,5 +1,8 @@
 #include "own_answer.h"
 
+#include <algorithm>
+#include <array>
+
 namespace ej::front {
 
 namespace {
@@ -8,8 +11,15 @@
 // usually have room by then, and the caller still has time for the request itself.
 constexpr std::string_view retry_after_seconds = "0.2";
 
+constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
+
 } // namespace
 
+bool promises_not_run(unsigned status)
+{
+    return std::ranges::find(promises, status) != promises.end();
+}
+
 http::response own_answer(unsigned status, std::string_view reason, const std::string& request_id,
                           const header_names& names)
 {
--- a/libs/caller_front/src/own_answer.h
+++ b/libs/caller_front/src/own_answer.h
@@ -19,6 +19,9 @@
 inline constexpr unsigned status_unavailable = 503;
 inline constexpr unsigned status_gateway_timeout = 504;
 
+/// True if `status` promises that the request has not run, which only the endpoint's own word can.
+[[nodiscard]] bool promises_not_run(unsigned status);
+
 /// An answer of the front itself, with the reason as its text.
 [[nodiscard]] http::response own_answer(unsigned status, std::string_view reason,
                                         const std::string& request_id, const header_names& names);
--- a/libs/caller_front/src/request_head.cpp
+++ b/libs/caller_front/src/request_head.cpp
@@ -117,6 +117,22 @@
     return {*prompt, *output};
 }
 
+std::optional<forwarding::load_report> load_of(std::string_view text)
+{
+    constexpr std::size_t fields = 3;
+    const auto parts = core::split(text, ',');
+    if (parts.size() != fields) {
+        return std::nullopt;
+    }
+    const auto running = core::parse_number<std::uint32_t>(parts[0]);
+    const auto waiting = core::parse_number<std::uint32_t>(parts[1]);
+    const auto slots = core::parse_number<std::uint32_t>(parts[2]);
+    if (!running || !waiting || !slots) {
+        return std::nullopt;
+    }
+    return forwarding::load_report{*running, *waiting, *slots};
+}
+
 suspects::request_digest request_digest_of(const core::workspace_id& workspace,
                                            const caller_request& what)
 {
--- a/libs/caller_front/src/request_head.h
+++ b/libs/caller_front/src/request_head.h
@@ -5,6 +5,7 @@
 #include <caller_front/header_names.h>
 
 #include <forwarding/call_size.h>
+#include <forwarding/load_report.h>
 
 #include <suspects/request_digest.h>
 
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace ej::front {
 
@@ -36,6 +38,9 @@
 /// Size of the generation that the caller states; zeros when it states none.
 [[nodiscard]] forwarding::call_size size_of(const caller_request& what, const header_names& names);
 
+/// The load that an endpoint states as "RUNNING,WAITING,SLOTS"; empty for any other text.
+[[nodiscard]] std::optional<forwarding::load_report> load_of(std::string_view text);
+
 /// Tells requests apart by what they ask: workspace, path and body.
 [[nodiscard]] suspects::request_digest request_digest_of(const core::workspace_id& workspace,
                                                          const caller_request& what);
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -231,14 +231,8 @@
     if (step == next_step::send_again) {
         send();
     }
-    else if (step == next_step::pass_failure) {
-        pass_on(lost->answer(), std::move(failure_body_));
-    }
-    else if (step == next_step::refuse) {
-        refuse(to_string(end));
-    }
     else {
-        fail(to_string(end), status_bad_gateway);
+        end_by(step, end, lost->answer(), std::move(failure_body_));
     }
 }
 
--- a/libs/caller_front/src/whole_call.cpp
+++ b/libs/caller_front/src/whole_call.cpp
@@ -4,7 +4,6 @@
 #include "own_answer.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <utility>
 
@@ -29,19 +28,11 @@
 // calls have ended, early enough that the second answer still meets the target.
 constexpr double second_send_share = 0.5;
 
-// These statuses promise that the request has not run, which only the endpoint's own word can.
-constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
-
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_client_error = 400;
 constexpr unsigned first_server_error = 500;
 
-bool promises_not_run(unsigned status)
-{
-    return std::ranges::find(promises, status) != promises.end();
-}
-
 milliseconds share_of(milliseconds whole, double share)
 {
     return milliseconds(static_cast<milliseconds::rep>(double(whole.count()) * share));
@@ -166,14 +157,8 @@
     if (step == next_step::send_again) {
         send();
     }
-    else if (step == next_step::pass_failure && !promises_not_run(status)) {
-        pass_on(attempt.answer(), std::move(body));
-    }
-    else if (step == next_step::refuse) {
-        refuse(to_string(end));
-    }
     else {
-        fail(to_string(end), status_bad_gateway);
+        end_by(step, end, attempt.answer(), std::move(body));
     }
 }
 
--- a/tests/forward/stream_call_test.cpp
+++ b/tests/forward/stream_call_test.cpp
@@ -206,6 +206,21 @@
     CHECK(answer.find("\r\n0\r\n") == std::string::npos);
 }
 
+TEST_CASE("an engine's 503 without its word on running is not passed on as a promise")
+{
+    world in;
+    const endpoint_stand_in engine([](const std::string& text, int) -> std::vector<step> {
+        return {{step_kind::send, fleet::signed_answer(text, 503, "busy")}};
+    });
+    in.add("i-1", "llm", engine);
+    in.run(1);
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
+    const auto answer = one.read_answer();
+    CHECK(answer.find(" 502 ") != std::string::npos);
+    CHECK(answer.find("signed") == std::string::npos);
+}
+
 TEST_CASE("a caller that resumes gets what follows its last event")
 {
     world in;
