--- a/libs/forwarding/src/draw_service.cpp
+++ b/libs/forwarding/src/draw_service.cpp
@@ -9,6 +9,10 @@
     const auto total =
         std::accumulate(by.backends.begin(), by.backends.end(), std::uint64_t{0},
                         [](std::uint64_t sum, const backend& one) { return sum + one.weight; });
+    if (total == 0) {
+        return by.backends.front()
+            .service; // Weights are above zero; a caller's slip costs no crash.
+    }
     draw %= total;
     for (const backend& one : by.backends) {
         if (draw < one.weight) {
