--- a/libs/caller_front/src/clock.h
+++ b/libs/caller_front/src/clock.h
@@ -2,6 +2,10 @@
 
 #include <core/instant.h>
 
+#include <time.h>
+
+#include <chrono>
+
 namespace ej::front {
 
 /// The monotonic clock. Decisions in other libraries receive its time as an argument.
@@ -10,4 +14,13 @@
     return core::instant::clock::now();
 }
 
+/// Time since the machine started, suspensions included, which `now` leaves out.
+inline core::duration since_boot()
+{
+    timespec read{};
+    // Cannot fail on Linux from 2.6.39 on.
+    static_cast<void>(::clock_gettime(CLOCK_BOOTTIME, &read));
+    return std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec);
+}
+
 } // namespace ej::front
--- a/libs/caller_front/src/daemon_entry.cpp
+++ b/libs/caller_front/src/daemon_entry.cpp
@@ -1,5 +1,7 @@
 #include "daemon_entry.h"
 
+#include "daemon_value.h"
+
 #include <http/pause_for.h>
 
 #include <logging/log.h>
@@ -51,8 +53,8 @@
     }
     std::vector<platform::store_write> writes;
     writes.push_back({layout_.daemons_prefix() + context_.settings.vm.text(),
-                      core::to_string(context_.settings.peer_listen), granted->lease,
-                      std::nullopt});
+                      to_string({context_.settings.peer_listen, context_.settings.domain}),
+                      granted->lease, std::nullopt});
     const auto written = co_await store_.commit(std::move(writes));
     if (written.ok()) {
         lease_ = granted->lease;
--- /dev/null
+++ b/libs/caller_front/src/daemon_value.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <core/address.h>
+#include <core/failure_domain_id.h>
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ej::front {
+
+/// What a daemon writes of itself under its key in the store.
+struct daemon_value {
+    core::address peer_listen; ///< Where it hears the other daemons.
+    core::failure_domain_id domain;
+
+    friend auto operator<=>(const daemon_value&, const daemon_value&) = default;
+};
+
+/// The value as text: "HOST:PORT DOMAIN".
+[[nodiscard]] std::string to_string(const daemon_value& value);
+
+/// Reads what `to_string` wrote; empty for anything else.
+[[nodiscard]] std::optional<daemon_value> parse_daemon_value(std::string_view text);
+
+} // namespace ej::front
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -49,11 +49,13 @@
         : where(std::move(chosen)), context(settings, where.headers),
           transport(asio::make_strand(loop)),
           store(transport, store_settings(context.settings), where.protocol),
-          follower(context, store, *where.layout), entry(context, store, *where.layout),
+          follower(context, store, *where.layout, loop), entry(context, store, *where.layout),
           ready(context, store.counts()), peers(context, loop)
     {
         context.load_changed = [this](const core::endpoint_id& one) { peers.changed(one); };
         context.death_seen = [this](const suspects::death_record& one) { peers.tell_death(one); };
+        context.tell_news = [this](const store_news& one) { peers.tell_news(one); };
+        context.hear_news = [this](const store_news& one) { follower.hear(one); };
         std::generate_n(std::back_inserter(lanes), context.settings.lanes,
                         [this] { return std::make_unique<lane>(context); });
         listener = std::make_unique<caller_listener>(lanes);
--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -15,27 +15,56 @@
 using nlohmann::json;
 
 // First element of a datagram. Daemons of other versions are not understood.
-constexpr int load_layout = 1;
-constexpr std::size_t load_fields = 6;
+constexpr int load_layout = 4;
+constexpr int news_layout = 3;
+constexpr std::size_t load_fields = 7;
 constexpr std::size_t share_fields = 3;
+constexpr std::size_t news_fields = 6;
+constexpr std::size_t item_fields = 3;
 
 bool is_count(const json& value)
 {
     return value.is_number_unsigned();
 }
 
+bool is_small_count(const json& value)
+{
+    return is_count(value) &&
+           value.get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
+}
+
 bool is_share(const json& value)
 {
     return value.is_array() && value.size() == share_fields && value[0].is_string() &&
-           is_count(value[1]) && is_count(value[2]) &&
-           value[1].get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
+           is_small_count(value[1]) && is_count(value[2]);
+}
+
+bool is_budget(const json& value)
+{
+    return value.is_array() && value.size() == share_fields && value[0].is_string() &&
+           is_small_count(value[1]) && is_small_count(value[2]);
+}
+
+bool is_item(const json& value)
+{
+    return value.is_array() && value.size() == item_fields && value[0].is_string() &&
+           is_count(value[1]) && (value[2].is_null() || value[2].is_binary());
+}
+
+bool is_news(const json& value)
+{
+    return value.is_array() && value.size() == news_fields && value[0] == news_layout &&
+           is_count(value[1]) && is_count(value[2]) && value[3].is_boolean() &&
+           value[4].is_boolean() && value[5].is_array() && std::ranges::all_of(value[5], is_item);
 }
 
 bool is_load(const json& value)
 {
     return value.is_array() && value.size() == load_fields && value[0] == load_layout &&
            value[1].is_string() && is_count(value[2]) && is_count(value[3]) &&
-           value[4].is_boolean() && value[5].is_array() && std::ranges::all_of(value[5], is_share);
+           value[4].is_boolean() && value[5].is_array() &&
+           std::ranges::all_of(value[5], is_share) && value[6].is_array() &&
+           std::ranges::all_of(value[6], is_budget);
 }
 
 json to_json(const forwarding::load_message& message)
@@ -44,8 +73,25 @@
     for (const forwarding::load_share& one : message.shares) {
         shares.push_back({one.endpoint.text(), one.in_flight, one.tokens_unread});
     }
+    json budget = json::array();
+    for (const forwarding::budget_share& one : message.budget) {
+        budget.push_back({one.service.text(), one.firsts, one.repeats});
+    }
     return json::array({load_layout, message.from.text(), message.start, message.number,
-                        message.whole, std::move(shares)});
+                        message.whole, std::move(shares), std::move(budget)});
+}
+
+json to_json(const store_news& news)
+{
+    json items = json::array();
+    for (const platform::store_item& one : news.items) {
+        // Values are any bytes, which are no text to CBOR.
+        const json value =
+            one.value ? json::binary({one.value->begin(), one.value->end()}) : json(nullptr);
+        items.push_back({one.key, one.revision.value(), value});
+    }
+    return json::array({news_layout, news.since.value(), news.as_of.value(), news.ask,
+                        news.returned, std::move(items)});
 }
 
 forwarding::load_message load_of(const json& value)
@@ -59,17 +105,52 @@
         message.shares.push_back({core::endpoint_id(one[0].get<std::string>()),
                                   one[1].get<std::uint32_t>(), one[2].get<std::uint64_t>()});
     }
+    for (const json& one : value[6]) {
+        message.budget.push_back({core::service_id(one[0].get<std::string>()),
+                                  one[1].get<std::uint32_t>(), one[2].get<std::uint32_t>()});
+    }
     return message;
 }
 
+store_news news_of(const json& value)
+{
+    store_news news{core::revision(value[1].get<std::uint64_t>()),
+                    core::revision(value[2].get<std::uint64_t>()),
+                    value[3].get<bool>(),
+                    value[4].get<bool>(),
+                    {}};
+    for (const json& one : value[5]) {
+        platform::store_item item{one[0].get<std::string>(), std::nullopt,
+                                  core::revision(one[1].get<std::uint64_t>())};
+        if (one[2].is_binary()) {
+            const auto& bytes = one[2].get_binary();
+            item.value = std::string(bytes.begin(), bytes.end());
+        }
+        news.items.push_back(std::move(item));
+    }
+    return news;
+}
+
+std::vector<std::uint8_t> bytes_of(const forwarding::load_message& message)
+{
+    return json::to_cbor(to_json(message));
+}
+
+std::vector<std::uint8_t> bytes_of(const store_news& news)
+{
+    return json::to_cbor(to_json(news));
+}
+
+std::vector<std::uint8_t> bytes_of(const suspects::death_record& record)
+{
+    return suspects_wire::encode(record);
+}
+
 } // namespace
 
 std::vector<std::uint8_t> encode(const peer_message& message)
 {
-    if (const auto* const load = std::get_if<forwarding::load_message>(&message)) {
-        return json::to_cbor(to_json(*load));
-    }
-    return suspects_wire::encode(std::get<suspects::death_record>(message));
+    return std::visit([](const auto& one) { return bytes_of(one); }, message);
 }
 
 absl::StatusOr<peer_message> decode_peer(std::span<const std::uint8_t> bytes)
@@ -80,6 +161,9 @@
     if (is_load(value)) {
         return load_of(value);
     }
+    if (is_news(value)) {
+        return news_of(value);
+    }
     return suspects_wire::decode_death(bytes);
 }
 
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -71,7 +71,7 @@
             if (!error) {
                 const auto message = decode_peer(std::span(received_).first(count));
                 if (message.ok()) {
-                    apply(*message);
+                    std::visit([this](const auto& one) { apply(one); }, *message);
                 }
                 else {
                     context_.metrics.count("peer_messages_unreadable_total", {});
@@ -81,23 +81,33 @@
         });
 }
 
-void peer_link::apply(const peer_message& message)
+void peer_link::apply(const forwarding::load_message& message)
 {
-    if (const auto* const load = std::get_if<forwarding::load_message>(&message)) {
-        context_.standing.hear(*load, now());
-    }
-    else {
-        const auto known =
-            context_.suspects.note_death(std::get<suspects::death_record>(message), now());
-        if (!known.running.empty()) {
-            context_.metrics.count("deaths_heard_total", {});
-        }
+    context_.standing.hear(message, now());
+    context_.budget.hear(message, now());
+}
+
+void peer_link::apply(const suspects::death_record& seen)
+{
+    const auto known = context_.suspects.note_death(seen, now());
+    if (!known.running.empty()) {
+        context_.metrics.count("deaths_heard_total", {});
     }
 }
 
+void peer_link::apply(const store_news& news)
+{
+    context_.hear_news(news);
+}
+
+void peer_link::tell_news(const store_news& news)
+{
+    send(news, *context_.neighbours.load());
+}
+
 void peer_link::tell_death(const suspects::death_record& seen)
 {
-    asio::post(loop_, [this, seen] { send(seen); });
+    asio::post(loop_, [this, seen] { send(seen, *context_.peers.load()); });
 }
 
 void peer_link::changed(const core::endpoint_id& endpoint)
@@ -146,6 +156,8 @@
 
 void peer_link::send_shares(std::vector<forwarding::load_share> shares, bool whole)
 {
+    const auto budget = context_.budget.own_shares(now());
+    const auto peers = context_.peers.load();
     std::size_t begin = 0;
     do {
         const auto count = std::min(shares.size() - begin, shares_per_datagram);
@@ -154,19 +166,20 @@
                                       start_,
                                       ++number_,
                                       whole && begin == 0,
-                                      {first, first + static_cast<std::ptrdiff_t>(count)}});
+                                      {first, first + static_cast<std::ptrdiff_t>(count)},
+                                      budget},
+             *peers);
         begin += count;
     } while (begin < shares.size());
 }
 
-void peer_link::send(const peer_message& message)
+void peer_link::send(const peer_message& message, const std::vector<core::address>& to)
 {
-    const auto peers = context_.peers.load();
-    if (peers->empty()) {
+    if (to.empty()) {
         return;
     }
     const auto bytes = encode(message);
-    for (const core::address& peer : *peers) {
+    for (const core::address& peer : to) {
         error_code error;
         const auto host = asio::ip::make_address(peer.host, error);
         if (!error) {
--- a/libs/caller_front/src/peer_link.h
+++ b/libs/caller_front/src/peer_link.h
@@ -18,9 +18,10 @@
 
 namespace ej::front {
 
-/// Tells the other daemons this one's load at engines and the deaths of endpoints that it saw, and
-/// hears theirs, by datagrams. A lost load is made good by the next regular message; a lost death
-/// only weakens a suspicion. `changed` and `tell_death` are thread-safe, the rest runs on the loop.
+/// Tells the other daemons this one's load at engines, the deaths of endpoints that it saw and what
+/// it read from the store, and hears theirs, by datagrams. A lost load is made good by the next
+/// regular message, lost news by a question to the store; a lost death only weakens a suspicion.
+/// `changed` and `tell_death` are thread-safe, the rest runs on the loop.
 class peer_link {
 public:
     /// Both outlive the link.
@@ -35,6 +36,9 @@
     /// This daemon's load at `endpoint` is another one.
     void changed(const core::endpoint_id& endpoint);
 
+    /// Tells the daemons of this failure domain what was read from the store. On the loop.
+    void tell_news(const store_news& news);
+
     /// An endpoint died; `seen` says more than was known here.
     void tell_death(const suspects::death_record& seen);
 
@@ -44,9 +48,11 @@
     void receive();
     void tell_changes();
     void tell_all();
-    void apply(const peer_message& message);
+    void apply(const forwarding::load_message& message);
+    void apply(const suspects::death_record& seen);
+    void apply(const store_news& news);
     void send_shares(std::vector<forwarding::load_share> shares, bool whole);
-    void send(const peer_message& message);
+    void send(const peer_message& message, const std::vector<core::address>& to);
 
     front_context& context_;
     asio::io_context& loop_;
--- a/libs/caller_front/src/peer_message.h
+++ b/libs/caller_front/src/peer_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store_news.h"
+
 #include <forwarding/load_message.h>
 #include <suspects/death_record.h>
 
@@ -8,6 +10,6 @@
 namespace ej::front {
 
 /// What a datagram between daemons holds.
-using peer_message = std::variant<forwarding::load_message, suspects::death_record>;
+using peer_message = std::variant<forwarding::load_message, suspects::death_record, store_news>;
 
 } // namespace ej::front
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -2,10 +2,11 @@
 
 #include "clock.h"
 
-#include <http/pause_for.h>
-
 #include <logging/log.h>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <iterator>
@@ -23,18 +24,16 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{800};
 
-// Between two questions for changes, as a share of the time within which they are to be in force:
-// the rest is for the answer of a slow store. Entries change several times a second, so that
-// waiting in the store would only mean more calls.
-constexpr double interval_share = 0.6;
+// An answer that was held up for longer, as in a daemon that was suspended, tells others nothing of
+// the present.
+constexpr milliseconds longest_delay{400};
 
 } // namespace
 
 store_follower::store_follower(front_context& context, platform::store& store,
-                               const store_layout& layout)
-    : context_(context), store_(store), layout_(layout),
-      interval_(
-          std::chrono::duration_cast<milliseconds>(interval_share * context.settings.apply_within))
+                               const store_layout& layout, asio::io_context& loop)
+    : context_(context), store_(store), layout_(layout), due_(loop),
+      pace_(context.settings.apply_within)
 {
 }
 
@@ -43,6 +42,7 @@
     core::duration pause = first_pause;
     for (;;) {
         absl::Status status;
+        pace_.asked(now());
         if (listed_) {
             status = co_await follow();
         }
@@ -53,15 +53,28 @@
         publish();
         if (status.ok()) {
             pause = first_pause;
-            co_await http::pause_for(interval_);
+            pace_.fresh(now());
+            co_await wait_until_due(core::duration::zero());
         }
         else if (status.code() != absl::StatusCode::kOutOfRange) {
-            co_await http::pause_for(pause);
+            co_await wait_until_due(pause);
             pause = std::min<core::duration>(2 * pause, longest_pause);
         }
     }
 }
 
+/// Waits until the store is to be asked, for `least` at least.
+asio::awaitable<void> store_follower::wait_until_due(core::duration least)
+{
+    const auto earliest = now() + least;
+    for (auto until = std::max(earliest, pace_.due()); until > now();
+         until = std::max(earliest, pace_.due())) {
+        due_.expires_at(until);
+        error_code cancelled; // What is due has changed: looked at again.
+        co_await due_.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+}
+
 asio::awaitable<absl::Status> store_follower::list()
 {
     std::string prefix = layout_.followed_prefix();
@@ -88,39 +101,93 @@
 asio::awaitable<absl::Status> store_follower::follow()
 {
     std::string prefix = layout_.followed_prefix();
-    const auto changes = co_await store_.follow(std::move(prefix), as_of_, interval_);
+    const auto since = as_of_;
+    const auto began = since_boot();
+    const auto wait = std::chrono::duration_cast<milliseconds>(pace_.interval());
+    const auto changes = co_await store_.follow(std::move(prefix), since, wait);
     if (!changes.ok()) {
         // The store has dropped this part of its history: everything is listed again.
         listed_ = changes.status().code() != absl::StatusCode::kOutOfRange;
         co_return changes.status();
     }
     log_.answered(now());
-    std::ranges::for_each(changes->items, [this](const auto& item) { apply(item); });
+    // What other daemons told meanwhile is known already, and may be newer than this answer.
+    const bool overtaken = as_of_ != since;
+    std::vector<platform::store_item> news;
+    for (const platform::store_item& item : changes->items) {
+        if (item.revision > as_of_ && apply(item)) {
+            news.push_back(item);
+        }
+    }
     as_of_ = std::max(as_of_, changes->as_of);
+    if (!overtaken && since_boot() - began < wait + longest_delay) {
+        tell(since, changes->as_of, std::move(news));
+    }
     co_return absl::OkStatus();
 }
 
-void store_follower::apply(const platform::store_item& item)
+void store_follower::tell(core::revision since, core::revision as_of,
+                          std::vector<platform::store_item> items)
+{
+    store_news news{since, as_of, false, log_.in_grace(now()), std::move(items)};
+    // A configuration may be longer than a datagram.
+    news.ask = std::ranges::any_of(
+        news.items, [&](const auto& item) { return item.key == layout_.rules_key(); });
+    std::ranges::for_each(parts_of(std::move(news)), context_.tell_news);
+}
+
+void store_follower::hear(const store_news& news)
+{
+    if (!listed_ || news.as_of < as_of_) {
+        return;
+    }
+    if (news.since > as_of_ || news.ask) {
+        context_.metrics.count("store_news_total", {{"use", news.ask ? "hint" : "gap"}});
+        if (news.as_of > as_of_) {
+            pace_.hasten();
+            due_.cancel();
+        }
+        return;
+    }
+    context_.metrics.count("store_news_total", {{"use", "applied"}});
+    if (news.returned) {
+        log_.hear_return(now());
+    }
+    for (const platform::store_item& item : news.items) {
+        if (item.revision > as_of_) {
+            apply(item);
+        }
+    }
+    as_of_ = news.as_of;
+    pace_.fresh(now());
+    publish();
+}
+
+/// True if the item changes what is known, or a daemon that lacks the entry may need it.
+bool store_follower::apply(const platform::store_item& item)
 {
     if (item.key == layout_.rules_key()) {
         if (item.value) {
             apply_rules(*item.value);
         }
+        return true;
     }
-    else if (const auto name = layout_.endpoint_of(item.key)) {
-        apply_endpoint(*name, item);
+    if (const auto name = layout_.endpoint_of(item.key)) {
+        return apply_endpoint(*name, item);
     }
-    else if (item.key.starts_with(layout_.daemons_prefix())) {
+    if (item.key.starts_with(layout_.daemons_prefix())) {
         apply_daemon(item);
+        return true;
     }
+    return false;
 }
 
 void store_follower::apply_daemon(const platform::store_item& item)
 {
     const bool own = item.key == layout_.daemons_prefix() + context_.settings.vm.text();
-    const auto where = item.value && !own ? core::parse_address(*item.value) : std::nullopt;
-    if (where) {
-        daemons_[item.key] = *where;
+    const auto value = item.value && !own ? parse_daemon_value(*item.value) : std::nullopt;
+    if (value) {
+        daemons_[item.key] = *value;
     }
     else {
         daemons_.erase(item.key);
@@ -158,7 +225,7 @@
          {"routes", std::to_string(routes)}});
 }
 
-void store_follower::apply_endpoint(const core::endpoint_id& name, const platform::store_item& item)
+bool store_follower::apply_endpoint(const core::endpoint_id& name, const platform::store_item& item)
 {
     if (!item.value) {
         if (log_.remove(name, item.revision, now())) {
@@ -167,7 +234,7 @@
                 logging::level::info, "endpoint gone",
                 {{"endpoint", name.text()}, {"revision", std::to_string(item.revision.value())}});
         }
-        return;
+        return true;
     }
     auto record = layout_.parse_endpoint(name, *item.value);
     if (!record.ok()) {
@@ -175,19 +242,22 @@
         logging::log(
             logging::level::warn, "endpoint entry left out",
             {{"endpoint", name.text()}, {"error", std::string(record.status().message())}});
-        changed_ = log_.put(name, std::nullopt, item.revision) || changed_;
-        return;
+        const bool news = log_.put(name, std::nullopt, item.revision);
+        changed_ = news || changed_;
+        return news;
     }
     const bool leaving = record->leaving;
     const auto address = core::to_string(record->what.where);
-    if (log_.put(name, *std::move(record), item.revision)) {
-        changed_ = true;
-        logging::log(logging::level::info, "endpoint known",
-                     {{"endpoint", name.text()},
-                      {"address", address},
-                      {"state", leaving ? "leaving" : "ready"},
-                      {"revision", std::to_string(item.revision.value())}});
+    if (!log_.put(name, *std::move(record), item.revision)) {
+        return false;
     }
+    changed_ = true;
+    logging::log(logging::level::info, "endpoint known",
+                 {{"endpoint", name.text()},
+                  {"address", address},
+                  {"state", leaving ? "leaving" : "ready"},
+                  {"revision", std::to_string(item.revision.value())}});
+    return true;
 }
 
 void store_follower::note_answer(const absl::Status& status)
@@ -206,14 +276,29 @@
         {{"error", std::string(status.message())}, {"as_of", std::to_string(as_of_.value())}});
 }
 
+void store_follower::publish_daemons()
+{
+    const auto own_key = layout_.daemons_prefix() + context_.settings.vm.text();
+    std::vector<core::address> peers;
+    std::vector<core::address> neighbours;
+    std::size_t rank = 0;
+    for (const auto& [key, daemon] : daemons_) {
+        peers.push_back(daemon.peer_listen);
+        if (daemon.domain == context_.settings.domain) {
+            neighbours.push_back(daemon.peer_listen);
+            rank += key < own_key ? 1 : 0;
+        }
+    }
+    pace_.set_rank(rank);
+    context_.daemons = peers.size() + 1;
+    context_.peers.store(std::move(peers));
+    context_.neighbours.store(std::move(neighbours));
+}
+
 void store_follower::publish()
 {
     if (std::exchange(peers_changed_, false)) {
-        std::vector<core::address> peers;
-        std::ranges::transform(daemons_, std::back_inserter(peers),
-                               [](const auto& one) { return one.second; });
-        context_.daemons = peers.size() + 1;
-        context_.peers.store(std::move(peers));
+        publish_daemons();
     }
     changed_ = log_.expire(now()) || changed_;
     if (!std::exchange(changed_, false)) {
--- a/libs/caller_front/src/store_follower.h
+++ b/libs/caller_front/src/store_follower.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "daemon_value.h"
 #include "front_context.h"
 #include "net.h"
+#include "store_news.h"
 
 #include <caller_front/store_layout.h>
 
 #include <forwarding/fleet_log.h>
+#include <forwarding/follow_pace.h>
 
 #include <platform/store.h>
 #include <platform/store_listing.h>
@@ -14,41 +17,52 @@
 #include <core/revision.h>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace ej::front {
 
-/// Keeps the configuration, the endpoints and the number of daemons as the store has them; while
-/// the store is away, what was known stays in force. Used on one thread.
+/// Keeps the configuration, the endpoints and the other daemons as the store has them: by its own
+/// questions and by what daemons of its failure domain tell of theirs. While the store is away,
+/// what was known stays in force. Used on one thread.
 class store_follower {
 public:
     /// All arguments outlive the follower.
-    store_follower(front_context& context, platform::store& store, const store_layout& layout);
+    store_follower(front_context& context, platform::store& store, const store_layout& layout,
+                   asio::io_context& loop);
 
     /// Follows the store for as long as the loop runs.
     boost::asio::awaitable<void> run();
 
+    /// A daemon of this failure domain read the store.
+    void hear(const store_news& news);
+
 private:
     boost::asio::awaitable<absl::Status> list();
     boost::asio::awaitable<absl::Status> follow();
-    void apply(const platform::store_item& item);
+    boost::asio::awaitable<void> wait_until_due(core::duration least);
+    bool apply(const platform::store_item& item);
     void apply_rules(const std::string& value);
-    void apply_endpoint(const core::endpoint_id& name, const platform::store_item& item);
+    bool apply_endpoint(const core::endpoint_id& name, const platform::store_item& item);
     void apply_daemon(const platform::store_item& item);
+    void tell(core::revision since, core::revision as_of, std::vector<platform::store_item> items);
     void note_answer(const absl::Status& status);
     void publish();
+    void publish_daemons();
 
     front_context& context_;
     platform::store& store_;
     const store_layout& layout_;
-    std::chrono::milliseconds interval_;
+    asio::steady_timer due_;
+    forwarding::follow_pace pace_;
     forwarding::fleet_log log_;
-    std::map<std::string, core::address> daemons_; // Where the others hear, by their keys.
+    std::map<std::string, daemon_value> daemons_; // The others, by their keys.
     core::revision as_of_;
     bool listed_ = false;  // False: the whole listing has to be read.
     bool changed_ = false; // The endpoints.
--- a/libs/caller_front/tests/parsers_test.cpp
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -205,8 +205,18 @@
 TEST_CASE("messages between daemons survive their encoding; other datagrams are refused")
 {
     const peer_message message =
-        GENERATE(peer_message(forwarding::load_message{
-                     core::vm_id("vm"), 7, 9, true, {{core::endpoint_id("x"), 3, 12'000}}}),
+        GENERATE(peer_message(forwarding::load_message{core::vm_id("vm"),
+                                                       7,
+                                                       9,
+                                                       true,
+                                                       {{core::endpoint_id("x"), 3, 12'000}},
+                                                       {{core::service_id("app"), 40, 2}}}),
+                 peer_message(store_news{core::revision(4),
+                                         core::revision(9),
+                                         false,
+                                         true,
+                                         {{"a", std::nullopt, core::revision(5)},
+                                          {"b", "\xff any bytes", core::revision(9)}}}),
                  peer_message(suspects::death_record{
                      {core::endpoint_id("x"), core::incarnation_id("1")},
                      {suspects::request_digest(5), suspects::request_digest(9)}}));
--- a/libs/forwarding/include/forwarding/fleet_log.h
+++ b/libs/forwarding/include/forwarding/fleet_log.h
@@ -24,7 +24,7 @@
 
     /// Notes an entry written at `revision`; older news than what is known is skipped.
     /// An entry without a readable record counts as removed. True if anything but the revision
-    /// changed.
+    /// changed, or the entry was missing.
     bool put(const core::endpoint_id& name, std::optional<endpoint_record> record,
              core::revision revision);
 
@@ -42,6 +42,12 @@
     /// The store answers again.
     void answered(core::instant now);
 
+    /// Another daemon told that the store was away until lately.
+    void hear_return(core::instant now);
+
+    /// True while the store is away and within the grace after it.
+    [[nodiscard]] bool in_grace(core::instant now) const;
+
     /// Drops entries whose grace has ended. True if any was dropped.
     bool expire(core::instant now);
 
@@ -55,8 +61,6 @@
         std::optional<core::instant> missing_since;
     };
 
-    [[nodiscard]] bool in_grace(core::instant now) const;
-
     std::map<core::endpoint_id, entry> entries_;
     std::set<core::endpoint> drained_; // Compared by name, incarnation and address.
     bool away_ = false;
--- a/libs/forwarding/include/forwarding/load_message.h
+++ b/libs/forwarding/include/forwarding/load_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <forwarding/budget_share.h>
 #include <forwarding/load_share.h>
 
 #include <core/vm_id.h>
@@ -17,6 +18,7 @@
     std::uint64_t number = 0; ///< Grows with each message of a run.
     bool whole = false;       ///< The daemon has no load at endpoints that are not named.
     std::vector<load_share> shares;
+    std::vector<budget_share> budget; ///< Of all services that it sends to.
 
     friend auto operator<=>(const load_message&, const load_message&) = default;
 };
--- a/libs/forwarding/src/fleet_log.cpp
+++ b/libs/forwarding/src/fleet_log.cpp
@@ -28,7 +28,8 @@
     if (record && record->leaving) {
         drained_.insert(run_of(record->what));
     }
-    const bool changed = known.record != record;
+    // An entry that is back from an outage is news, although it says what it said before.
+    const bool changed = known.record != record || known.missing_since.has_value();
     known = entry{std::move(record), revision, std::nullopt};
     return changed;
 }
@@ -74,6 +75,13 @@
     }
 }
 
+void fleet_log::hear_return(core::instant now)
+{
+    if (!in_grace(now)) {
+        returned_ = now;
+    }
+}
+
 bool fleet_log::in_grace(core::instant now) const
 {
     return away_ || (returned_ && now < *returned_ + return_grace);
--- /dev/null
+++ b/libs/forwarding/src/peer_budgets.cpp
@@ -0,0 +1,38 @@
+#include <forwarding/peer_budgets.h>
+
+#include <algorithm>
+
+namespace ej::forwarding {
+
+void peer_budgets::apply(const load_message& message, core::instant now)
+{
+    const std::scoped_lock lock(mutex_);
+    peer& from = peers_[message.from];
+    if (from.start == message.start && message.number <= from.number) {
+        return;
+    }
+    from = peer{message.start, message.number, now, message.budget};
+    std::erase_if(peers_, [&](const auto& one) { return now - one.second.heard > validity; });
+}
+
+std::pair<budget_share, std::size_t> peer_budgets::sum(const core::service_id& service,
+                                                       core::instant now) const
+{
+    const std::scoped_lock lock(mutex_);
+    budget_share total{service, 0, 0};
+    std::size_t heard = 0;
+    for (const auto& [vm, from] : peers_) {
+        if (now - from.heard > validity) {
+            continue;
+        }
+        ++heard;
+        const auto found = std::ranges::find(from.shares, service, &budget_share::service);
+        if (found != from.shares.end()) {
+            total.firsts += found->firsts;
+            total.repeats += found->repeats;
+        }
+    }
+    return {total, heard};
+}
+
+} // namespace ej::forwarding
--- a/libs/forwarding/src/send_budget.cpp
+++ b/libs/forwarding/src/send_budget.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+// Of what all daemons together may send, for a daemon within its own part and beyond it: the rest
+// is for sends that are not told yet.
+constexpr double own_part = 1;
+constexpr double lent_part = 0.7;
+
 void drop_before(std::deque<core::instant>& times, core::instant oldest)
 {
     while (!times.empty() && times.front() < oldest) {
@@ -35,13 +40,20 @@
 bool send_budget::take(const core::service_id& service, std::size_t daemons, core::instant now)
 {
     const auto bound = settings_.load();
+    const auto [told, heard] = others_.sum(service, now);
     return windows_.with(service, [&](auto& windows) {
         send_window& window = windows[service];
         drop_before(window.firsts, now - bound->window);
         drop_before(window.repeats, now - bound->window);
-        const double share = bound->allowance / double(std::max<std::size_t>(daemons, 1));
-        if (double(window.repeats.size()) + 1 >
-            bound->ratio * double(window.firsts.size()) + share) {
+        const auto firsts = double(window.firsts.size());
+        const auto wanted = double(window.repeats.size()) + 1;
+        const auto fleet = std::max(daemons, heard + 1);
+        const double own_most = bound->ratio * firsts + bound->allowance / double(fleet);
+        // Daemons that are not heard use their parts of the allowance unseen.
+        const double all_most = bound->ratio * (firsts + told.firsts) +
+                                bound->allowance * double(heard + 1) / double(fleet);
+        const double part = wanted <= own_most ? own_part : lent_part;
+        if ((heard == 0 && wanted > own_most) || wanted + told.repeats > part * all_most) {
             return false;
         }
         window.repeats.push_back(now);
@@ -49,4 +61,21 @@
     });
 }
 
+std::vector<budget_share> send_budget::own_shares(core::instant now)
+{
+    const auto bound = settings_.load();
+    std::vector<budget_share> shares;
+    windows_.for_each_shard([&](auto& windows) {
+        for (auto& [service, window] : windows) {
+            drop_before(window.firsts, now - bound->window);
+            drop_before(window.repeats, now - bound->window);
+            if (!window.firsts.empty() || !window.repeats.empty()) {
+                shares.push_back({service, static_cast<std::uint32_t>(window.firsts.size()),
+                                  static_cast<std::uint32_t>(window.repeats.size())});
+            }
+        }
+    });
+    return shares;
+}
+
 } // namespace ej::forwarding
--- /dev/null
+++ b/libs/forwarding/tests/follow_pace_test.cpp
@@ -0,0 +1,80 @@
+#include <forwarding/follow_pace.h>
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <vector>
+
+namespace ej::forwarding {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const core::instant start{std::chrono::hours(1)};
+constexpr milliseconds apply_within{3'000};
+
+/// Questions of `daemons` in a minute; each is heard by all others but the `deaf` ones.
+int questions(std::size_t daemons, std::size_t deaf, std::size_t silent)
+{
+    std::vector<follow_pace> paces(daemons, follow_pace(apply_within));
+    for (std::size_t rank = 0; rank < daemons; ++rank) {
+        paces[rank].set_rank(rank);
+        paces[rank].fresh(start);
+    }
+    int asked = 0;
+    for (auto now = start; now < start + std::chrono::minutes(1); now += milliseconds(10)) {
+        for (std::size_t one = silent; one < daemons; ++one) {
+            if (paces[one].due() > now) {
+                continue;
+            }
+            ++asked;
+            paces[one].asked(now);
+            paces[one].fresh(now);
+            for (std::size_t other = deaf; other < daemons; ++other) {
+                paces[other].fresh(now);
+            }
+        }
+    }
+    return asked;
+}
+
+} // namespace
+
+TEST_CASE("one daemon of a failure domain asks the store while it is heard")
+{
+    const int alone = questions(1, 0, 0);
+    CHECK(alone == 199); // None at the start.
+    CHECK(questions(30, 0, 0) == alone);
+}
+
+TEST_CASE("the next daemon steps in for one that is gone")
+{
+    CHECK(questions(30, 0, 1) == 99);
+}
+
+TEST_CASE("daemons that hear nothing ask by themselves in time")
+{
+    const int asked = questions(10, 10, 0);
+    // The first by its own pace, those far behind it every 1.8 s.
+    CHECK(asked >= 199 + 9 * 32);
+    follow_pace last(apply_within);
+    last.set_rank(1'000);
+    last.fresh(start);
+    CHECK(last.due() <= start + milliseconds(1'800));
+}
+
+TEST_CASE("a change that only the store knows is asked for at once, but not in a row")
+{
+    follow_pace pace(apply_within);
+    pace.set_rank(20);
+    pace.asked(start);
+    pace.fresh(start);
+    pace.hasten();
+    CHECK(pace.due() == start + milliseconds(300));
+    pace.asked(start + milliseconds(300));
+    pace.fresh(start + milliseconds(300));
+    CHECK(pace.due() == start + milliseconds(2'100));
+}
+
+} // namespace ej::forwarding
--- a/libs/forwarding/tests/load_test.cpp
+++ b/libs/forwarding/tests/load_test.cpp
@@ -8,6 +8,8 @@
 #include <rapidcheck.h>
 
 #include <map>
+#include <memory>
+#include <string>
 #include <vector>
 
 namespace ej::forwarding {
@@ -190,4 +192,71 @@
     CHECK(budget.take(service, static_cast<std::size_t>(daemons), start + seconds(11)));
 }
 
+TEST_CASE("a daemon uses what the others have told to be left")
+{
+    const core::service_id service("s");
+    send_budget budget({0.8, 150, seconds(10)});
+    budget.first(service, start);
+    load_message told{core::vm_id("other"), 1, 1, false, {}, {{service, 500, 10}}};
+    budget.hear(told, start);
+    constexpr std::size_t daemons = 90;
+    int taken = 0;
+    while (budget.take(service, daemons, start)) {
+        ++taken;
+    }
+    // Its own part alone is two: 0.8 of its one request and a 90th of the allowance.
+    CHECK(taken > 200);
+    told.number = 2;
+    told.budget.front().repeats = 400;
+    budget.hear(told, start);
+    CHECK_FALSE(budget.take(service, daemons, start));
+    // A daemon that fell silent lends nothing.
+    send_budget alone({0.8, 150, seconds(10)});
+    alone.first(service, start);
+    alone.hear(told, start);
+    taken = 0;
+    while (alone.take(service, daemons, start + seconds(4))) {
+        ++taken;
+    }
+    CHECK(taken == 2);
+}
+
+TEST_CASE("all daemons together keep within the bound while they hear each other")
+{
+    const bool holds = rc::check([] {
+        const core::service_id service("s");
+        constexpr double ratio = 0.5;
+        constexpr double allowance = 20;
+        const auto count = *rc::gen::inRange<std::size_t>(1, 8);
+        std::vector<std::unique_ptr<send_budget>> daemons;
+        for (std::size_t one = 0; one < count; ++one) {
+            daemons.push_back(
+                std::make_unique<send_budget>(send_budget_settings{ratio, allowance, seconds(10)}));
+        }
+        double firsts = 0;
+        double repeats = 0;
+        const auto steps = *rc::gen::inRange(1, 300);
+        for (int step = 0; step < steps; ++step) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, count);
+            if (*rc::gen::weightedElement<bool>({{1, true}, {3, false}})) {
+                daemons[at]->first(service, start);
+                ++firsts;
+            }
+            else if (daemons[at]->take(service, count, start)) {
+                ++repeats;
+            }
+            const load_message told{
+                core::vm_id(std::to_string(at)), 1, static_cast<std::uint64_t>(step + 1), false, {},
+                daemons[at]->own_shares(start)};
+            for (std::size_t other = 0; other < count; ++other) {
+                if (other != at) {
+                    daemons[other]->hear(told, start);
+                }
+            }
+            RC_ASSERT(repeats <= ratio * firsts + allowance);
+        }
+    });
+    CHECK(holds);
+}
+
 } // namespace ej::forwarding
