--- /dev/null
+++ b/libs/caller_front/tests/store_follower_test.cpp
@@ -0,0 +1,185 @@
+#include "front_context.h"
+#include "store_follower.h"
+#include "store_news.h"
+
+#include <adapter/site.h>
+#include <fleet/endpoint_stand_in.h>
+#include <fleet/store_stand_in.h>
+
+#include <http/client.h>
+#include <platform/store.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ej::front {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds longest_wait{20'000}; // A guard against a hang.
+
+// No question of the follower's own comes in a test's time.
+constexpr std::chrono::minutes asks_hardly{10};
+
+front_settings settings_for(const fleet::store_stand_in& store, core::duration apply_within)
+{
+    front_settings made;
+    made.vm = core::vm_id("vm-2");
+    made.domain = core::failure_domain_id("z1");
+    made.peer_listen = {"127.0.0.1", 9};
+    made.store = store.address();
+    made.apply_within = apply_within;
+    return made;
+}
+
+/// A follower before a store with one endpoint, "i-1", that it has listed.
+class follower_before_store {
+public:
+    explicit follower_before_store(core::duration apply_within = asks_hardly)
+        : context(settings_for(store, apply_within), adapter::make_site().headers)
+    {
+        put("i-1");
+        context.tell_news = [this](const store_news& one) { told.push_back(one); };
+        asio::co_spawn(loop, [this] { return follower.run(); }, asio::detached);
+        run_until([this] { return names().size() == 1; });
+    }
+
+    void put(const std::string& name)
+    {
+        store.put("servers/" + name, entry(name));
+        ++revision;
+    }
+
+    static std::string entry(const std::string& name)
+    {
+        return fleet::registration("app", {"10.0.0." + name.substr(2), 80}, "z1");
+    }
+
+    [[nodiscard]] std::set<std::string> names() const
+    {
+        std::set<std::string> found;
+        for (const auto& one : context.endpoints.load()->of(core::service_id("app"))) {
+            found.insert(one.name.text());
+        }
+        return found;
+    }
+
+    [[nodiscard]] platform::store_item item(const std::string& name, std::uint64_t at) const
+    {
+        return {"servers/" + name, entry(name), core::revision(at)};
+    }
+
+    template <class Done>
+    bool run_until(const Done& done)
+    {
+        const auto end = std::chrono::steady_clock::now() + longest_wait;
+        while (!done() && std::chrono::steady_clock::now() < end) {
+            loop.run_for(milliseconds(5));
+            loop.restart();
+        }
+        return done();
+    }
+
+    fleet::store_stand_in store;
+    std::uint64_t revision = 1; // Of the store.
+    front_context context;
+    asio::io_context loop{1};
+    http::client transport{asio::make_strand(loop)};
+    site where = adapter::make_site();
+    platform::store calls{transport, {store.address(), std::chrono::seconds(1)}, where.protocol};
+    store_follower follower{context, calls, *where.layout, loop};
+    std::vector<store_news> told;
+};
+
+} // namespace
+
+TEST_CASE("what a neighbour read from the store is in force without a question of one's own")
+{
+    follower_before_store in;
+    const auto calls = in.store.calls();
+    const auto at = in.revision;
+    in.follower.hear(
+        {core::revision(at), core::revision(at + 2), false, false, {in.item("i-2", at + 1)}});
+    CHECK(in.names() == std::set<std::string>{"i-1", "i-2"});
+    in.follower.hear({core::revision(at + 2),
+                      core::revision(at + 3),
+                      false,
+                      false,
+                      {{"servers/i-1", std::nullopt, core::revision(at + 3)}}});
+    CHECK(in.names() == std::set<std::string>{"i-2"});
+    // Older news, as from a datagram that was held up, bring nothing back.
+    in.follower.hear(
+        {core::revision(at), core::revision(at + 1), false, false, {in.item("i-1", at + 1)}});
+    CHECK(in.names() == std::set<std::string>{"i-2"});
+    CHECK(in.store.calls() == calls);
+}
+
+TEST_CASE("news behind a gap are left out and the store is asked")
+{
+    follower_before_store in(std::chrono::seconds(1));
+    in.put("i-2");
+    in.put("i-3");
+    in.follower.hear({core::revision(in.revision - 1),
+                      core::revision(in.revision),
+                      false,
+                      false,
+                      {in.item("i-3", in.revision)}});
+    CHECK(in.names() == std::set<std::string>{"i-1"});
+    CHECK(in.run_until([&] { return in.names().size() == 3; }));
+    // What it read is told with all that a neighbour lacks.
+    REQUIRE_FALSE(in.told.empty());
+    CHECK(in.told.back().as_of >= core::revision(in.revision));
+}
+
+TEST_CASE("an entry that a neighbour sees go while the store returns is kept for the grace")
+{
+    follower_before_store in;
+    const auto at = in.revision;
+    in.follower.hear({core::revision(at),
+                      core::revision(at + 1),
+                      false,
+                      true,
+                      {{"servers/i-1", std::nullopt, core::revision(at + 1)}}});
+    CHECK(in.names() == std::set<std::string>{"i-1"});
+    in.follower.hear(
+        {core::revision(at + 1), core::revision(at + 2), false, true, {in.item("i-1", at + 2)}});
+    CHECK(in.names() == std::set<std::string>{"i-1"});
+}
+
+TEST_CASE("news are told in parts that go on from each other")
+{
+    const bool holds = rc::check([] {
+        const auto count = *rc::gen::inRange<std::uint64_t>(0, 100);
+        store_news whole{core::revision(10), core::revision(10 + count + 5), false, true, {}};
+        for (std::uint64_t number = 1; number <= count; ++number) {
+            whole.items.push_back({"k", std::nullopt, core::revision(10 + number)});
+        }
+        const auto parts = parts_of(whole);
+        store_news joined = whole;
+        joined.items.clear();
+        auto known = whole.since;
+        for (const store_news& part : parts) {
+            RC_ASSERT(part.since == known);
+            known = part.as_of;
+            joined.items.insert(joined.items.end(), part.items.begin(), part.items.end());
+        }
+        RC_ASSERT(known == whole.as_of);
+        RC_ASSERT(joined == whole);
+    });
+    CHECK(holds);
+    const store_news asking{core::revision(1), core::revision(2), true, false, {{"k", {}, {}}}};
+    REQUIRE(parts_of(asking).size() == 1);
+    CHECK(parts_of(asking).front().items.empty());
+}
+
+} // namespace ej::front
--- a/libs/runtime/src/admission_gate.cpp
+++ b/libs/runtime/src/admission_gate.cpp
@@ -8,6 +8,8 @@
 #include <admission/urgency.h>
 #include <fairness/max_min_share.h>
 
+#include <boost/asio/strand.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <iterator>
@@ -58,8 +60,28 @@
     std::ranges::for_each(gone, [&](const auto& one) { refuse(one); });
 }
 
+// Waits run on strands of their own: on a plain thread pool an entry could come between a wait's
+// look at it and its beginning, and would be lost.
 asio::awaitable<gate_entry> admission_gate::enter(core::work_class work_class,
                                                   fairness::claim asked)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto entering = submit(std::move(work_class), std::move(asked));
+    co_return co_await asio::co_spawn(asio::make_strand(executor), std::move(entering),
+                                      asio::use_awaitable);
+}
+
+asio::awaitable<gate_entry> admission_gate::enter_again(core::work_class work_class,
+                                                        fairness::claim asked)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto entering = put_back(std::move(work_class), std::move(asked));
+    co_return co_await asio::co_spawn(asio::make_strand(executor), std::move(entering),
+                                      asio::use_awaitable);
+}
+
+asio::awaitable<gate_entry> admission_gate::submit(core::work_class work_class,
+                                                   fairness::claim asked)
 {
     const auto strand = co_await asio::this_coro::executor;
     // Before the submission: another thread may grant it at once.
@@ -77,8 +99,8 @@
     co_return co_await wait(std::move(work_class), std::move(asked), std::move(waiting));
 }
 
-asio::awaitable<gate_entry> admission_gate::enter_again(core::work_class work_class,
-                                                        fairness::claim asked)
+asio::awaitable<gate_entry> admission_gate::put_back(core::work_class work_class,
+                                                     fairness::claim asked)
 {
     const auto strand = co_await asio::this_coro::executor;
     auto waiting = add_waiter(work_class, asked, strand);
--- a/libs/runtime/src/admission_gate.h
+++ b/libs/runtime/src/admission_gate.h
@@ -32,7 +32,7 @@
     /// Puts the accepted classes in force.
     void set_classes(std::vector<core::work_class> classes);
 
-    /// Waits for an endpoint, or is refused. Runs on a strand.
+    /// Waits for an endpoint, or is refused.
     boost::asio::awaitable<gate_entry> enter(core::work_class work_class, fairness::claim asked);
 
     /// As `enter` for a request that lost its endpoint: it is not refused for what waits before it
@@ -60,6 +60,8 @@
 private:
     using waiter = std::shared_ptr<gate_waiter>;
 
+    boost::asio::awaitable<gate_entry> submit(core::work_class work_class, fairness::claim asked);
+    boost::asio::awaitable<gate_entry> put_back(core::work_class work_class, fairness::claim asked);
     waiter add_waiter(const core::work_class& work_class, const fairness::claim& asked,
                       boost::asio::any_io_executor strand);
     boost::asio::awaitable<gate_entry> wait(core::work_class work_class, fairness::claim asked,
--- a/libs/runtime/tests/admission_gate_test.cpp
+++ b/libs/runtime/tests/admission_gate_test.cpp
@@ -11,8 +11,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/asio/use_future.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <future>
 #include <string>
 #include <vector>
 
@@ -54,6 +58,8 @@
             [this, asked]() -> asio::awaitable<void> { co_await enter(asked); }, asio::detached);
     }
 
+    [[nodiscard]] const core::work_class& work_class() const { return classes_.front(); }
+
     void run_ready()
     {
         context.restart();
@@ -112,4 +118,36 @@
     CHECK(fixture.gate.reports().front().waiting == 0);
 }
 
+TEST_CASE("no entry is lost although it comes on another thread while its wait begins")
+{
+    constexpr std::size_t threads = 4;
+    constexpr int requests = 20'000;
+    constexpr std::size_t at_once = 64;
+    gate_fixture fixture;
+    asio::thread_pool pool(threads);
+    std::atomic<int> next{0};
+    std::atomic<int> entered{0};
+    // On the pool itself: entries and waits run on any of its threads.
+    const auto ask = [&]() -> asio::awaitable<void> {
+        for (int number = next++; number < requests; number = next++) {
+            const auto now = std::chrono::steady_clock::now();
+            const fairness::claim asked{core::request_id(std::to_string(number)),
+                                        core::workspace_id("w"), 1, now, now + 1h};
+            auto entry = co_await fixture.gate.enter(fixture.work_class(), asked);
+            if (entry.placed) {
+                ++entered;
+                fixture.gate.leave(*entry.placed, {routing::outcome_kind::finished, 1, 1us});
+            }
+        }
+    };
+    std::vector<std::future<void>> all;
+    for (std::size_t one = 0; one < at_once; ++one) {
+        all.push_back(asio::co_spawn(pool, ask, asio::use_future));
+    }
+    for (auto& one : all) {
+        REQUIRE(one.wait_for(20s) == std::future_status::ready); // A guard against a hang.
+    }
+    CHECK(entered == requests);
+}
+
 } // namespace ej::runtime
