--- a/harness/include/harness/child_process.h
+++ b/harness/include/harness/child_process.h
@@ -19,6 +19,11 @@
     static absl::StatusOr<std::unique_ptr<child_process>>
     start(const std::string& program, const std::vector<std::string>& arguments);
 
+    /// The same with the standard output appended to `file`; `wait_for_line` finds nothing.
+    static absl::StatusOr<std::unique_ptr<child_process>>
+    start_logging(const std::string& program, const std::vector<std::string>& arguments,
+                  const std::string& file);
+
     /// Kills every started program that is not reaped yet, without waiting. Thread-safe.
     static void kill_all();
 
@@ -38,11 +43,15 @@
     /// The process' number in the system.
     [[nodiscard]] pid_t id() const { return pid_; }
 
+    /// True if it has ended by now.
+    [[nodiscard]] bool ended();
+
     /// Waits until it has ended and returns its exit code, or 128 and the signal's number.
     int wait();
 
 private:
-    child_process(pid_t pid, int output_descriptor);
+    child_process(pid_t pid, std::unique_ptr<child_output> output);
+    void reaped(int status);
 
     pid_t pid_;
     bool reaped_ = false;
--- a/harness/src/child_process.cpp
+++ b/harness/src/child_process.cpp
@@ -14,7 +14,9 @@
 #include <array>
 #include <cerrno>
 #include <cstdlib>
+#include <optional>
 #include <system_error>
+#include <utility>
 
 namespace ej::harness {
 
@@ -46,18 +48,25 @@
     return file == nullptr ? "/dev/null" : file;
 }
 
-int spawn(pid_t& pid, std::vector<std::string> command, int output)
+absl::StatusOr<pid_t> spawn(const std::string& program, const std::vector<std::string>& arguments,
+                            int output)
 {
+    std::vector<std::string> command{program};
+    command.insert(command.end(), arguments.begin(), arguments.end());
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error_file().c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, log_mode);
-    const auto arguments = pointers_to(command);
-    const int error = ::posix_spawn(&pid, command.front().c_str(), &actions, nullptr,
-                                    arguments.data(), ::environ);
+    const auto pointers = pointers_to(command);
+    pid_t pid = 0;
+    const int error =
+        ::posix_spawn(&pid, command.front().c_str(), &actions, nullptr, pointers.data(), ::environ);
     posix_spawn_file_actions_destroy(&actions);
-    return error;
+    if (error != 0) {
+        return absl::InternalError(program + ": " + std::generic_category().message(error));
+    }
+    return pid;
 }
 
 } // namespace
@@ -69,20 +78,34 @@
     if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
         return absl::InternalError(std::generic_category().message(errno));
     }
-    std::vector<std::string> command{program};
-    command.insert(command.end(), arguments.begin(), arguments.end());
-    pid_t pid = 0;
-    const int error = spawn(pid, std::move(command), ends[1]);
+    const auto pid = spawn(program, arguments, ends[1]);
     ::close(ends[1]);
-    if (error != 0) {
+    if (!pid.ok()) {
         ::close(ends[0]);
-        return absl::InternalError(program + ": " + std::generic_category().message(error));
+        return pid.status();
     }
-    return std::unique_ptr<child_process>(new child_process(pid, ends[0]));
+    return std::unique_ptr<child_process>(
+        new child_process(*pid, std::make_unique<child_output>(ends[0])));
 }
 
-child_process::child_process(pid_t pid, int output_descriptor)
-    : pid_(pid), output_(std::make_unique<child_output>(output_descriptor))
+absl::StatusOr<std::unique_ptr<child_process>>
+child_process::start_logging(const std::string& program, const std::vector<std::string>& arguments,
+                             const std::string& file)
+{
+    const int output = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, log_mode);
+    if (output < 0) {
+        return absl::InternalError(file + ": " + std::generic_category().message(errno));
+    }
+    const auto pid = spawn(program, arguments, output);
+    ::close(output);
+    if (!pid.ok()) {
+        return pid.status();
+    }
+    return std::unique_ptr<child_process>(new child_process(*pid, nullptr));
+}
+
+child_process::child_process(pid_t pid, std::unique_ptr<child_output> output)
+    : pid_(pid), output_(std::move(output))
 {
     running().with(pid, [pid](auto& pids) { pids.emplace(pid, true); });
 }
@@ -104,7 +127,7 @@
 
 absl::StatusOr<std::string> child_process::wait_for_line(const std::string& prefix)
 {
-    auto line = output_->wait_for_line(prefix);
+    auto line = output_ == nullptr ? std::nullopt : output_->wait_for_line(prefix);
     if (!line) {
         return absl::UnavailableError("ended before it printed '" + prefix + "'");
     }
@@ -118,15 +141,29 @@
     }
 }
 
+bool child_process::ended()
+{
+    int status = 0;
+    if (!reaped_ && ::waitpid(pid_, &status, WNOHANG) == pid_) {
+        reaped(status);
+    }
+    return reaped_;
+}
+
 int child_process::wait()
 {
     int status = 0;
     if (!reaped_ && ::waitpid(pid_, &status, 0) == pid_) {
-        reaped_ = true;
-        running().with(pid_, [this](auto& pids) { pids.erase(pid_); });
-        exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : signal_exit_base + WTERMSIG(status);
+        reaped(status);
     }
     return exit_code_;
 }
 
+void child_process::reaped(int status)
+{
+    reaped_ = true;
+    running().with(pid_, [this](auto& pids) { pids.erase(pid_); });
+    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : signal_exit_base + WTERMSIG(status);
+}
+
 } // namespace ej::harness
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -150,8 +150,11 @@
         return;
     }
     context_.metrics.count("store_news_total", {{"use", "applied"}});
-    if (news.returned) {
-        log_.hear_return(now());
+    log_.neighbour_answered(news.returned, now());
+    if (std::exchange(away_, false)) {
+        context_.metrics.set("store_away", {}, 0);
+        logging::log(logging::level::info, "store reached by a neighbour",
+                     {{"as_of", std::to_string(news.as_of.value())}});
     }
     for (const platform::store_item& item : news.items) {
         if (item.revision > as_of_) {
@@ -163,103 +166,6 @@
     publish();
 }
 
-/// True if the item changes what is known, or a daemon that lacks the entry may need it.
-bool store_follower::apply(const platform::store_item& item)
-{
-    if (item.key == layout_.rules_key()) {
-        if (item.value) {
-            apply_rules(*item.value);
-        }
-        return true;
-    }
-    if (const auto name = layout_.endpoint_of(item.key)) {
-        return apply_endpoint(*name, item);
-    }
-    if (item.key.starts_with(layout_.daemons_prefix())) {
-        apply_daemon(item);
-        return true;
-    }
-    return false;
-}
-
-void store_follower::apply_daemon(const platform::store_item& item)
-{
-    const bool own = item.key == layout_.daemons_prefix() + context_.settings.vm.text();
-    const auto value = item.value && !own ? parse_daemon_value(*item.value) : std::nullopt;
-    if (value) {
-        daemons_[item.key] = *value;
-    }
-    else {
-        daemons_.erase(item.key);
-    }
-    peers_changed_ = true;
-}
-
-void store_follower::apply_rules(const std::string& value)
-{
-    core::findings faults;
-    auto rules = layout_.parse_rules(value, faults);
-    for (const core::finding& fault : faults.list()) {
-        context_.metrics.count("configuration_faults_total", {});
-        logging::log(logging::level::warn, "configuration fault",
-                     {{"place", fault.place}, {"fault", fault.message}});
-    }
-    if (!rules.ok()) {
-        context_.metrics.count("configuration_faults_total", {});
-        logging::log(logging::level::warn, "configuration left out",
-                     {{"error", std::string(rules.status().message())}});
-        return;
-    }
-    const auto known = *context_.rules.load();
-    if (known != nullptr && rules->version <= known->rules().version) {
-        return;
-    }
-    const auto version = rules->version;
-    const auto routes = rules->routes.size();
-    context_.rules.store(std::make_shared<const forwarding::rulebook>(*std::move(rules)));
-    context_.metrics.set("configuration_version", {}, double(version.value()));
-    logging::log(
-        logging::level::info, "configuration in force",
-        {{"version", std::to_string(version.value())},
-         {"before", known == nullptr ? "none" : std::to_string(known->rules().version.value())},
-         {"routes", std::to_string(routes)}});
-}
-
-bool store_follower::apply_endpoint(const core::endpoint_id& name, const platform::store_item& item)
-{
-    if (!item.value) {
-        if (log_.remove(name, item.revision, now())) {
-            changed_ = true;
-            logging::log(
-                logging::level::info, "endpoint gone",
-                {{"endpoint", name.text()}, {"revision", std::to_string(item.revision.value())}});
-        }
-        return true;
-    }
-    auto record = layout_.parse_endpoint(name, *item.value);
-    if (!record.ok()) {
-        context_.metrics.count("endpoint_faults_total", {});
-        logging::log(
-            logging::level::warn, "endpoint entry left out",
-            {{"endpoint", name.text()}, {"error", std::string(record.status().message())}});
-        const bool news = log_.put(name, std::nullopt, item.revision);
-        changed_ = news || changed_;
-        return news;
-    }
-    const bool leaving = record->leaving;
-    const auto address = core::to_string(record->what.where);
-    if (!log_.put(name, *std::move(record), item.revision)) {
-        return false;
-    }
-    changed_ = true;
-    logging::log(logging::level::info, "endpoint known",
-                 {{"endpoint", name.text()},
-                  {"address", address},
-                  {"state", leaving ? "leaving" : "ready"},
-                  {"revision", std::to_string(item.revision.value())}});
-    return true;
-}
-
 void store_follower::note_answer(const absl::Status& status)
 {
     // A dropped history is an answer too.
--- a/libs/caller_front/tests/store_follower_test.cpp
+++ b/libs/caller_front/tests/store_follower_test.cpp
@@ -141,6 +141,21 @@
     CHECK(in.told.back().as_of >= core::revision(in.revision));
 }
 
+TEST_CASE("an endpoint that goes while only this daemon has lost the store is gone when told")
+{
+    follower_before_store in(std::chrono::seconds(1));
+    in.store.be_away(true);
+    const auto calls = in.store.calls();
+    REQUIRE(in.run_until([&] { return in.store.calls() > calls + 1; }));
+    const auto at = in.revision;
+    in.follower.hear({core::revision(at),
+                      core::revision(at + 1),
+                      false,
+                      false,
+                      {{"servers/i-1", std::nullopt, core::revision(at + 1)}}});
+    CHECK(in.names().empty());
+}
+
 TEST_CASE("an entry that a neighbour sees go while the store returns is kept for the grace")
 {
     follower_before_store in;
--- a/libs/forwarding/include/forwarding/fleet_log.h
+++ b/libs/forwarding/include/forwarding/fleet_log.h
@@ -42,8 +42,8 @@
     /// The store answers again.
     void answered(core::instant now);
 
-    /// Another daemon told that the store was away until lately.
-    void hear_return(core::instant now);
+    /// A neighbour told what the store answered it; `returned`: the store was away until lately.
+    void neighbour_answered(bool returned, core::instant now);
 
     /// True while the store is away and within the grace after it.
     [[nodiscard]] bool in_grace(core::instant now) const;
--- a/libs/forwarding/src/fleet_log.cpp
+++ b/libs/forwarding/src/fleet_log.cpp
@@ -75,9 +75,13 @@
     }
 }
 
-void fleet_log::hear_return(core::instant now)
+void fleet_log::neighbour_answered(bool returned, core::instant now)
 {
-    if (!in_grace(now)) {
+    if (!returned) {
+        // Only this daemon's way to the store was lost, and what changed meanwhile was told.
+        away_ = false;
+    }
+    else if (!in_grace(now)) {
         returned_ = now;
     }
 }
