--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -264,6 +264,13 @@
     }
 }
 
+void caller_connection::end_call()
+{
+    if (const auto call = call_) {
+        call->end_now();
+    }
+}
+
 void caller_connection::close_if_idle()
 {
     if (phase_ == phase::idle) {
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -34,6 +34,9 @@
     /// Closes the connection if no request is being read or answered.
     void close_if_idle();
 
+    /// The request that is being answered gets its final answer now.
+    void end_call();
+
     void reply(const http::response& answer) override;
     void start_stream(const http::response& head) override;
     void write(const std::string& part) override;
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -61,7 +61,7 @@
 {
     deadline_timer_ = make_timer([this] {
         progress_.expired = true;
-        expire();
+        expire("timeout");
     });
     deadline_timer_->set(deadline_);
     setting_.context.budget.first(service_, now());
@@ -77,6 +77,16 @@
     finish("caller_gone", 0);
 }
 
+void forwarded_call::end_now()
+{
+    if (over_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    progress_.expired = true;
+    expire("leaving");
+}
+
 milliseconds forwarded_call::time_left() const
 {
     return std::max(std::chrono::duration_cast<milliseconds>(deadline_ - now()), milliseconds(0));
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -51,14 +51,17 @@
     /// The caller has closed its connection: attempts are broken off.
     void caller_gone();
 
+    /// The daemon ends: the call gets its final answer now.
+    void end_now();
+
 protected:
     using attempt_ptr = std::shared_ptr<upstream_attempt>;
 
     /// Makes another attempt; the call ends with a refusal or failure if there is no endpoint.
     virtual void send() = 0;
 
-    /// The time for an answer is over.
-    virtual void expire() = 0;
+    /// The time for an answer is over, for `reason`.
+    virtual void expire(std::string_view reason) = 0;
 
     /// Breaks off what is still running.
     virtual void cancel_attempts() = 0;
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds leave_interval{50};
 // Before the end of the grace, when the process would be killed.
 constexpr milliseconds grace_margin{400};
+// For the final answers of calls that outlast the grace.
+constexpr milliseconds answer_margin{150};
 
 platform::client_settings store_settings(const front_settings& settings)
 {
@@ -141,7 +143,10 @@
     };
     wait_until(earliest, [] { return false; });
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
-    wait_until(last, [&] { return context.calls_open == 0; });
+    const auto all_answered = [&] { return context.calls_open == 0; };
+    wait_until(last - answer_margin, all_answered);
+    std::ranges::for_each(parts_->lanes, [](const auto& one) { one->end_calls(); });
+    wait_until(last, all_answered);
     parts_->listener->stop();
     logging::log(logging::level::info, "left",
                  {{"calls_open", std::to_string(context.calls_open)},
--- a/libs/caller_front/src/lane.cpp
+++ b/libs/caller_front/src/lane.cpp
@@ -45,10 +45,20 @@
 
 void lane::close_idle()
 {
-    asio::post(loop_, [this] {
+    for_each_caller(&caller_connection::close_if_idle);
+}
+
+void lane::end_calls()
+{
+    for_each_caller(&caller_connection::end_call);
+}
+
+void lane::for_each_caller(void (caller_connection::*action)())
+{
+    asio::post(loop_, [this, action] {
         for (const auto& one : callers_) {
             if (const auto connection = one.lock()) {
-                connection->close_if_idle();
+                (connection.get()->*action)();
             }
         }
     });
--- a/libs/caller_front/src/lane.h
+++ b/libs/caller_front/src/lane.h
@@ -33,6 +33,9 @@
     /// Closes callers' connections on which no request is read or answered.
     void close_idle();
 
+    /// Gives all requests that are being answered their final answer.
+    void end_calls();
+
     /// Starts the thread.
     void run();
 
@@ -40,6 +43,8 @@
     void stop();
 
 private:
+    void for_each_caller(void (caller_connection::*action)());
+
     front_context& context_;
     asio::io_context loop_{1};
     asio::executor_work_guard<asio::io_context::executor_type> work_;
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -243,11 +243,11 @@
     return bounds_for(setting_.by, flowing_ ? stream_stage::flowing : before_output);
 }
 
-void stream_call::expire()
+void stream_call::expire(std::string_view reason)
 {
     progress_.may_have_run = progress_.may_have_run || (current_ != nullptr && current_->sent());
     cancel_attempts();
-    give_up("timeout", status_gateway_timeout);
+    give_up(reason, status_gateway_timeout);
 }
 
 void stream_call::cancel_attempts()
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace ej::front {
 
@@ -28,7 +29,7 @@
 
 private:
     void send() override;
-    void expire() override;
+    void expire(std::string_view reason) override;
     void cancel_attempts() override;
 
     void send_to(const core::endpoint& endpoint, bool from_copy);
--- a/libs/caller_front/src/whole_call.cpp
+++ b/libs/caller_front/src/whole_call.cpp
@@ -162,13 +162,13 @@
     }
 }
 
-void whole_call::expire()
+void whole_call::expire(std::string_view reason)
 {
     progress_.may_have_run =
         progress_.may_have_run ||
         std::ranges::any_of(running_, [](const running& one) { return one.attempt->sent(); });
     cancel_attempts();
-    give_up("timeout", status_gateway_timeout);
+    give_up(reason, status_gateway_timeout);
 }
 
 void whole_call::cancel_attempts()
--- a/libs/caller_front/src/whole_call.h
+++ b/libs/caller_front/src/whole_call.h
@@ -3,6 +3,7 @@
 #include "forwarded_call.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ej::front {
@@ -26,7 +27,7 @@
     };
 
     void send() override;
-    void expire() override;
+    void expire(std::string_view reason) override;
     void cancel_attempts() override;
     void follow(forwarding::attempt_end end, const upstream_attempt& attempt, std::string body);
     void arm_second_send();
--- /dev/null
+++ b/soak/node/main.cpp
@@ -0,0 +1,162 @@
+// An endpoint of the soak as a process of its own: an application or a model engine that writes
+// each run to a file before it begins, so that the soak knows what ran also when it is killed.
+
+#include <fleet/endpoint_stand_in.h>
+
+#include <boost/program_options.hpp>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace ej::soak {
+
+namespace {
+
+namespace po = boost::program_options;
+
+using fleet::step;
+using fleet::step_kind;
+
+constexpr int log_mode = 0644;
+constexpr std::chrono::milliseconds work{15};
+constexpr std::chrono::milliseconds per_event{10};
+constexpr int events = 20;
+
+struct node_settings {
+    std::string name;
+    bool engine = false;
+    std::string runs;
+    double lost_answers = 0; ///< Part of the requests that run and are not answered.
+    double surplus = 0;      ///< Part of the answers that come twice.
+    double shed = 0;         ///< Part of the requests that are not run.
+};
+
+class node {
+public:
+    explicit node(node_settings settings)
+        : settings_(std::move(settings)),
+          runs_(::open(settings_.runs.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, log_mode))
+    {
+    }
+
+    std::vector<step> answer(const std::string& request)
+    {
+        const auto expected = fleet::field_of(request, "Endivejunction-Expected-Instance");
+        if (expected != settings_.name) {
+            return {{step_kind::send, not_run(request, 421)}};
+        }
+        const bool from_copy = !fleet::field_of(request, "Kv-From").empty();
+        if (from_copy || draw() < settings_.shed) {
+            return {{step_kind::send, not_run(request, 503)}};
+        }
+        note_run(request);
+        return settings_.engine ? stream(request) : whole(request);
+    }
+
+private:
+    double draw()
+    {
+        const std::scoped_lock lock(mutex_);
+        return std::uniform_real_distribution<double>(0, 1)(random_);
+    }
+
+    void note_run(const std::string& request) const
+    {
+        const auto line = fleet::field_of(request, "Endivejunction-Attempt-Id") + "\n";
+        if (::write(runs_, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+            std::cerr << "run not noted\n";
+            ::_exit(1);
+        }
+    }
+
+    static std::string not_run(const std::string& request, int status)
+    {
+        return fleet::signed_answer(request, status, "", "Endivejunction-Not-Executed: true\r\n");
+    }
+
+    std::vector<step> whole(const std::string& request)
+    {
+        std::vector<step> steps{{step_kind::wait, {}, work}};
+        if (draw() < settings_.lost_answers) {
+            steps.push_back({step_kind::reset});
+            return steps;
+        }
+        const auto text = fleet::signed_answer(
+            request, 200, "answer to " + fleet::field_of(request, "Endivejunction-Attempt-Id"));
+        steps.push_back({step_kind::send, text});
+        if (draw() < settings_.surplus) {
+            steps.push_back({step_kind::send, text});
+        }
+        return steps;
+    }
+
+    std::vector<step> stream(const std::string& request)
+    {
+        const auto behind = fleet::field_of(request, "Last-Event-Id");
+        int first = 0;
+        std::from_chars(behind.data(), behind.data() + behind.size(), first);
+        std::vector<step> steps{{step_kind::wait, {}, work},
+                                {step_kind::send, fleet::stream_head(request)}};
+        const bool breaks = draw() < settings_.lost_answers;
+        for (int id = first + 1; id <= events; ++id) {
+            steps.push_back({step_kind::wait, {}, per_event});
+            steps.push_back({step_kind::send, fleet::event_chunk(id)});
+            if (breaks && id == events / 2) {
+                steps.push_back({step_kind::reset});
+                return steps;
+            }
+        }
+        steps.push_back({step_kind::send, fleet::last_chunk()});
+        return steps;
+    }
+
+    node_settings settings_;
+    int runs_;
+    std::mutex mutex_;
+    std::mt19937 random_{std::random_device{}()};
+};
+
+node_settings parse(int argc, char** argv)
+{
+    node_settings settings;
+    po::options_description options;
+    options.add_options()("name", po::value(&settings.name)->required())(
+        "engine", po::bool_switch(&settings.engine))("runs", po::value(&settings.runs)->required())(
+        "lost-answers", po::value(&settings.lost_answers))("surplus", po::value(&settings.surplus))(
+        "shed", po::value(&settings.shed));
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    return settings;
+}
+
+int run(int argc, char** argv)
+{
+    node here(parse(argc, argv));
+    const fleet::endpoint_stand_in endpoint(
+        [&](const std::string& request, int) { return here.answer(request); });
+    std::cout << "listening " << core::to_string(endpoint.address()) << '\n' << std::flush;
+    // The soak ends this process by a signal.
+    for (;;) {
+        ::pause();
+    }
+}
+
+} // namespace
+
+} // namespace ej::soak
+
+int main(int argc, char** argv)
+{
+    return ej::soak::run(argc, argv);
+}
--- /dev/null
+++ b/soak/src/call_kind.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace ej::soak {
+
+/// Kinds of requests that callers make.
+enum class call_kind { act, read, generate };
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/caller_pool.cpp
@@ -0,0 +1,173 @@
+#include "caller_pool.h"
+
+#include "caller.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <memory>
+#include <random>
+#include <stdexcept>
+#include <string_view>
+
+namespace ej::soak {
+
+namespace {
+
+constexpr std::size_t callers = 10;
+constexpr int events = 20; // Of a stream, as the engines make them.
+constexpr std::chrono::milliseconds balancer_interval{200};
+constexpr std::chrono::milliseconds pause{4};
+constexpr std::array paths{"POST /act/x", "GET /read/x", "POST /gen/x"};
+// One request in so many is on a new connection.
+constexpr int calls_per_connection = 8;
+
+std::string request_of(call_kind kind, const std::string& id)
+{
+    const auto body =
+        kind == call_kind::read ? std::string() : std::string("Content-Length: 2\r\n");
+    return std::string(paths.at(static_cast<std::size_t>(kind))) +
+           " HTTP/1.1\r\nHost: h.example\r\nEndivejunction-Attempt-Id: " + id +
+           "\r\nAuthorization: Token k1\r\nEndivejunction-Deadline-Ms: 6000\r\n" + body + "\r\n" +
+           (body.empty() ? "" : "hi");
+}
+
+/// How many events `answer` holds when they are 1, 2, ... without a gap; -1 otherwise.
+int events_in(const std::string& answer)
+{
+    int expected = 0;
+    constexpr std::string_view mark = "id: ";
+    for (auto place = answer.find(mark); place != std::string::npos;
+         place = answer.find(mark, place + 1)) {
+        int id = 0;
+        const auto* const begin = answer.data() + place + mark.size();
+        std::from_chars(begin, answer.data() + answer.size(), id);
+        if (id != ++expected) {
+            return -1;
+        }
+    }
+    return expected;
+}
+
+void judge(call_record& call, const std::string& answer)
+{
+    const auto head_end = answer.find("\r\n\r\n");
+    constexpr std::size_t status_at = 9;
+    if (head_end == std::string::npos || answer.size() < status_at + 3) {
+        return;
+    }
+    std::from_chars(answer.data() + status_at, answer.data() + status_at + 3, call.status);
+    if (call.kind == call_kind::generate) {
+        const int count = events_in(answer);
+        call.whole = answer.ends_with("\r\n0\r\n\r\n");
+        call.right = call.whole ? count == events : count >= 0;
+        return;
+    }
+    const auto body = answer.substr(head_end + 4);
+    const auto wanted = "answer to " + call.id;
+    call.whole = body.size() >= wanted.size();
+    call.right = call.whole ? body == wanted : wanted.starts_with(body);
+}
+
+/// Sends and reads on `connection`; true if it can be used again.
+bool exchange(forward_tests::caller& connection, call_record& call)
+{
+    call.began = std::chrono::steady_clock::now();
+    connection.send(request_of(call.kind, call.id));
+    const auto answer = connection.read_answer();
+    call.ended = std::chrono::steady_clock::now();
+    judge(call, answer);
+    return call.whole && answer.find("Connection: close") == std::string::npos;
+}
+
+} // namespace
+
+caller_pool::caller_pool(const soak_fleet& system, ledger& seen, std::uint64_t seed)
+    : system_(system), seen_(seen), in_rotation_(soak_fleet::daemon_count)
+{
+    threads_.emplace_back([this] { ask_balancer(); });
+    for (std::size_t number = 0; number < callers; ++number) {
+        threads_.emplace_back([this, seed, number] { call_on(seed, number); });
+    }
+}
+
+caller_pool::~caller_pool()
+{
+    stop();
+}
+
+void caller_pool::stop()
+{
+    ending_ = true;
+    for (auto& one : threads_) {
+        if (one.joinable()) {
+            one.join();
+        }
+    }
+}
+
+void caller_pool::ask_balancer()
+{
+    while (!ending_) {
+        for (std::size_t daemon = 0; daemon < soak_fleet::daemon_count; ++daemon) {
+            in_rotation_[daemon] = system_.ready(daemon);
+        }
+        std::this_thread::sleep_for(balancer_interval);
+    }
+}
+
+void caller_pool::call_on(std::uint64_t seed, std::size_t number)
+{
+    std::mt19937_64 random(seed * callers + number);
+    const auto draw = [&](std::size_t count) { return random() % count; };
+    std::unique_ptr<forward_tests::caller> connection;
+    std::size_t daemon = 0;
+    for (int sent = 0; !ending_; ++sent) {
+        std::this_thread::sleep_for(pause);
+        if (connection != nullptr && draw(calls_per_connection) == 0) {
+            connection.reset();
+        }
+        const bool kept = connection != nullptr;
+        if (!kept) {
+            daemon = draw(soak_fleet::daemon_count);
+            if (!in_rotation_[daemon]) {
+                continue;
+            }
+            try {
+                connection = std::make_unique<forward_tests::caller>(system_.callers(daemon));
+            }
+            catch (const std::runtime_error&) {
+                continue; // The daemon has just ended; nothing was sent.
+            }
+        }
+        call_record call;
+        call.id = std::to_string(number) + "-" + std::to_string(sent);
+        call.kind = static_cast<call_kind>(draw(paths.size()));
+        call.daemon = daemon;
+        call.kept = kept;
+        if (!exchange(*connection, call)) {
+            connection.reset();
+        }
+        seen_.add(call);
+    }
+}
+
+call_record call_once(const soak_fleet& system, std::size_t daemon, call_kind kind,
+                      const std::string& id)
+{
+    call_record call;
+    call.id = id;
+    call.kind = kind;
+    call.daemon = daemon;
+    try {
+        forward_tests::caller connection(system.callers(daemon));
+        exchange(connection, call);
+    }
+    catch (const std::runtime_error&) {
+        call.status = 0; // It does not listen.
+    }
+    return call;
+}
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/caller_pool.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "call_record.h"
+#include "ledger.h"
+#include "soak_fleet.h"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ej::soak {
+
+/// Callers that go on sending, each on a thread of its own: over kept connections and new ones, to
+/// daemons that the balancer holds ready. They use a kept connection until its daemon closes it.
+class caller_pool {
+public:
+    /// Both outlive the pool.
+    caller_pool(const soak_fleet& system, ledger& seen, std::uint64_t seed);
+    ~caller_pool();
+    caller_pool(const caller_pool&) = delete;
+    caller_pool& operator=(const caller_pool&) = delete;
+    caller_pool(caller_pool&&) = delete;
+    caller_pool& operator=(caller_pool&&) = delete;
+
+    /// Ends the calls; returns when all have their answer.
+    void stop();
+
+private:
+    void ask_balancer();
+    void call_on(std::uint64_t seed, std::size_t number);
+
+    const soak_fleet& system_;
+    ledger& seen_;
+    std::atomic<bool> ending_{false};
+    std::vector<std::atomic<bool>> in_rotation_;
+    std::vector<std::thread> threads_;
+};
+
+/// Sends one request to `daemon` on a new connection.
+[[nodiscard]] call_record call_once(const soak_fleet& system, std::size_t daemon, call_kind kind,
+                                    const std::string& id);
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/fault_kind.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+
+namespace ej::soak {
+
+/// What the soak does to the system.
+enum class fault_kind {
+    kill_daemon,
+    stop_daemon, ///< SIGTERM, then a new start.
+    pause_daemon,
+    cut_store,
+    delay_store,
+    mute_store,
+    reset_store,
+    store_away,
+    drop_history,
+    kill_endpoint,
+    pause_endpoint,
+    drain_endpoint,
+    cut_endpoint,
+    mute_endpoint,
+    reset_endpoint,
+    slow_endpoint,
+    one_way_endpoint,
+    change_configuration,
+    read_settings ///< SIGHUP.
+};
+
+inline constexpr std::size_t fault_kind_count = 19;
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/fault_runner.cpp
@@ -0,0 +1,256 @@
+#include "fault_runner.h"
+
+#include <signal.h>
+
+#include <array>
+#include <thread>
+#include <utility>
+
+namespace ej::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds look_interval{10};
+// After SIGTERM a daemon ends within its grace; a bit more on a busy machine.
+constexpr milliseconds end_of_grace{4'500};
+
+std::size_t daemon_of(const fault& what)
+{
+    return what.target % soak_fleet::daemon_count;
+}
+
+std::size_t endpoint_of(const fault& what)
+{
+    return what.target % soak_fleet::endpoint_count;
+}
+
+} // namespace
+
+fault_runner::fault_runner(soak_fleet& system, ledger& seen)
+    : system_(system), seen_(seen), start_(std::chrono::steady_clock::now()),
+      daemon_busy_(soak_fleet::daemon_count), endpoint_busy_(soak_fleet::endpoint_count)
+{
+}
+
+fault_runner::action fault_runner::action_of(fault_kind kind)
+{
+    static constexpr std::array<action, fault_kind_count> actions{
+        &fault_runner::kill_daemon,      &fault_runner::stop_daemon,
+        &fault_runner::pause_daemon,     &fault_runner::cut_store,
+        &fault_runner::delay_store,      &fault_runner::mute_store,
+        &fault_runner::reset_store,      &fault_runner::store_away,
+        &fault_runner::drop_history,     &fault_runner::kill_endpoint,
+        &fault_runner::pause_endpoint,   &fault_runner::drain_endpoint,
+        &fault_runner::cut_endpoint,     &fault_runner::mute_endpoint,
+        &fault_runner::reset_endpoint,   &fault_runner::slow_endpoint,
+        &fault_runner::one_way_endpoint, &fault_runner::change_configuration,
+        &fault_runner::read_settings};
+    return actions.at(static_cast<std::size_t>(kind));
+}
+
+void fault_runner::play(const std::vector<fault>& plan)
+{
+    start_ = std::chrono::steady_clock::now();
+    for (const fault& what : plan) {
+        pass_until(start_ + what.at);
+        (this->*action_of(what.kind))(what);
+    }
+    while (!due_.empty()) {
+        pass_until(due_.begin()->first);
+    }
+}
+
+void fault_runner::pass_until(instant until)
+{
+    for (;;) {
+        const auto now = std::chrono::steady_clock::now();
+        while (!due_.empty() && due_.begin()->first <= now) {
+            const auto end = due_.extract(due_.begin());
+            end.mapped()();
+        }
+        for (std::size_t daemon = 0; daemon < soak_fleet::daemon_count; ++daemon) {
+            if (!daemon_busy_[daemon] && system_.daemon_ended(daemon)) {
+                ends_.push_back("daemon " + std::to_string(daemon) + " ended by itself");
+                system_.restart_daemon(daemon);
+            }
+        }
+        if (now >= until) {
+            return;
+        }
+        std::this_thread::sleep_for(look_interval);
+    }
+}
+
+void fault_runner::later(const fault& what, std::function<void()> end)
+{
+    due_.emplace(std::chrono::steady_clock::now() + what.length, std::move(end));
+}
+
+void fault_runner::restart_later(const fault& what, std::size_t daemon)
+{
+    daemon_busy_[daemon] = true;
+    later(what, [this, daemon] {
+        if (!system_.restart_daemon(daemon)) {
+            ends_.push_back("daemon " + std::to_string(daemon) + " ended with an error");
+        }
+        daemon_busy_[daemon] = false;
+    });
+}
+
+void fault_runner::kill_daemon(const fault& what)
+{
+    const auto daemon = daemon_of(what);
+    if (daemon_busy_[daemon]) {
+        return;
+    }
+    seen_.add(kill_record{daemon, std::chrono::steady_clock::now()});
+    system_.signal_daemon(daemon, SIGKILL);
+    restart_later(what, daemon);
+}
+
+void fault_runner::stop_daemon(const fault& what)
+{
+    const auto daemon = daemon_of(what);
+    if (daemon_busy_[daemon]) {
+        return;
+    }
+    system_.signal_daemon(daemon, SIGTERM);
+    fault whole = what;
+    whole.length = end_of_grace;
+    restart_later(whole, daemon);
+}
+
+void fault_runner::pause_daemon(const fault& what)
+{
+    const auto daemon = daemon_of(what);
+    if (daemon_busy_[daemon]) {
+        return;
+    }
+    daemon_busy_[daemon] = true;
+    system_.signal_daemon(daemon, SIGSTOP);
+    later(what, [this, daemon] {
+        system_.signal_daemon(daemon, SIGCONT);
+        daemon_busy_[daemon] = false;
+    });
+}
+
+void fault_runner::cut_store(const fault& what)
+{
+    system_.store_path(daemon_of(what)).set(proxy_mode::hold);
+    later(what, [this, what] { system_.store_path(daemon_of(what)).set(proxy_mode::pass); });
+}
+
+void fault_runner::delay_store(const fault& what)
+{
+    system_.store_path(daemon_of(what)).set(proxy_mode::delay);
+    later(what, [this, what] { system_.store_path(daemon_of(what)).set(proxy_mode::pass); });
+}
+
+void fault_runner::mute_store(const fault& what)
+{
+    system_.store_path(daemon_of(what)).set(proxy_mode::mute);
+}
+
+void fault_runner::reset_store(const fault& what)
+{
+    system_.store_path(daemon_of(what)).reset_all();
+}
+
+void fault_runner::store_away(const fault& what)
+{
+    system_.store().be_away(true);
+    later(what, [this] { system_.store().be_away(false); });
+}
+
+void fault_runner::drop_history(const fault& /*what*/)
+{
+    system_.store().drop_history();
+}
+
+void fault_runner::kill_endpoint(const fault& what)
+{
+    const auto endpoint = endpoint_of(what);
+    if (endpoint_busy_[endpoint]) {
+        return;
+    }
+    endpoint_busy_[endpoint] = true;
+    system_.signal_endpoint(endpoint, SIGKILL);
+    later(what, [this, endpoint] {
+        system_.replace_endpoint(endpoint);
+        endpoint_busy_[endpoint] = false;
+    });
+}
+
+void fault_runner::pause_endpoint(const fault& what)
+{
+    const auto endpoint = endpoint_of(what);
+    if (endpoint_busy_[endpoint]) {
+        return;
+    }
+    endpoint_busy_[endpoint] = true;
+    system_.signal_endpoint(endpoint, SIGSTOP);
+    later(what, [this, endpoint] {
+        system_.signal_endpoint(endpoint, SIGCONT);
+        endpoint_busy_[endpoint] = false;
+    });
+}
+
+void fault_runner::drain_endpoint(const fault& what)
+{
+    const auto endpoint = endpoint_of(what);
+    if (endpoint_busy_[endpoint]) {
+        return;
+    }
+    endpoint_busy_[endpoint] = true;
+    system_.drain_endpoint(endpoint);
+    later(what, [this, endpoint] {
+        system_.signal_endpoint(endpoint, SIGKILL);
+        system_.replace_endpoint(endpoint);
+        endpoint_busy_[endpoint] = false;
+    });
+}
+
+void fault_runner::cut_endpoint(const fault& what)
+{
+    system_.endpoint_path(endpoint_of(what)).set(proxy_mode::hold);
+    later(what, [this, what] { system_.endpoint_path(endpoint_of(what)).set(proxy_mode::pass); });
+}
+
+void fault_runner::mute_endpoint(const fault& what)
+{
+    system_.endpoint_path(endpoint_of(what)).set(proxy_mode::mute);
+}
+
+void fault_runner::reset_endpoint(const fault& what)
+{
+    system_.endpoint_path(endpoint_of(what)).reset_all();
+}
+
+void fault_runner::slow_endpoint(const fault& what)
+{
+    system_.endpoint_path(endpoint_of(what)).set(proxy_mode::delay);
+    later(what, [this, what] { system_.endpoint_path(endpoint_of(what)).set(proxy_mode::pass); });
+}
+
+void fault_runner::one_way_endpoint(const fault& what)
+{
+    system_.endpoint_path(endpoint_of(what)).set(proxy_mode::one_way);
+    later(what, [this, what] { system_.endpoint_path(endpoint_of(what)).set(proxy_mode::pass); });
+}
+
+void fault_runner::change_configuration(const fault& /*what*/)
+{
+    system_.configure();
+}
+
+void fault_runner::read_settings(const fault& what)
+{
+    const auto daemon = daemon_of(what);
+    if (!daemon_busy_[daemon]) {
+        system_.signal_daemon(daemon, SIGHUP);
+    }
+}
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/fault_runner.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "fault.h"
+#include "ledger.h"
+#include "soak_fleet.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ej::soak {
+
+/// Carries out a plan of faults. Used on one thread.
+class fault_runner {
+public:
+    /// Both outlive the runner.
+    fault_runner(soak_fleet& system, ledger& seen);
+
+    /// Plays the plan; returns when all faults have ended and every process runs.
+    void play(const std::vector<fault>& plan);
+
+    /// Processes that ended by themselves or with an error.
+    [[nodiscard]] const std::vector<std::string>& ends() const { return ends_; }
+
+private:
+    using instant = std::chrono::steady_clock::time_point;
+    using action = void (fault_runner::*)(const fault&);
+
+    static action action_of(fault_kind kind);
+
+    void kill_daemon(const fault& what);
+    void stop_daemon(const fault& what);
+    void pause_daemon(const fault& what);
+    void cut_store(const fault& what);
+    void delay_store(const fault& what);
+    void mute_store(const fault& what);
+    void reset_store(const fault& what);
+    void store_away(const fault& what);
+    void drop_history(const fault& what);
+    void kill_endpoint(const fault& what);
+    void pause_endpoint(const fault& what);
+    void drain_endpoint(const fault& what);
+    void cut_endpoint(const fault& what);
+    void mute_endpoint(const fault& what);
+    void reset_endpoint(const fault& what);
+    void slow_endpoint(const fault& what);
+    void one_way_endpoint(const fault& what);
+    void change_configuration(const fault& what);
+    void read_settings(const fault& what);
+
+    /// Calls `end` when the fault's time is over.
+    void later(const fault& what, std::function<void()> end);
+    void restart_later(const fault& what, std::size_t daemon);
+    void pass_until(instant until);
+
+    soak_fleet& system_;
+    ledger& seen_;
+    instant start_;
+    std::multimap<instant, std::function<void()>> due_;
+    std::vector<bool> daemon_busy_;
+    std::vector<bool> endpoint_busy_;
+    std::vector<std::string> ends_;
+};
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/ledger.cpp
@@ -0,0 +1,116 @@
+#include "ledger.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace ej::soak {
+
+namespace {
+
+constexpr int first_client_error = 400;
+constexpr int first_server_error = 500;
+constexpr std::array promises{408, 421, 429, 503};
+
+/// Most runs of one request, by its kind (the routes' attempts).
+constexpr std::array most_runs{1, 2, 5};
+
+bool promises_not_run(int status)
+{
+    return std::ranges::find(promises, status) != promises.end();
+}
+
+/// One promise that a call and the number of its runs are held to.
+struct rule {
+    std::string_view name;
+    bool (*broken)(const call_record&, int runs);
+};
+
+constexpr std::array<rule, 4> rules{{
+    {"an answer is not the request's own",
+     [](const call_record& call, int) { return call.status == 200 && !call.right; }},
+    {"ran more often than allowed",
+     [](const call_record& call, int runs) {
+         return runs > most_runs.at(static_cast<std::size_t>(call.kind));
+     }},
+    {"was answered as not run and has run",
+     [](const call_record& call, int runs) { return promises_not_run(call.status) && runs > 0; }},
+    {"was denied although it is proper",
+     [](const call_record& call, int) {
+         return call.status >= first_client_error && call.status < first_server_error &&
+                !promises_not_run(call.status);
+     }},
+}};
+
+} // namespace
+
+void ledger::add(const call_record& call)
+{
+    const std::scoped_lock lock(mutex_);
+    calls_.push_back(call);
+}
+
+void ledger::add(const kill_record& kill)
+{
+    const std::scoped_lock lock(mutex_);
+    kills_.push_back(kill);
+}
+
+bool ledger::killed_during(const call_record& call) const
+{
+    return std::ranges::any_of(kills_, [&](const kill_record& kill) {
+        return kill.daemon == call.daemon && kill.at >= call.began && kill.at <= call.ended;
+    });
+}
+
+std::vector<std::string> ledger::faults(const std::map<std::string, int>& runs) const
+{
+    const std::scoped_lock lock(mutex_);
+    std::vector<std::string> found;
+    std::set<std::string> asked;
+    const auto report = [&](const call_record& call, std::string_view what, int count) {
+        found.push_back("request " + call.id + " at daemon " + std::to_string(call.daemon) + " " +
+                        std::string(what) + " (status " + std::to_string(call.status) + ", " +
+                        std::to_string(count) + " runs)");
+    };
+    for (const call_record& call : calls_) {
+        asked.insert(call.id);
+        const auto ran = runs.find(call.id);
+        const int count = ran == runs.end() ? 0 : ran->second;
+        for (const rule& one : rules) {
+            if (one.broken(call, count)) {
+                report(call, one.name, count);
+            }
+        }
+        // A request may cross the close of a kept connection, if it has not run.
+        const bool lost = call.status == 0 && !(call.kept && count == 0);
+        if (lost && !killed_during(call)) {
+            report(call, "was lost by a daemon that lives", count);
+        }
+    }
+    for (const auto& [id, count] : runs) {
+        if (!asked.contains(id)) {
+            found.push_back("request " + id + " ran and was never asked");
+        }
+    }
+    return found;
+}
+
+std::string ledger::summary() const
+{
+    const std::scoped_lock lock(mutex_);
+    std::map<std::string, int> counts;
+    for (const call_record& call : calls_) {
+        const bool cut = call.status == 200 && !call.whole;
+        ++counts[cut ? "cut" : std::to_string(call.status)];
+    }
+    std::string text = std::to_string(calls_.size()) + " calls:";
+    for (const auto& [outcome, count] : counts) {
+        text += " " + outcome + "=" + std::to_string(count);
+    }
+    return text;
+}
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/main.cpp
@@ -0,0 +1,140 @@
+// The fault soak: real daemons and endpoints as processes, faults from outside by signals and
+// loopback proxies, promises checked from what callers and endpoints saw.
+
+#include "caller_pool.h"
+#include "fault.h"
+#include "fault_runner.h"
+#include "ledger.h"
+#include "soak_fleet.h"
+#include "soak_settings.h"
+
+#include <core/text.h>
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <iostream>
+#include <random>
+#include <stdexcept>
+#include <thread>
+
+namespace ej::soak {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::chrono::seconds recovery{4}; // Longest lease of old news, avoidance and drain.
+constexpr int calls_after_recovery = 10;
+
+soak_settings parse(int argc, char** argv)
+{
+    soak_settings settings;
+    settings.programs = std::filesystem::path(argv[0]).parent_path().string();
+    std::string seeds;
+    std::size_t fresh = 0;
+    std::int64_t seconds = settings.length.count();
+    po::options_description options("The soak's settings");
+    options.add_options()("seeds", po::value(&seeds), "seeds, separated by commas")(
+        "fresh", po::value(&fresh), "number of seeds that are drawn now")(
+        "seconds", po::value(&seconds), "time with faults per seed")(
+        "keep", po::value(&settings.keep), "folder for logs of seeds that failed");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    settings.length = std::chrono::seconds(seconds);
+    for (const std::string_view one : core::split(seeds, ',')) {
+        if (const auto seed = core::parse_number<std::uint64_t>(one)) {
+            settings.seeds.push_back(*seed);
+        }
+    }
+    std::random_device random;
+    std::generate_n(std::back_inserter(settings.seeds), fresh, std::ref(random));
+    return settings;
+}
+
+/// After all faults: every daemon serves every kind of request.
+std::vector<std::string> check_recovery(const soak_fleet& system, ledger& seen)
+{
+    std::vector<std::string> faults;
+    for (std::size_t daemon = 0; daemon < soak_fleet::daemon_count; ++daemon) {
+        int served = 0;
+        for (int number = 0; number < calls_after_recovery; ++number) {
+            const auto id = "after-" + std::to_string(daemon) + "-" + std::to_string(number);
+            const auto kind = number % 2 == 0 ? call_kind::read : call_kind::generate;
+            const auto call = call_once(system, daemon, kind, id);
+            served += call.status == 200 && call.whole ? 1 : 0;
+            seen.add(call);
+        }
+        // Endpoints lose a few answers by themselves.
+        if (served < calls_after_recovery * 4 / 5) {
+            faults.push_back("daemon " + std::to_string(daemon) + " serves " +
+                             std::to_string(served) + " of " +
+                             std::to_string(calls_after_recovery) + " after recovery");
+        }
+    }
+    return faults;
+}
+
+bool run(std::uint64_t seed, const soak_settings& settings)
+{
+    const auto folder = settings.keep + "/" + std::to_string(seed);
+    std::filesystem::remove_all(folder);
+    ledger seen;
+    std::vector<std::string> faults;
+    std::size_t injected = 0;
+    {
+        soak_fleet system(settings.programs, folder);
+        if (!system.wait_until_ready()) {
+            faults.emplace_back("daemons are not ready");
+        }
+        const auto plan = plan_of(seed, settings.length);
+        injected = plan.size();
+        fault_runner runner(system, seen);
+        {
+            caller_pool callers(system, seen, seed);
+            runner.play(plan);
+            system.heal();
+            std::this_thread::sleep_for(recovery);
+        }
+        std::ranges::copy(runner.ends(), std::back_inserter(faults));
+        std::ranges::copy(check_recovery(system, seen), std::back_inserter(faults));
+        std::ranges::copy(seen.faults(system.runs()), std::back_inserter(faults));
+    }
+    std::cout << "seed " << seed << ": " << injected << " faults, " << seen.summary() << ", "
+              << faults.size() << " promises broken\n";
+    for (const std::string& one : faults) {
+        std::cout << "  " << one << '\n';
+    }
+    std::cout << std::flush;
+    if (faults.empty()) {
+        std::filesystem::remove_all(folder);
+    }
+    return faults.empty();
+}
+
+int soak(int argc, char** argv)
+{
+    const auto settings = parse(argc, argv);
+    const auto failed = std::ranges::count_if(
+        settings.seeds, [&](std::uint64_t seed) { return !run(seed, settings); });
+    std::cout << settings.seeds.size() << " seeds, " << failed << " failed\n";
+    return failed == 0 && !settings.seeds.empty() ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace ej::soak
+
+int main(int argc, char** argv)
+{
+    try {
+        return ej::soak::soak(argc, argv);
+    }
+    catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/soak/src/soak_fleet.cpp
@@ -0,0 +1,311 @@
+#include <utility>
+
+#include "soak_fleet.h"
+
+#include <fleet/endpoint_stand_in.h>
+
+#include "caller.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace ej::soak {
+
+namespace {
+
+const std::array<std::string, 3> domains{"z1", "z2", "z3"};
+constexpr std::chrono::seconds longest_wait{20}; // A guard against a hang.
+constexpr std::chrono::milliseconds look_interval{20};
+constexpr auto grace_s = "4";
+
+template <class T>
+T value_or_throw(absl::StatusOr<T> result)
+{
+    if (!result.ok()) {
+        throw std::runtime_error(std::string(result.status().message()));
+    }
+    return *std::move(result);
+}
+
+/// A port that nothing uses at the moment, of TCP or UDP.
+std::uint16_t free_port(int type)
+{
+    const int socket = ::socket(AF_INET, type, 0);
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof where;
+    auto* const generic = reinterpret_cast<sockaddr*>(&where);
+    const bool bound =
+        ::bind(socket, generic, size) == 0 && ::getsockname(socket, generic, &size) == 0;
+    ::close(socket);
+    if (!bound) {
+        throw std::runtime_error("no port is free");
+    }
+    return ntohs(where.sin_port);
+}
+
+core::address local(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+std::string route(const std::string& prefix, const std::string& kind, const std::string& service,
+                  int attempts, const std::string& more)
+{
+    return R"({"name":"r)" + prefix + R"(","host":"h.example","prefix":")" + prefix +
+           R"(","kind":")" + kind +
+           R"(","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":")" + service +
+           R"(","maxAttempts":)" + std::to_string(attempts) + more + "}";
+}
+
+} // namespace
+
+struct soak_fleet::daemon_slot {
+    explicit daemon_slot(boost::asio::io_context& loop) : to_store(loop) {}
+
+    loopback_proxy to_store;
+    core::address callers = local(free_port(SOCK_STREAM));
+    core::address ready = local(free_port(SOCK_STREAM));
+    core::address peers = local(free_port(SOCK_DGRAM));
+    std::unique_ptr<harness::child_process> process;
+    std::atomic<bool> told_to_end{false};
+};
+
+struct soak_fleet::endpoint_slot {
+    explicit endpoint_slot(boost::asio::io_context& loop) : path(loop) {}
+
+    loopback_proxy path;
+    std::string name;
+    std::string domain;
+    bool engine = false;
+    std::unique_ptr<harness::child_process> process;
+};
+
+soak_fleet::soak_fleet(std::string programs, std::string folder)
+    : programs_(std::move(programs)), folder_(std::move(folder)),
+      work_(boost::asio::make_work_guard(loop_))
+{
+    std::filesystem::create_directories(folder_);
+    for (std::size_t number = 0; number < endpoint_count; ++number) {
+        auto made = std::make_unique<endpoint_slot>(loop_);
+        made->engine = number < engine_count;
+        made->domain = domains.at(number % domains.size());
+        endpoints_.push_back(std::move(made));
+    }
+    for (std::size_t number = 0; number < daemon_count; ++number) {
+        daemons_.push_back(std::make_unique<daemon_slot>(loop_));
+        daemons_.back()->to_store.lead_to(store_.address());
+    }
+    thread_ = std::thread([this] { loop_.run(); });
+    configure();
+    for (std::size_t number = 0; number < endpoint_count; ++number) {
+        start_endpoint(number);
+    }
+    for (std::size_t number = 0; number < daemon_count; ++number) {
+        start_daemon(number);
+    }
+}
+
+soak_fleet::~soak_fleet()
+{
+    for (auto& one : daemons_) {
+        one->process.reset();
+    }
+    for (auto& one : endpoints_) {
+        one->process.reset();
+    }
+    work_.reset();
+    loop_.stop();
+    thread_.join();
+}
+
+void soak_fleet::start_daemon(std::size_t number)
+{
+    daemon_slot& here = *daemons_.at(number);
+    const std::vector<std::string> arguments{"forward",
+                                             "--vm",
+                                             "vm-" + std::to_string(number),
+                                             "--failure-domain",
+                                             domains.at(number % domains.size()),
+                                             "--listen",
+                                             core::to_string(here.callers),
+                                             "--ready-listen",
+                                             core::to_string(here.ready),
+                                             "--peer-listen",
+                                             core::to_string(here.peers),
+                                             "--store",
+                                             core::to_string(here.to_store.address()),
+                                             "--grace-s",
+                                             grace_s,
+                                             "--apply-ms",
+                                             "1000",
+                                             "--budget-ratio",
+                                             "0.8",
+                                             "--budget-allowance",
+                                             "150",
+                                             "--lanes",
+                                             "2"};
+    here.told_to_end = false;
+    here.process = value_or_throw(
+        harness::child_process::start_logging(programs_ + "/endivejunction", arguments,
+                                              folder_ + "/vm-" + std::to_string(number) + ".log"));
+}
+
+void soak_fleet::start_endpoint(std::size_t number)
+{
+    endpoint_slot& here = *endpoints_.at(number);
+    here.name = "i-" + std::to_string(++names_);
+    std::vector<std::string> arguments{"--name",         here.name, "--runs",    folder_ + "/runs",
+                                       "--lost-answers", "0.02",    "--surplus", "0.02",
+                                       "--shed",         "0.02"};
+    if (here.engine) {
+        arguments.emplace_back("--engine");
+    }
+    here.process =
+        value_or_throw(harness::child_process::start(programs_ + "/soak_node", arguments));
+    const auto where =
+        core::parse_address(value_or_throw(here.process->wait_for_line("listening ")));
+    if (!where) {
+        throw std::runtime_error("an endpoint says no address");
+    }
+    here.path.lead_to(*where);
+    register_endpoint(here, "ready");
+}
+
+void soak_fleet::register_endpoint(const endpoint_slot& one, const std::string& state)
+{
+    store_.put("servers/" + one.name,
+               fleet::registration(one.engine ? "llm" : "app", one.path.address(), one.domain,
+                                   state, static_cast<long long>(names_)));
+}
+
+bool soak_fleet::wait_until_ready() const
+{
+    const auto end = std::chrono::steady_clock::now() + longest_wait;
+    for (std::size_t number = 0; number < daemon_count; ++number) {
+        while (!ready(number)) {
+            if (std::chrono::steady_clock::now() > end) {
+                return false;
+            }
+            std::this_thread::sleep_for(look_interval);
+        }
+    }
+    return true;
+}
+
+core::address soak_fleet::callers(std::size_t daemon) const
+{
+    return daemons_.at(daemon)->callers;
+}
+
+bool soak_fleet::ready(std::size_t daemon) const
+{
+    try {
+        forward_tests::caller asked(daemons_.at(daemon)->ready);
+        asked.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        return asked.read_answer().starts_with("HTTP/1.1 200");
+    }
+    catch (const std::runtime_error&) {
+        return false; // It does not listen.
+    }
+}
+
+void soak_fleet::signal_daemon(std::size_t daemon, int number)
+{
+    auto& here = *daemons_.at(daemon);
+    here.told_to_end = here.told_to_end || number == SIGKILL || number == SIGTERM;
+    here.process->signal(number);
+}
+
+bool soak_fleet::restart_daemon(std::size_t daemon)
+{
+    constexpr int killed = 128 + SIGKILL;
+    const int code = daemons_.at(daemon)->process->wait();
+    start_daemon(daemon);
+    return code == 0 || code == killed;
+}
+
+bool soak_fleet::daemon_ended(std::size_t daemon)
+{
+    auto& here = *daemons_.at(daemon);
+    return !here.told_to_end && here.process->ended();
+}
+
+void soak_fleet::signal_endpoint(std::size_t endpoint, int number)
+{
+    endpoints_.at(endpoint)->process->signal(number);
+}
+
+void soak_fleet::replace_endpoint(std::size_t endpoint)
+{
+    const auto before = endpoints_.at(endpoint)->name;
+    start_endpoint(endpoint);
+    store_.remove("servers/" + before);
+}
+
+void soak_fleet::drain_endpoint(std::size_t endpoint)
+{
+    register_endpoint(*endpoints_.at(endpoint), "draining");
+}
+
+loopback_proxy& soak_fleet::store_path(std::size_t daemon)
+{
+    return daemons_.at(daemon)->to_store;
+}
+
+loopback_proxy& soak_fleet::endpoint_path(std::size_t endpoint)
+{
+    return endpoints_.at(endpoint)->path;
+}
+
+void soak_fleet::configure()
+{
+    const auto version = std::to_string(++version_);
+    store_.put(
+        "op/config",
+        R"({"version":)" + version + R"(,"routes":[)" +
+            route("/act/", "non_idempotent", "app", 1, "") + "," +
+            route("/read/", "idempotent", "app", 2, "") + "," +
+            route("/gen/", "streaming", "llm", 5,
+                  R"(,"sticky":true,"resumable":true,"gapAimMs":300)") +
+            "," + route("/v" + version + "/", "idempotent", "app", 2, "") +
+            R"(],"services":[{"name":"app","healthPath":"/h","maxConnections":50},)"
+            R"({"name":"llm","healthPath":"/h","maxConnections":50,"engine":{"slots":8,)"
+            R"("kvTokens":55000,"backups":true,"stride":6}}],"limits":{"maxHeaderBytes":4096,)"
+            R"("maxBodyBytes":100000,"headerTimeoutMs":5000,"idleTimeoutMs":5000},)"
+            R"("tenants":[{"name":"pilots","apiKeys":["k1"]}]})");
+}
+
+void soak_fleet::heal()
+{
+    store_.be_away(false);
+    for (auto& one : daemons_) {
+        one->to_store.set(proxy_mode::pass);
+    }
+    for (auto& one : endpoints_) {
+        one->path.set(proxy_mode::pass);
+    }
+}
+
+std::map<std::string, int> soak_fleet::runs() const
+{
+    std::map<std::string, int> counts;
+    std::ifstream file(folder_ + "/runs");
+    for (std::string line; std::getline(file, line);) {
+        ++counts[line];
+    }
+    return counts;
+}
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/soak_fleet.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "loopback_proxy.h"
+
+#include <core/address.h>
+#include <core/instant.h>
+#include <fleet/store_stand_in.h>
+#include <harness/child_process.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ej::soak {
+
+/// The real programs as processes: daemons, each with a proxy before the store, and endpoints, each
+/// behind a proxy. Faults are injected by signals and proxies. Functions may be called by one
+/// thread, but for the accessors that say so.
+class soak_fleet {
+public:
+    static constexpr std::size_t daemon_count = 4;
+    static constexpr std::size_t engine_count = 5;
+    static constexpr std::size_t endpoint_count = 8; ///< The first `engine_count` are engines.
+
+    /// Starts the programs of the folder `programs`; logs go to `folder`.
+    /// Throws std::runtime_error.
+    soak_fleet(std::string programs, std::string folder);
+    ~soak_fleet();
+    soak_fleet(const soak_fleet&) = delete;
+    soak_fleet& operator=(const soak_fleet&) = delete;
+    soak_fleet(soak_fleet&&) = delete;
+    soak_fleet& operator=(soak_fleet&&) = delete;
+
+    /// Waits until every daemon is ready; false after a long time.
+    [[nodiscard]] bool wait_until_ready() const;
+
+    /// Where callers reach a daemon. Thread-safe.
+    [[nodiscard]] core::address callers(std::size_t daemon) const;
+
+    /// The balancer's question. Thread-safe.
+    [[nodiscard]] bool ready(std::size_t daemon) const;
+
+    void signal_daemon(std::size_t daemon, int number);
+    /// Starts the daemon again once the process has ended; false if it ended with an error code.
+    bool restart_daemon(std::size_t daemon);
+    /// True if the process has ended without having been told to.
+    [[nodiscard]] bool daemon_ended(std::size_t daemon);
+
+    void signal_endpoint(std::size_t endpoint, int number);
+    /// Starts the endpoint anew under another name and registers it; the old entry goes later.
+    void replace_endpoint(std::size_t endpoint);
+    /// The endpoint says that it leaves.
+    void drain_endpoint(std::size_t endpoint);
+
+    [[nodiscard]] loopback_proxy& store_path(std::size_t daemon);
+    [[nodiscard]] loopback_proxy& endpoint_path(std::size_t endpoint);
+    [[nodiscard]] fleet::store_stand_in& store() { return store_; }
+
+    /// Writes a configuration of the next version.
+    void configure();
+
+    /// All faults of proxies and the store end.
+    void heal();
+
+    /// How often each request ran, by its id.
+    [[nodiscard]] std::map<std::string, int> runs() const;
+
+private:
+    struct endpoint_slot;
+    struct daemon_slot;
+
+    void start_daemon(std::size_t number);
+    void start_endpoint(std::size_t number);
+    void register_endpoint(const endpoint_slot& one, const std::string& state);
+
+    std::string programs_;
+    std::string folder_;
+    boost::asio::io_context loop_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    fleet::store_stand_in store_;
+    std::vector<std::unique_ptr<daemon_slot>> daemons_;
+    std::vector<std::unique_ptr<endpoint_slot>> endpoints_;
+    int version_ = 0;
+    std::uint64_t names_ = 0;
+    std::thread thread_;
+};
+
+} // namespace ej::soak
--- /dev/null
+++ b/soak/src/soak_settings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ej::soak {
+
+/// What the command line asks for.
+struct soak_settings {
+    std::vector<std::uint64_t> seeds;
+    std::chrono::seconds length{10}; ///< Of the time with faults, per seed.
+    std::string programs;            ///< Folder of the programs under test.
+    std::string keep = "soak-logs";  ///< Folder for the logs of seeds that failed.
+
+    friend auto operator<=>(const soak_settings&, const soak_settings&) = default;
+};
+
+} // namespace ej::soak
--- a/tests/forward/daemon_test.cpp
+++ b/tests/forward/daemon_test.cpp
@@ -163,6 +163,26 @@
     left.get();
 }
 
+TEST_CASE("a call that outlasts the grace of a leaving daemon gets a final answer")
+{
+    world in;
+    in.settings.grace = std::chrono::seconds(3);
+    const endpoint_stand_in app(
+        [](const std::string&, int) { return std::vector<step>{{step_kind::hang}}; });
+    in.add("i-1", "app", app);
+    in.configure(1, R"(,{"name":"long","host":"h.example","prefix":"/long/","kind":)"
+                    R"("non_idempotent","timeoutMs":60000,"service":"app","maxAttempts":1})");
+    in.start();
+    REQUIRE(in.knows_endpoints(1));
+    caller waiting(in.callers());
+    waiting.send("POST /long/x HTTP/1.1\r\nHost: h.example\r\nEndivejunction-Attempt-Id: a\r\n"
+                 "Authorization: Token k1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(world::eventually([&] { return !app.requests().empty(); }));
+    in.daemon->leave();
+    // It may have run: no promise.
+    CHECK(waiting.read_answer().starts_with("HTTP/1.1 504"));
+}
+
 TEST_CASE("a connection whose stream began before the daemon leaves takes no further request")
 {
     world in;
