--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -20,7 +20,7 @@
 constexpr int cleared_layout = 5;
 constexpr std::size_t load_fields = 7;
 constexpr std::size_t share_fields = 3;
-constexpr std::size_t news_fields = 6;
+constexpr std::size_t news_fields = 5;
 constexpr std::size_t item_fields = 3;
 constexpr std::size_t cleared_fields = 2;
 
@@ -57,7 +57,7 @@
 {
     return value.is_array() && value.size() == news_fields && value[0] == news_layout &&
            is_count(value[1]) && is_count(value[2]) && value[3].is_boolean() &&
-           value[4].is_boolean() && value[5].is_array() && std::ranges::all_of(value[5], is_item);
+           value[4].is_array() && std::ranges::all_of(value[4], is_item);
 }
 
 bool is_load(const json& value)
@@ -98,8 +98,8 @@
             one.value ? json::binary({one.value->begin(), one.value->end()}) : json(nullptr);
         items.push_back({one.key, one.revision.value(), value});
     }
-    return json::array({news_layout, news.since.value(), news.as_of.value(), news.ask,
-                        news.returned, std::move(items)});
+    return json::array(
+        {news_layout, news.since.value(), news.as_of.value(), news.ask, std::move(items)});
 }
 
 forwarding::load_message load_of(const json& value)
@@ -125,9 +125,8 @@
     store_news news{core::revision(value[1].get<std::uint64_t>()),
                     core::revision(value[2].get<std::uint64_t>()),
                     value[3].get<bool>(),
-                    value[4].get<bool>(),
                     {}};
-    for (const json& one : value[5]) {
+    for (const json& one : value[4]) {
         platform::store_item item{one[0].get<std::string>(), std::nullopt,
                                   core::revision(one[1].get<std::uint64_t>())};
         if (one[2].is_binary()) {
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -129,7 +129,7 @@
 void store_follower::tell(core::revision since, core::revision as_of,
                           std::vector<platform::store_item> items)
 {
-    store_news news{since, as_of, false, log_.in_grace(now()), std::move(items)};
+    store_news news{since, as_of, false, std::move(items)};
     // A configuration may be longer than a datagram.
     news.ask = std::ranges::any_of(
         news.items, [&](const auto& item) { return item.key == layout_.rules_key(); });
@@ -150,7 +150,7 @@
         return;
     }
     context_.metrics.count("store_news_total", {{"use", "applied"}});
-    log_.neighbour_answered(news.returned, now());
+    log_.answered(now());
     if (std::exchange(away_, false)) {
         context_.metrics.set("store_away", {}, 0);
         logging::log(logging::level::info, "store reached by a neighbour",
--- a/libs/caller_front/src/store_news.h
+++ b/libs/caller_front/src/store_news.h
@@ -10,10 +10,9 @@
 
 /// What a daemon read from the store just now, told to the others of its failure domain.
 struct store_news {
-    core::revision since;  ///< What a receiver has to know already.
-    core::revision as_of;  ///< What it knows then.
-    bool ask = false;      ///< More has changed than a datagram holds: the store has to be asked.
-    bool returned = false; ///< The store was away until lately.
+    core::revision since; ///< What a receiver has to know already.
+    core::revision as_of; ///< What it knows then.
+    bool ask = false;     ///< More has changed than a datagram holds: the store has to be asked.
     std::vector<platform::store_item> items; ///< By revision.
 
     friend auto operator<=>(const store_news&, const store_news&) = default;
--- a/libs/forwarding/include/forwarding/fleet_log.h
+++ b/libs/forwarding/include/forwarding/fleet_log.h
@@ -39,15 +39,9 @@
     /// The store did not answer.
     void outage();
 
-    /// The store answers again.
+    /// The store answers again, this daemon or a neighbour.
     void answered(core::instant now);
 
-    /// A neighbour told what the store answered it; `returned`: the store was away until lately.
-    void neighbour_answered(bool returned, core::instant now);
-
-    /// True while the store is away and within the grace after it.
-    [[nodiscard]] bool in_grace(core::instant now) const;
-
     /// Drops entries whose grace has ended. True if any was dropped.
     bool expire(core::instant now);
 
@@ -61,6 +55,8 @@
         std::optional<core::instant> missing_since;
     };
 
+    [[nodiscard]] bool in_grace(core::instant now) const;
+
     std::map<core::endpoint_id, entry> entries_;
     std::set<core::endpoint> drained_; // Compared by name, incarnation and address.
     bool away_ = false;
--- a/libs/forwarding/src/fleet_log.cpp
+++ b/libs/forwarding/src/fleet_log.cpp
@@ -75,17 +75,6 @@
     }
 }
 
-void fleet_log::neighbour_answered(bool returned, core::instant now)
-{
-    if (!returned) {
-        // Only this daemon's way to the store was lost, and what changed meanwhile was told.
-        away_ = false;
-    }
-    else if (!in_grace(now)) {
-        returned_ = now;
-    }
-}
-
 bool fleet_log::in_grace(core::instant now) const
 {
     return away_ || (returned_ && now < *returned_ + return_grace);
