--- a/libs/caller_front/tests/store_follower_test.cpp
+++ b/libs/caller_front/tests/store_follower_test.cpp
@@ -113,7 +113,6 @@
     in.follower.hear({core::revision(at + 2),
                       core::revision(at + 3),
                       false,
-                      false,
                       {{"servers/i-1", std::nullopt, core::revision(at + 3)}}});
     CHECK(in.names() == std::set<std::string>{"i-2"});
     // Older news, as from a datagram that was held up, bring nothing back.
@@ -130,7 +129,6 @@
     in.follower.hear({core::revision(in.revision - 1),
                       core::revision(in.revision),
                       false,
-                      false,
                       {in.item("i-3", in.revision)}});
     CHECK(in.names() == std::set<std::string>{"i-1"});
     CHECK(in.run_until([&] { return in.names().size() == 3; }));
