--- /dev/null
+++ b/libs/forwarding/include/forwarding/budget_total.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace ej::forwarding {
+
+/// What several daemons have sent to one service within the budget's window.
+struct budget_total {
+    std::uint64_t firsts = 0;  ///< First sends of requests.
+    std::uint64_t repeats = 0; ///< Sends beyond the first.
+    std::size_t daemons = 0;   ///< Daemons that were heard lately.
+
+    friend auto operator<=>(const budget_total&, const budget_total&) = default;
+};
+
+} // namespace ej::forwarding
--- a/libs/forwarding/include/forwarding/peer_budgets.h
+++ b/libs/forwarding/include/forwarding/peer_budgets.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <forwarding/budget_share.h>
+#include <forwarding/budget_total.h>
 #include <forwarding/load_message.h>
 
 #include <core/instant.h>
@@ -8,10 +9,8 @@
 #include <core/vm_id.h>
 
 #include <chrono>
-#include <cstddef>
 #include <mutex>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace ej::forwarding {
@@ -25,9 +24,8 @@
     /// Applies a message; older ones than the last of the same run are skipped.
     void apply(const load_message& message, core::instant now);
 
-    /// The sum of the other daemons' sends to `service`, and how many daemons it is of.
-    [[nodiscard]] std::pair<budget_share, std::size_t> sum(const core::service_id& service,
-                                                           core::instant now) const;
+    /// The sum of the other daemons' sends to `service`.
+    [[nodiscard]] budget_total sum(const core::service_id& service, core::instant now) const;
 
 private:
     struct peer {
--- a/libs/forwarding/src/follow_pace.cpp
+++ b/libs/forwarding/src/follow_pace.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 // As shares of the time within which changes are to be in force. The first daemon's questions are
-// cheap, as one serves a whole failure domain; a daemon on its own leaves time for a call that finds
-// its connection dead (up to a second) and another one.
+// cheap, as one serves a whole failure domain; a daemon on its own leaves time for a call that
+// finds its connection dead (up to a second) and another one.
 constexpr double shortest_share = 0.1;
 constexpr double longest_share = 0.4;
 
--- a/libs/forwarding/src/peer_budgets.cpp
+++ b/libs/forwarding/src/peer_budgets.cpp
@@ -15,24 +15,22 @@
     std::erase_if(peers_, [&](const auto& one) { return now - one.second.heard > validity; });
 }
 
-std::pair<budget_share, std::size_t> peer_budgets::sum(const core::service_id& service,
-                                                       core::instant now) const
+budget_total peer_budgets::sum(const core::service_id& service, core::instant now) const
 {
     const std::scoped_lock lock(mutex_);
-    budget_share total{service, 0, 0};
-    std::size_t heard = 0;
+    budget_total total;
     for (const auto& [vm, from] : peers_) {
         if (now - from.heard > validity) {
             continue;
         }
-        ++heard;
+        ++total.daemons;
         const auto found = std::ranges::find(from.shares, service, &budget_share::service);
         if (found != from.shares.end()) {
             total.firsts += found->firsts;
             total.repeats += found->repeats;
         }
     }
-    return {total, heard};
+    return total;
 }
 
 } // namespace ej::forwarding
--- a/libs/forwarding/tests/load_test.cpp
+++ b/libs/forwarding/tests/load_test.cpp
@@ -229,6 +229,7 @@
         constexpr double allowance = 20;
         const auto count = *rc::gen::inRange<std::size_t>(1, 8);
         std::vector<std::unique_ptr<send_budget>> daemons;
+        daemons.reserve(count);
         for (std::size_t one = 0; one < count; ++one) {
             daemons.push_back(
                 std::make_unique<send_budget>(send_budget_settings{ratio, allowance, seconds(10)}));
