--- a/libs/suspects/include/suspects/request_digest.h
+++ b/libs/suspects/include/suspects/request_digest.h
@@ -5,6 +5,6 @@
 namespace ej::suspects {
 
 /// Hash of a request's workspace and body: equal for a request that its caller sends again.
-using request_digest = core::number<struct request_digest_tag>;
+using request_digest = core::number<struct suspect_digest_tag>;
 
 } // namespace ej::suspects
