--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -55,6 +55,9 @@
         where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         where.sin_port = htons(port);
         const int socket = ::socket(AF_INET, type, 0);
+        if (socket < 0) {
+            break;
+        }
         const bool bound = ::bind(socket, reinterpret_cast<sockaddr*>(&where), sizeof where) == 0;
         ::close(socket);
         if (bound) {
