--- a/libs/runtime/tests/admission_gate_test.cpp
+++ b/libs/runtime/tests/admission_gate_test.cpp
@@ -141,6 +141,7 @@
         }
     };
     std::vector<std::future<void>> all;
+    all.reserve(at_once);
     for (std::size_t one = 0; one < at_once; ++one) {
         all.push_back(asio::co_spawn(pool, ask, asio::use_future));
     }
