--- a/libs/caller_front/include/caller_front/store_layout.h
+++ b/libs/caller_front/include/caller_front/store_layout.h
@@ -5,6 +5,7 @@
 
 #include <core/endpoint_id.h>
 #include <core/findings.h>
+#include <core/vm_id.h>
 
 #include <absl/status/statusor.h>
 
@@ -33,6 +34,12 @@
     /// Prefix of the keys that daemons write.
     [[nodiscard]] virtual std::string daemons_prefix() const = 0;
 
+    /// The key that the daemon of `vm` writes.
+    [[nodiscard]] std::string daemon_key(const core::vm_id& vm) const
+    {
+        return daemons_prefix() + vm.text();
+    }
+
     /// The endpoint that registers itself under `key`; empty for other keys.
     [[nodiscard]] virtual std::optional<core::endpoint_id>
     endpoint_of(const std::string& key) const = 0;
--- a/libs/caller_front/src/answer_parser.h
+++ b/libs/caller_front/src/answer_parser.h
@@ -19,6 +19,13 @@
     [[nodiscard]] bool interim() const { return status_ < first_final_status; }
 
     [[nodiscard]] unsigned status() const { return status_; }
+
+    /// True for a status of success (2xx).
+    [[nodiscard]] bool success() const
+    {
+        return status_ >= first_final_status && status_ < first_redirect;
+    }
+
     [[nodiscard]] const std::vector<http::header>& headers() const { return headers_; }
 
     /// The value of the field `name`; empty if there is none.
@@ -29,6 +36,7 @@
 
 private:
     static constexpr unsigned first_final_status = 200;
+    static constexpr unsigned first_redirect = 300;
 
     void on_request_impl(wire::verb, beast::string_view, beast::string_view, int,
                          error_code&) override;
--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -267,7 +267,7 @@
 void caller_connection::end_call()
 {
     if (const auto call = call_) {
-        call->end_now();
+        call->end_now("leaving");
     }
 }
 
--- a/libs/caller_front/src/daemon_entry.cpp
+++ b/libs/caller_front/src/daemon_entry.cpp
@@ -52,7 +52,7 @@
         co_return granted.status();
     }
     std::vector<platform::store_write> writes;
-    writes.push_back({layout_.daemons_prefix() + context_.settings.vm.text(),
+    writes.push_back({layout_.daemon_key(context_.settings.vm),
                       to_string({context_.settings.peer_listen, context_.settings.domain}),
                       granted->lease, std::nullopt});
     const auto written = co_await store_.commit(std::move(writes));
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -24,8 +24,6 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned status_misdirected = 421;
-constexpr unsigned first_success = 200;
-constexpr unsigned first_redirect = 300;
 
 /// The caller's deadline, or the route's timeout if that is shorter.
 core::instant deadline_for(const caller_request& request, const header_names& names,
@@ -59,10 +57,7 @@
 
 void forwarded_call::start()
 {
-    deadline_timer_ = make_timer([this] {
-        progress_.expired = true;
-        expire("timeout");
-    });
+    deadline_timer_ = make_timer([this] { end_now("timeout"); });
     deadline_timer_->set(deadline_);
     setting_.context.budget.first(service_, now());
     send();
@@ -77,14 +72,14 @@
     finish("caller_gone", 0);
 }
 
-void forwarded_call::end_now()
+void forwarded_call::end_now(std::string_view reason)
 {
     if (over_) {
         return;
     }
     const auto self = shared_from_this();
     progress_.expired = true;
-    expire("leaving");
+    expire(reason);
 }
 
 milliseconds forwarded_call::time_left() const
@@ -214,8 +209,7 @@
     if (not_executed) {
         return attempt_end::not_executed;
     }
-    const bool success = answer.status() >= first_success && answer.status() < first_redirect;
-    return success || !trusted(answer) ? attempt_end::spoiled : attempt_end::failed;
+    return answer.success() || !trusted(answer) ? attempt_end::spoiled : attempt_end::failed;
 }
 
 void forwarded_call::note_load(const upstream_attempt& attempt)
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -51,8 +51,8 @@
     /// The caller has closed its connection: attempts are broken off.
     void caller_gone();
 
-    /// The daemon ends: the call gets its final answer now.
-    void end_now();
+    /// The call gets its final answer now, for `reason`: its time is over or the daemon ends.
+    void end_now(std::string_view reason);
 
 protected:
     using attempt_ptr = std::shared_ptr<upstream_attempt>;
@@ -60,7 +60,7 @@
     /// Makes another attempt; the call ends with a refusal or failure if there is no endpoint.
     virtual void send() = 0;
 
-    /// The time for an answer is over, for `reason`.
+    /// Breaks off what still runs and gives the final answer, for `reason`.
     virtual void expire(std::string_view reason) = 0;
 
     /// Breaks off what is still running.
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -9,24 +9,16 @@
 
 namespace ej::front {
 
-namespace {
-
-using forwarding::attempt_end;
-
-constexpr unsigned first_redirect = 300;
-
-} // namespace
-
 void forwarded_call::pass_on(const answer_parser& answer, std::string body)
 {
     const auto to = sink();
     if (to != nullptr) {
         to->reply({answer.status(), answer_fields(answer.headers()), std::move(body)});
     }
-    finish(answer.status() < first_redirect ? "served" : "endpoint_failure", answer.status());
+    finish(answer.success() ? "served" : "endpoint_failure", answer.status());
 }
 
-void forwarded_call::end_by(forwarding::next_step step, attempt_end end,
+void forwarded_call::end_by(forwarding::next_step step, forwarding::attempt_end end,
                             const answer_parser& answer, std::string body)
 {
     if (step == forwarding::next_step::pass_failure && !promises_not_run(answer.status())) {
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -166,8 +166,11 @@
 
 void peer_link::send_shares(std::vector<forwarding::load_share> shares, bool whole)
 {
-    const auto budget = context_.budget.own_shares(now());
     const auto peers = context_.peers.load();
+    if (peers->empty()) {
+        return;
+    }
+    const auto budget = context_.budget.own_shares(now());
     std::size_t begin = 0;
     do {
         const auto count = std::min(shares.size() - begin, shares_per_datagram);
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -184,7 +184,7 @@
 
 void store_follower::publish_daemons()
 {
-    const auto own_key = layout_.daemons_prefix() + context_.settings.vm.text();
+    const auto own_key = layout_.daemon_key(context_.settings.vm);
     std::vector<core::address> peers;
     std::vector<core::address> neighbours;
     std::size_t rank = 0;
--- a/libs/caller_front/src/store_follower_apply.cpp
+++ b/libs/caller_front/src/store_follower_apply.cpp
@@ -30,7 +30,7 @@
 
 void store_follower::apply_daemon(const platform::store_item& item)
 {
-    const bool own = item.key == layout_.daemons_prefix() + context_.settings.vm.text();
+    const bool own = item.key == layout_.daemon_key(context_.settings.vm);
     const auto value = item.value && !own ? parse_daemon_value(*item.value) : std::nullopt;
     if (value) {
         daemons_[item.key] = *value;
--- a/libs/caller_front/src/store_news.cpp
+++ b/libs/caller_front/src/store_news.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
 #include <utility>
 
 namespace ej::front {
@@ -9,7 +10,7 @@
 namespace {
 
 // About 250 bytes each.
-constexpr std::size_t items_per_datagram = 20;
+constexpr std::ptrdiff_t items_per_datagram = 20;
 
 } // namespace
 
@@ -21,16 +22,16 @@
     }
     std::ranges::sort(whole.items, {}, &platform::store_item::revision);
     std::vector<store_news> parts;
-    while (whole.items.size() > items_per_datagram) {
-        const auto end = whole.items.begin() + items_per_datagram;
-        store_news part = whole;
-        part.items.assign(whole.items.begin(), end);
-        part.as_of = part.items.back().revision;
-        whole.since = part.as_of;
-        whole.items.erase(whole.items.begin(), end);
-        parts.push_back(std::move(part));
+    auto begin = whole.items.begin();
+    auto since = whole.since;
+    while (whole.items.end() - begin > items_per_datagram) {
+        const auto end = begin + items_per_datagram;
+        const auto as_of = std::prev(end)->revision;
+        parts.push_back({since, as_of, false, {begin, end}});
+        begin = end;
+        since = as_of;
     }
-    parts.push_back(std::move(whole));
+    parts.push_back({since, whole.as_of, false, {begin, whole.items.end()}});
     return parts;
 }
 
--- a/libs/caller_front/src/whole_call.cpp
+++ b/libs/caller_front/src/whole_call.cpp
@@ -28,8 +28,6 @@
 // calls have ended, early enough that the second answer still meets the target.
 constexpr double second_send_share = 0.5;
 
-constexpr unsigned first_success = 200;
-constexpr unsigned first_redirect = 300;
 constexpr unsigned first_client_error = 400;
 constexpr unsigned first_server_error = 500;
 
@@ -115,8 +113,7 @@
     const auto kept = one->attempt;
     auto body = std::move(one->body);
     const auto& answer = attempt.answer();
-    const bool success = answer.status() >= first_success && answer.status() < first_redirect;
-    if (success && trusted(answer)) {
+    if (answer.success() && trusted(answer)) {
         running_.erase(one);
         settle(attempt);
         setting_.context.standing.succeeded(attempt.endpoint().name);
--- a/libs/forwarding/include/forwarding/peer_loads.h
+++ b/libs/forwarding/include/forwarding/peer_loads.h
@@ -2,12 +2,12 @@
 
 #include <forwarding/load_message.h>
 #include <forwarding/load_share.h>
+#include <forwarding/peer_run.h>
 
 #include <core/endpoint_id.h>
 #include <core/instant.h>
 #include <core/vm_id.h>
 
-#include <chrono>
 #include <mutex>
 #include <unordered_map>
 
@@ -17,9 +17,6 @@
 /// message and every choice touches most endpoints.
 class peer_loads {
 public:
-    /// A daemon that was not heard for so long counts as gone: three of its regular messages.
-    static constexpr core::duration validity = std::chrono::milliseconds(3'000);
-
     /// Applies a message; older ones than the last of the same run are skipped.
     void apply(const load_message& message, core::instant now);
 
@@ -31,9 +28,7 @@
 
 private:
     struct peer {
-        std::uint64_t start = 0;
-        std::uint64_t number = 0;
-        core::instant heard{};
+        peer_run run;
         std::unordered_map<core::endpoint_id, load_share> shares;
     };
 
--- a/libs/forwarding/src/peer_budgets.cpp
+++ b/libs/forwarding/src/peer_budgets.cpp
@@ -8,11 +8,11 @@
 {
     const std::scoped_lock lock(mutex_);
     peer& from = peers_[message.from];
-    if (from.start == message.start && message.number <= from.number) {
+    if (from.run.covers(message)) {
         return;
     }
-    from = peer{message.start, message.number, now, message.budget};
-    std::erase_if(peers_, [&](const auto& one) { return now - one.second.heard > validity; });
+    from = peer{peer_run::after(message, now), message.budget};
+    std::erase_if(peers_, [&](const auto& one) { return one.second.run.silent(now); });
 }
 
 budget_total peer_budgets::sum(const core::service_id& service, core::instant now) const
@@ -20,7 +20,7 @@
     const std::scoped_lock lock(mutex_);
     budget_total total;
     for (const auto& [vm, from] : peers_) {
-        if (now - from.heard > validity) {
+        if (from.run.silent(now)) {
             continue;
         }
         ++total.daemons;
--- a/libs/forwarding/src/peer_loads.cpp
+++ b/libs/forwarding/src/peer_loads.cpp
@@ -33,16 +33,13 @@
 {
     const std::scoped_lock lock(mutex_);
     peer& from = peers_[message.from];
-    const bool same_run = from.start == message.start;
-    if (same_run && message.number <= from.number) {
+    if (from.run.covers(message)) {
         return;
     }
-    if (!same_run || message.whole) {
+    if (from.run.ended_by(message) || message.whole) {
         clear(from);
     }
-    from.start = message.start;
-    from.number = message.number;
-    from.heard = now;
+    from.run = peer_run::after(message, now);
     std::ranges::for_each(message.shares, [&](const load_share& share) {
         set(from, share.in_flight == 0 ? load_share{share.endpoint, 0, 0} : share);
     });
@@ -52,11 +49,11 @@
 {
     const std::scoped_lock lock(mutex_);
     for (auto& [vm, from] : peers_) {
-        if (now - from.heard > validity) {
+        if (from.run.silent(now)) {
             clear(from);
         }
     }
-    std::erase_if(peers_, [&](const auto& one) { return now - one.second.heard > validity; });
+    std::erase_if(peers_, [&](const auto& one) { return one.second.run.silent(now); });
 }
 
 load_share peer_loads::at(const core::endpoint_id& endpoint) const
--- a/libs/runtime/src/admission_gate.cpp
+++ b/libs/runtime/src/admission_gate.cpp
@@ -33,6 +33,15 @@
     return outlook.urgent_open > 0 ? admission::room::urgent_only : admission::room::none;
 }
 
+// On a plain thread pool an entry could come between a wait's look at it and its beginning, and
+// would be lost.
+asio::awaitable<gate_entry> on_own_strand(asio::awaitable<gate_entry> entering)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    co_return co_await asio::co_spawn(asio::make_strand(executor), std::move(entering),
+                                      asio::use_awaitable);
+}
+
 gate_entry refused(core::refusal_reason reason)
 {
     return {std::nullopt, {reason, retry_after_wait}};
@@ -60,24 +69,16 @@
     std::ranges::for_each(gone, [&](const auto& one) { refuse(one); });
 }
 
-// Waits run on strands of their own: on a plain thread pool an entry could come between a wait's
-// look at it and its beginning, and would be lost.
 asio::awaitable<gate_entry> admission_gate::enter(core::work_class work_class,
                                                   fairness::claim asked)
 {
-    const auto executor = co_await asio::this_coro::executor;
-    auto entering = submit(std::move(work_class), std::move(asked));
-    co_return co_await asio::co_spawn(asio::make_strand(executor), std::move(entering),
-                                      asio::use_awaitable);
+    return on_own_strand(submit(std::move(work_class), std::move(asked)));
 }
 
 asio::awaitable<gate_entry> admission_gate::enter_again(core::work_class work_class,
                                                         fairness::claim asked)
 {
-    const auto executor = co_await asio::this_coro::executor;
-    auto entering = put_back(std::move(work_class), std::move(asked));
-    co_return co_await asio::co_spawn(asio::make_strand(executor), std::move(entering),
-                                      asio::use_awaitable);
+    return on_own_strand(put_back(std::move(work_class), std::move(asked)));
 }
 
 asio::awaitable<gate_entry> admission_gate::submit(core::work_class work_class,
--- a/libs/runtime/src/daemon_parts.cpp
+++ b/libs/runtime/src/daemon_parts.cpp
@@ -66,7 +66,7 @@
     shared_->deaths = deaths;
     router_.connect({config_.shared_link(),
                      std::make_shared<action_responder>(executor_, shared_, action_runner_),
-                     std::make_shared<death_responder>(shared_, members_, deaths)});
+                     std::make_shared<death_responder>(shared_, deaths)});
 }
 
 daemon_parts::~daemon_parts()
--- a/libs/runtime/src/death_responder.cpp
+++ b/libs/runtime/src/death_responder.cpp
@@ -2,7 +2,6 @@
 
 #include <suspects_wire/death_codec.h>
 
-#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <vector>
@@ -21,12 +20,7 @@
         return;
     }
     shared_->metrics.count("engine_deaths_heard_total", {});
-    const auto members = members_.members();
-    const bool from_here =
-        std::ranges::find(members, from, &membership::member_entry::vm) != members.end();
-    if (!from_here) {
-        announcer_->pass_on(*seen);
-    }
+    announcer_->pass_on(from, *seen);
 }
 
 } // namespace ej::runtime
--- a/libs/runtime/src/death_responder.h
+++ b/libs/runtime/src/death_responder.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "member_death_announcer.h"
-#include "member_service.h"
 #include "services.h"
 
 #include <core/vm_id.h>
@@ -15,10 +14,9 @@
 /// Takes what peers tell of engines' deaths. Thread-safe.
 class death_responder {
 public:
-    /// `members` outlives this.
-    death_responder(std::shared_ptr<services> shared, member_service& members,
+    death_responder(std::shared_ptr<services> shared,
                     std::shared_ptr<member_death_announcer> announcer)
-        : shared_(std::move(shared)), members_(members), announcer_(std::move(announcer))
+        : shared_(std::move(shared)), announcer_(std::move(announcer))
     {
     }
 
@@ -27,7 +25,6 @@
 
 private:
     std::shared_ptr<services> shared_;
-    member_service& members_;
     std::shared_ptr<member_death_announcer> announcer_;
 };
 
--- a/libs/runtime/src/member_death_announcer.cpp
+++ b/libs/runtime/src/member_death_announcer.cpp
@@ -72,12 +72,15 @@
     }
 }
 
-void member_death_announcer::pass_on(const suspects::death_record& heard)
+void member_death_announcer::pass_on(const core::vm_id& from, const suspects::death_record& heard)
 {
+    const auto members = members_.members();
+    if (std::ranges::find(members, from, &membership::member_entry::vm) != members.end()) {
+        return;
+    }
     const auto what = message_of(heard);
-    std::ranges::for_each(members_.members(), [&](const membership::member_entry& one) {
-        members_.send(one.vm, what);
-    });
+    std::ranges::for_each(
+        members, [&](const membership::member_entry& one) { members_.send(one.vm, what); });
 }
 
 } // namespace ej::runtime
--- a/libs/runtime/src/member_death_announcer.h
+++ b/libs/runtime/src/member_death_announcer.h
@@ -14,8 +14,8 @@
 
     boost::asio::awaitable<void> announce(suspects::death_record seen) override;
 
-    /// Passes on to this failure domain what a daemon of another one told.
-    void pass_on(const suspects::death_record& heard);
+    /// Passes on to this failure domain what `from`, if it is of another one, told.
+    void pass_on(const core::vm_id& from, const suspects::death_record& heard);
 
 private:
     member_service& members_;
--- a/tests/forward/stream_call_test.cpp
+++ b/tests/forward/stream_call_test.cpp
@@ -66,6 +66,15 @@
 
 const std::string tokens = "Endivejunction-Token-Usage: 5000,72\r\n";
 
+/// What a caller of a stream gets on a connection of its own; `more` are further fields.
+std::string answer_to(const world& in, const std::string& more = {}, const std::string& id = "id1",
+                      const std::string& body = "prompt")
+{
+    caller one(in.callers());
+    one.send(request("POST", "/gen/x", id, body, tokens + more));
+    return one.read_answer();
+}
+
 /// Engines that die of the prompt "poison".
 class frail_engines {
 public:
@@ -112,9 +121,7 @@
     const endpoint_stand_in engine(whole);
     in.add("i-1", "llm", engine);
     in.run(1);
-    caller one(in.callers());
-    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
-    const auto answer = one.read_answer();
+    const auto answer = answer_to(in);
     CHECK(answer.find("Endivejunction-Response-Signature: signed") != std::string::npos);
     CHECK(joined_chunks(answer) == whole_stream());
 }
@@ -164,9 +171,7 @@
     in.run(1);
     in.add("i-2", "llm", second, "z2");
     REQUIRE(in.knows_endpoints(2));
-    caller one(in.callers());
-    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
-    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+    CHECK(joined_chunks(answer_to(in)) == whole_stream());
     REQUIRE(first.requests().size() == 1);
     REQUIRE(second.requests().size() == 1);
     const auto copy_at = core::to_string(second.address());
@@ -188,9 +193,7 @@
     in.add("i-1", "llm", first, "z1");
     in.add("i-2", "llm", second, "z2");
     in.run(2);
-    caller one(in.callers());
-    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
-    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+    CHECK(joined_chunks(answer_to(in)) == whole_stream());
 }
 
 TEST_CASE("a stream that no engine finishes does not look complete")
@@ -199,9 +202,7 @@
     const endpoint_stand_in engine(breaks(step_kind::reset));
     in.add("i-1", "llm", engine);
     in.run(1);
-    caller one(in.callers());
-    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
-    const auto answer = one.read_answer();
+    const auto answer = answer_to(in);
     CHECK(answer.find("word5") != std::string::npos);
     CHECK(answer.find("\r\n0\r\n") == std::string::npos);
 }
@@ -214,9 +215,7 @@
     });
     in.add("i-1", "llm", engine);
     in.run(1);
-    caller one(in.callers());
-    one.send(request("POST", "/gen/x", "id1", "prompt", tokens));
-    const auto answer = one.read_answer();
+    const auto answer = answer_to(in);
     CHECK(answer.find(" 502 ") != std::string::npos);
     CHECK(answer.find("signed") == std::string::npos);
 }
@@ -227,9 +226,7 @@
     const endpoint_stand_in engine(whole);
     in.add("i-1", "llm", engine);
     in.run(1);
-    caller one(in.callers());
-    one.send(request("POST", "/gen/x", "id1", "prompt", tokens + "Last-Event-Id: 7\r\n"));
-    CHECK(joined_chunks(one.read_answer()) == whole_stream(8));
+    CHECK(joined_chunks(answer_to(in, "Last-Event-Id: 7\r\n")) == whole_stream(8));
 }
 
 TEST_CASE("a request that takes three engines down reaches no fourth, an innocent one is served")
@@ -238,9 +235,7 @@
     const frail_engines engines(in);
     in.run(frail_engines::count);
     const auto ask = [&](const std::string& id, const std::string& body) {
-        caller one(in.callers());
-        one.send(request("POST", "/gen/x", id, body, tokens));
-        return one.read_answer();
+        return answer_to(in, {}, id, body);
     };
     for (int again = 0; again < 6; ++again) {
         CHECK(ask("p" + std::to_string(again), "poison").find("\r\n0\r\n") == std::string::npos);
--- a/tests/soak/src/fault_runner.cpp
+++ b/tests/soak/src/fault_runner.cpp
@@ -88,65 +88,72 @@
     due_.emplace(std::chrono::steady_clock::now() + what.length, std::move(end));
 }
 
-void fault_runner::restart_later(const fault& what, std::size_t daemon)
+void fault_runner::disturb(loopback_proxy& path, proxy_mode mode, const fault& what)
 {
-    daemon_busy_[daemon] = true;
-    later(what, [this, daemon] {
-        if (!system_.restart_daemon(daemon)) {
-            ends_.push_back("daemon " + std::to_string(daemon) + " ended with an error");
-        }
-        daemon_busy_[daemon] = false;
+    path.set(mode);
+    later(what, [&path] { path.set(proxy_mode::pass); });
+}
+
+void fault_runner::occupy(std::vector<bool>& busy, std::size_t number, const fault& what,
+                          const std::function<void()>& begin, std::function<void()> end)
+{
+    if (busy[number]) {
+        return;
+    }
+    busy[number] = true;
+    begin();
+    later(what, [&busy, number, finish = std::move(end)] {
+        finish();
+        busy[number] = false;
     });
 }
 
+void fault_runner::restart(std::size_t daemon)
+{
+    if (!system_.restart_daemon(daemon)) {
+        ends_.push_back("daemon " + std::to_string(daemon) + " ended with an error");
+    }
+}
+
 void fault_runner::kill_daemon(const fault& what)
 {
     const auto daemon = daemon_of(what);
-    if (daemon_busy_[daemon]) {
-        return;
-    }
-    const auto now = std::chrono::steady_clock::now();
-    seen_.add(kill_record{daemon, now, now + what.length});
-    system_.signal_daemon(daemon, SIGKILL);
-    restart_later(what, daemon);
+    occupy(
+        daemon_busy_, daemon, what,
+        [&] {
+            const auto now = std::chrono::steady_clock::now();
+            seen_.add(kill_record{daemon, now, now + what.length});
+            system_.signal_daemon(daemon, SIGKILL);
+        },
+        [this, daemon] { restart(daemon); });
 }
 
 void fault_runner::stop_daemon(const fault& what)
 {
     const auto daemon = daemon_of(what);
-    if (daemon_busy_[daemon]) {
-        return;
-    }
-    system_.signal_daemon(daemon, SIGTERM);
     fault whole = what;
     whole.length = end_of_grace;
-    restart_later(whole, daemon);
+    occupy(
+        daemon_busy_, daemon, whole, [&] { system_.signal_daemon(daemon, SIGTERM); },
+        [this, daemon] { restart(daemon); });
 }
 
 void fault_runner::pause_daemon(const fault& what)
 {
     const auto daemon = daemon_of(what);
-    if (daemon_busy_[daemon]) {
-        return;
-    }
-    daemon_busy_[daemon] = true;
-    system_.signal_daemon(daemon, SIGSTOP);
-    later(what, [this, daemon] {
-        system_.signal_daemon(daemon, SIGCONT);
-        daemon_busy_[daemon] = false;
-    });
+    occupy(
+        daemon_busy_, daemon, what, [&] { system_.signal_daemon(daemon, SIGSTOP); },
+        [this, daemon] { system_.signal_daemon(daemon, SIGCONT); });
 }
 
 void fault_runner::cut_store(const fault& what)
 {
-    system_.store_path(daemon_of(what)).set(proxy_mode::hold);
-    later(what, [this, what] { system_.store_path(daemon_of(what)).set(proxy_mode::pass); });
+    disturb(system_.store_path(daemon_of(what)), proxy_mode::hold, what);
 }
 
 void fault_runner::delay_store(const fault& what)
 {
-    system_.store_path(daemon_of(what)).set(proxy_mode::delay);
-    later(what, [this, what] { system_.store_path(daemon_of(what)).set(proxy_mode::pass); });
+    disturb(system_.store_path(daemon_of(what)), proxy_mode::delay, what);
 }
 
 void fault_runner::mute_store(const fault& what)
@@ -173,50 +180,33 @@
 void fault_runner::kill_endpoint(const fault& what)
 {
     const auto endpoint = endpoint_of(what);
-    if (endpoint_busy_[endpoint]) {
-        return;
-    }
-    endpoint_busy_[endpoint] = true;
-    system_.signal_endpoint(endpoint, SIGKILL);
-    later(what, [this, endpoint] {
-        system_.replace_endpoint(endpoint);
-        endpoint_busy_[endpoint] = false;
-    });
+    occupy(
+        endpoint_busy_, endpoint, what, [&] { system_.signal_endpoint(endpoint, SIGKILL); },
+        [this, endpoint] { system_.replace_endpoint(endpoint); });
 }
 
 void fault_runner::pause_endpoint(const fault& what)
 {
     const auto endpoint = endpoint_of(what);
-    if (endpoint_busy_[endpoint]) {
-        return;
-    }
-    endpoint_busy_[endpoint] = true;
-    system_.signal_endpoint(endpoint, SIGSTOP);
-    later(what, [this, endpoint] {
-        system_.signal_endpoint(endpoint, SIGCONT);
-        endpoint_busy_[endpoint] = false;
-    });
+    occupy(
+        endpoint_busy_, endpoint, what, [&] { system_.signal_endpoint(endpoint, SIGSTOP); },
+        [this, endpoint] { system_.signal_endpoint(endpoint, SIGCONT); });
 }
 
 void fault_runner::drain_endpoint(const fault& what)
 {
     const auto endpoint = endpoint_of(what);
-    if (endpoint_busy_[endpoint]) {
-        return;
-    }
-    endpoint_busy_[endpoint] = true;
-    system_.drain_endpoint(endpoint);
-    later(what, [this, endpoint] {
-        system_.signal_endpoint(endpoint, SIGKILL);
-        system_.replace_endpoint(endpoint);
-        endpoint_busy_[endpoint] = false;
-    });
+    occupy(
+        endpoint_busy_, endpoint, what, [&] { system_.drain_endpoint(endpoint); },
+        [this, endpoint] {
+            system_.signal_endpoint(endpoint, SIGKILL);
+            system_.replace_endpoint(endpoint);
+        });
 }
 
 void fault_runner::cut_endpoint(const fault& what)
 {
-    system_.endpoint_path(endpoint_of(what)).set(proxy_mode::hold);
-    later(what, [this, what] { system_.endpoint_path(endpoint_of(what)).set(proxy_mode::pass); });
+    disturb(system_.endpoint_path(endpoint_of(what)), proxy_mode::hold, what);
 }
 
 void fault_runner::mute_endpoint(const fault& what)
@@ -231,14 +221,12 @@
 
 void fault_runner::slow_endpoint(const fault& what)
 {
-    system_.endpoint_path(endpoint_of(what)).set(proxy_mode::delay);
-    later(what, [this, what] { system_.endpoint_path(endpoint_of(what)).set(proxy_mode::pass); });
+    disturb(system_.endpoint_path(endpoint_of(what)), proxy_mode::delay, what);
 }
 
 void fault_runner::one_way_endpoint(const fault& what)
 {
-    system_.endpoint_path(endpoint_of(what)).set(proxy_mode::one_way);
-    later(what, [this, what] { system_.endpoint_path(endpoint_of(what)).set(proxy_mode::pass); });
+    disturb(system_.endpoint_path(endpoint_of(what)), proxy_mode::one_way, what);
 }
 
 void fault_runner::change_configuration(const fault& /*what*/)
--- a/tests/soak/src/fault_runner.h
+++ b/tests/soak/src/fault_runner.h
@@ -2,9 +2,12 @@
 
 #include "fault.h"
 #include "ledger.h"
+#include "loopback_proxy.h"
+#include "proxy_mode.h"
 #include "soak_fleet.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -52,7 +55,13 @@
 
     /// Calls `end` when the fault's time is over.
     void later(const fault& what, std::function<void()> end);
-    void restart_later(const fault& what, std::size_t daemon);
+    /// Puts `path` in `mode` for the fault's time.
+    void disturb(loopback_proxy& path, proxy_mode mode, const fault& what);
+    /// Calls `begin` now and `end` when the fault's time is over, unless another fault has the
+    /// process `number`.
+    void occupy(std::vector<bool>& busy, std::size_t number, const fault& what,
+                const std::function<void()>& begin, std::function<void()> end);
+    void restart(std::size_t daemon);
     void pass_until(instant until);
 
     soak_fleet& system_;
