A stopped daemon's process ends at once

Callers saw fewer daemons than planned during a rolling restart: a daemon that had answered everything and logged 'stopped' stayed until SIGKILL at the end of its grace, 5.8 s longer than needed.

Traces on a scratch copy: the last step reached is log4cplus::deinitialize(); neither a pool of size 0 nor an initializer that is never destroyed helps.

main() skips static destructors after a command has returned, by which time sockets are closed and the log is flushed.

--- a/endivejunction/src/main.cpp
+++ b/endivejunction/src/main.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <iostream>
 #include <span>
 #include <string>
@@ -58,5 +59,9 @@
     if (found == commands.end()) {
         return usage();
     }
-    return found->run(std::span(arguments).subspan(2));
+    const int code = found->run(std::span(arguments).subspan(2));
+    std::cout.flush();
+    // Static destructors are skipped: the logging library's waits for its pool of threads, which
+    // keeps a daemon that has stopped serving alive until it is killed.
+    std::quick_exit(code);
 }
