A refusal on a kept connection counts only with this request's id

What callers saw: an endpoint that wrote a refusal without an id once more on a kept connection made the daemon tell the caller "not run, try again" for a request that the endpoint was running, or send a non-idempotent request or a stream that may run once to a second endpoint.

Cause: an answer without the echoed id was taken for the answer to the request last sent, whatever the connection had carried before, and its status was believed without further proof.

Fix: an answer belongs to a request for certain if it echoes the request's id, or if nothing else was ever sent on the connection. Any other answer counts as spoiled: the request may have run, and the connection is closed. A refusal with the id of another request was skipped before and still is.

--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -122,7 +122,7 @@
         pass_on(answer, std::move(body));
         return;
     }
-    const auto end = end_of(answer);
+    const auto end = end_of(attempt);
     running_.erase(one);
     record_failure(attempt, end, "status " + std::to_string(answer.status()));
     continue_after(end, attempt, std::move(body));
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -201,13 +201,14 @@
            answer.header(names.request_id) == request_id_;
 }
 
-attempt_end forwarded_call::end_of(const answer_parser& answer) const
+attempt_end forwarded_call::end_of(const upstream_attempt& attempt) const
 {
+    const auto& answer = attempt.answer();
     const bool not_executed = !answer.header(environment_.context.headers.not_executed).empty();
-    if (answer.status() == status_misdirected) {
+    if (answer.status() == status_misdirected && attempt.answer_is_own()) {
         return attempt_end::misdirected;
     }
-    if (not_executed) {
+    if (not_executed && attempt.answer_is_own()) {
         return attempt_end::not_executed;
     }
     return answer.success() || !trusted(answer) ? attempt_end::spoiled : attempt_end::failed;
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -98,8 +98,9 @@
     /// identifier of this request.
     [[nodiscard]] bool trusted(const answer_parser& answer) const;
 
-    /// Classifies an answer that is not a success.
-    [[nodiscard]] forwarding::attempt_end end_of(const answer_parser& answer) const;
+    /// Classifies the answer of `attempt`, which is not a success. A refusal counts only if it
+    /// certainly belongs to this request.
+    [[nodiscard]] forwarding::attempt_end end_of(const upstream_attempt& attempt) const;
 
     /// Records the load reported by an answer.
     void note_load(const upstream_attempt& attempt);
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -195,7 +195,7 @@
     }
     const auto self = shared_from_this();
     if (!accepted_) {
-        const auto end = end_of(attempt.answer());
+        const auto end = end_of(attempt);
         abandon_attempt(end, absl::StrCat("status ", attempt.answer().status()));
         return;
     }
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -113,6 +113,7 @@
 void upstream_attempt::send()
 {
     sent_ = true;
+    reused_ = std::exchange(connection_->used, true);
     asio::async_write(connection_->socket, asio::buffer(message_),
                       [self = shared_from_this()](const error_code& error, std::size_t) {
                           // A failed write also fails the read, after any early answer has been
@@ -196,6 +197,11 @@
     return request_id_.empty() || echoed.empty() || echoed == request_id_;
 }
 
+bool upstream_attempt::answer_is_own() const
+{
+    return !reused_ || (!request_id_.empty() && parser_->header(echo_field_) == request_id_);
+}
+
 void upstream_attempt::head_read()
 {
     head_seen_ = true;
@@ -223,7 +229,8 @@
 
 bool upstream_attempt::reusable() const
 {
-    return written_ && parser_->keep_alive() && connection_->buffer.size() == 0 && !unframed_;
+    return written_ && parser_->keep_alive() && connection_->buffer.size() == 0 && !unframed_ &&
+           answer_is_own();
 }
 
 void upstream_attempt::finish_connection()
--- a/libs/caller_front/src/upstream_attempt.h
+++ b/libs/caller_front/src/upstream_attempt.h
@@ -34,6 +34,10 @@
     [[nodiscard]] const core::endpoint& endpoint() const { return endpoint_; }
     [[nodiscard]] const answer_parser& answer() const { return *parser_; }
 
+    /// True if the answer certainly belongs to this request: it echoes the request's identifier, or
+    /// no earlier request was sent on the connection.
+    [[nodiscard]] bool answer_is_own() const;
+
     /// True once the first byte may have reached the endpoint.
     [[nodiscard]] bool sent() const { return sent_; }
 
@@ -69,6 +73,7 @@
     std::shared_ptr<lazy_timer> connect_timer_;
     core::instant started_{};
     bool head_only_ = false;
+    bool reused_ = false; // The connection has carried an earlier request.
     bool sent_ = false;
     bool written_ = false;
     bool head_seen_ = false;
--- a/libs/caller_front/src/upstream_connection.h
+++ b/libs/caller_front/src/upstream_connection.h
@@ -16,6 +16,7 @@
     tcp::socket socket;
     beast::flat_buffer buffer;
     core::instant usable_until{};  ///< The endpoint may close it if idle longer.
+    bool used = false;             ///< A request has been sent on it.
     std::uint64_t idle_period = 0; ///< Incremented whenever the connection leaves the pool.
 };
 
