A 421 counts as not executed only with the not-executed field

What callers would see: an endpoint's 421 without that field sent a non-idempotent request to a second endpoint, and in the end a 503.

Cause: the status alone was believed. PROTOCOL says that no response without the field states that the request was not run.

Evidence: the new test failed before with 503 to the caller and two sends.

Fix: a 421 is classified as misdirected only together with the field.

--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -205,11 +205,9 @@
 {
     const auto& answer = attempt.answer();
     const bool not_executed = !answer.header(environment_.context.headers.not_executed).empty();
-    if (answer.status() == status_misdirected && attempt.answer_is_own()) {
-        return attempt_end::misdirected;
-    }
     if (not_executed && attempt.answer_is_own()) {
-        return attempt_end::not_executed;
+        return answer.status() == status_misdirected ? attempt_end::misdirected
+                                                     : attempt_end::not_executed;
     }
     return answer.success() || !trusted(answer) ? attempt_end::spoiled : attempt_end::failed;
 }
--- a/tests/forward/repeated_refusal_test.cpp
+++ b/tests/forward/repeated_refusal_test.cpp
@@ -215,4 +215,22 @@
     CHECK(sends_of(faulty.endpoint, "second") == 1);
 }
 
+TEST_CASE("a misdirected status without a not-executed field does not send a non-idempotent "
+          "request to a second endpoint")
+{
+    daemon_fixture fixture;
+    const auto misdirected = [](const std::string& text, int) -> std::vector<step> {
+        return {{step_kind::send, signed_answer(text, 421, "")}};
+    };
+    const endpoint_stand_in first(misdirected);
+    const endpoint_stand_in second(misdirected);
+    fixture.add("i-1", "app", first);
+    fixture.add("i-2", "app", second, "z2");
+    fixture.configure_and_start(2);
+    caller connection(fixture.listen_address());
+    connection.send(request("POST", "/act/x", "id1", "b"));
+    CHECK_FALSE(is_refusal(connection.read_answer()));
+    CHECK(sends_of(first, "id1") + sends_of(second, "id1") == 1);
+}
+
 } // namespace ej::forward_tests
