Caller connections report why they ended

Callers saw a request that had been read whole end with the connection, without an answer or a refusal. No log line or counter told one end of a caller's connection from another.

Each end now has a cause. Ends beside a request that the caller may still expect an answer to are logged at info with phase, request and unused bytes; ordinary ends are only counted, so the volume stays bounded.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -21,10 +21,8 @@
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} << 10;
 // Disconnects a caller that does not read its answer.
 constexpr seconds write_timeout{15};
-// Limits for reading and discarding input after the last answer, so that the caller can read that
-// answer.
+// Limit for discarded input, see `linger`.
 constexpr std::size_t max_lingered_bytes = std::size_t{64} << 20;
-constexpr seconds linger_timeout{3};
 
 } // namespace
 
@@ -98,7 +96,8 @@
         return;
     }
     if (error) {
-        disconnect();
+        disconnect(error == asio::error::eof ? connection_end::caller_closed
+                                             : connection_end::read_failed);
         return;
     }
     if (phase_ == phase::lingering) {
@@ -150,6 +149,7 @@
     keep_alive_ = request.keep_alive && !context_.leaving;
     chunked_ = request.takes_chunks;
     head_only_ = request.message.method == "HEAD";
+    request_id_ = request.message.header_value(context_.headers.request_id).value_or("");
     read(); // Detects that the caller closes the connection while the request runs.
     call_ = admit(context_, pool_, std::move(request), shared_from_this());
     if (call_ != nullptr) {
@@ -187,11 +187,13 @@
 {
     switch (phase_) {
     case phase::idle:
+        end(connection_end::idle_timeout);
+        break;
     case phase::lingering:
         close();
         break;
     case phase::answering:
-        disconnect(); // The caller does not read its answer.
+        disconnect(connection_end::write_timeout);
         break;
     case phase::reading:
         send_rejection(status_request_timeout, "request_timeout");
@@ -203,7 +205,7 @@
 
 void caller_connection::abort()
 {
-    close();
+    end(connection_end::call_aborted);
 }
 
 void caller_connection::send(const std::string& text, bool last)
@@ -224,7 +226,7 @@
     }
     timer_->clear();
     if (error) {
-        disconnect();
+        disconnect(connection_end::write_failed);
     }
     else if (phase_ == phase::reading) {
         timer_->set(now() + limits().idle_timeout);
@@ -237,54 +239,14 @@
 void caller_connection::on_answer_sent()
 {
     call_.reset();
+    ++answered_;
+    phase_ = phase::idle;
     if (!keep_alive_ || context_.leaving) {
+        record_end(keep_alive_ ? connection_end::leaving : connection_end::answer_sent);
         linger();
         return;
     }
     await_request();
 }
 
-/// Closes the sending half and keeps reading for a while: closing a socket with unread bytes resets
-/// the connection, and the caller might lose the answer.
-void caller_connection::linger()
-{
-    phase_ = phase::lingering;
-    error_code ignored; // The caller may have closed already.
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    timer_->set(now() + linger_timeout);
-    reader_.buffer().consume(reader_.buffer().size());
-    read();
-}
-
-void caller_connection::disconnect()
-{
-    const auto call = std::exchange(call_, nullptr);
-    close();
-    if (call != nullptr) {
-        call->caller_gone();
-    }
-}
-
-void caller_connection::end_call()
-{
-    if (const auto call = call_) {
-        call->end_now("leaving");
-    }
-}
-
-void caller_connection::close_if_idle()
-{
-    if (phase_ == phase::idle) {
-        close();
-    }
-}
-
-void caller_connection::close()
-{
-    phase_ = phase::closed;
-    timer_->stop();
-    error_code ignored; // The connection is discarded anyway.
-    socket_.close(ignored);
-}
-
 } // namespace ej::front
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "caller_output.h"
+#include "connection_end.h"
+#include "connection_phase.h"
 #include "forwarded_call.h"
 #include "front_context.h"
 #include "lazy_timer.h"
@@ -11,6 +13,7 @@
 
 #include <http/response.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -44,8 +47,7 @@
     void abort() override;
 
 private:
-    /// What the connection is doing.
-    enum class phase { idle, reading, answering, lingering, closed };
+    using phase = connection_phase;
 
     void await_request();
     void begin_request();
@@ -60,7 +62,9 @@
     void written(const error_code& error);
     void on_answer_sent();
     void linger();
-    void disconnect();
+    void disconnect(connection_end why);
+    void end(connection_end why);
+    void record_end(connection_end why);
     void close();
     [[nodiscard]] forwarding::caller_limits limits() const;
 
@@ -78,6 +82,8 @@
     caller_output output_;
     bool last_written_ = false; // The last part of the answer has been queued.
     std::size_t lingered_ = 0;
+    std::string request_id_; // Of the latest whole request.
+    std::uint64_t answered_ = 0;
 };
 
 } // namespace ej::front
--- a/libs/caller_front/src/caller_connection_reply.cpp
+++ b/libs/caller_front/src/caller_connection_reply.cpp
@@ -52,7 +52,7 @@
         return;
     }
     if (output_.waiting() > max_unsent_bytes) {
-        disconnect();
+        disconnect(connection_end::output_limit);
         return;
     }
     send(chunked_ ? chunk_text(part) : part, false);
--- /dev/null
+++ b/libs/caller_front/src/connection_phase.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace ej::front {
+
+/// What a caller's connection is doing.
+enum class connection_phase {
+    idle,      ///< Waits for a request.
+    reading,   ///< Part of a request has been received.
+    answering, ///< A whole request has been received, and its answer is not sent yet.
+    lingering, ///< The sending half is closed; input is discarded.
+    closed
+};
+
+inline constexpr std::size_t connection_phase_count = 5;
+
+/// The name used in logs.
+[[nodiscard]] std::string_view to_string(connection_phase phase);
+
+} // namespace ej::front
--- /dev/null
+++ b/libs/caller_front/tests/caller_connection_test.cpp
@@ -0,0 +1,56 @@
+#include "connection_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+
+namespace ej::front {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::hours never{1};
+constexpr milliseconds short_limit{20};
+
+std::string ended(const std::string& end, const std::string& outstanding)
+{
+    return "endivejunction_caller_connections_ended_total{end=\"" + end + "\",outstanding=\"" +
+           outstanding + "\"} 1\n";
+}
+
+bool counts(const connection_fixture& fixture, const std::string& metric)
+{
+    return fixture.context.metrics.text().find(metric) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("the end of an idle connection is counted with its cause")
+{
+    connection_fixture fixture(short_limit);
+    connection_fixture::pass(2 * short_limit);
+    fixture.run_ready();
+    CHECK(counts(fixture, ended("idle_timeout", "no")));
+}
+
+TEST_CASE("a connection that ends within a request is counted as outstanding")
+{
+    connection_fixture fixture(never);
+    fixture.send("GET /x HTTP/1.1\r\n");
+    fixture.run_ready();
+    fixture.caller.close();
+    fixture.run_ready();
+    CHECK(counts(fixture, ended("caller_closed", "yes")));
+}
+
+TEST_CASE("the end of a connection behind its last answer is not counted as outstanding")
+{
+    connection_fixture fixture(never);
+    fixture.send("GET /x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n");
+    CHECK(fixture.received().starts_with("HTTP/1.1 404"));
+    CHECK(counts(fixture, ended("answer_sent", "no")));
+}
+
+} // namespace ej::front
