An idle close answers a request that has arrived already

Callers on slow VMs sent a request over a kept connection and the connection ended, by a reset, without an answer or a refusal.

The idle timeout and the close of idle connections on shutdown looked only at the connection's phase. A request in the socket's buffer, or taken by a read whose handler had not run yet, was dropped with the socket. On a starved VM the lane runs late, and such requests pile up in front of the timer.

Before the fix 'a request that waits in the socket as idle connections are closed is answered' and 'a request that arrives before the idle limit is handled is answered' received nothing. Now the pending read is cancelled: if it has taken bytes, or bytes wait, they are handled first. Otherwise only the sending half is closed, and what crosses the close stays unread, so that no request is taken without an answer.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -95,6 +95,10 @@
     if (phase_ == phase::closed) {
         return;
     }
+    if (error == asio::error::operation_aborted) {
+        wait_stopped();
+        return;
+    }
     if (error) {
         disconnect(error == asio::error::eof ? connection_end::caller_closed
                                              : connection_end::read_failed);
@@ -187,7 +191,7 @@
 {
     switch (phase_) {
     case phase::idle:
-        end(connection_end::idle_timeout);
+        stop_waiting(connection_end::idle_timeout);
         break;
     case phase::lingering:
         close();
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -34,7 +34,7 @@
 
     void start();
 
-    /// Closes the connection if no request is being read or answered.
+    /// Closes the connection if no request has arrived that is not answered yet.
     void close_if_idle();
 
     /// Ends the current call with its final answer now.
@@ -61,6 +61,10 @@
     void send(const std::string& text, bool last);
     void written(const error_code& error);
     void on_answer_sent();
+    void stop_waiting(connection_end why);
+    void wait_stopped();
+    void half_close();
+    void begin_linger();
     void linger();
     void disconnect(connection_end why);
     void end(connection_end why);
@@ -82,7 +86,8 @@
     caller_output output_;
     bool last_written_ = false; // The last part of the answer has been queued.
     std::size_t lingered_ = 0;
-    std::string request_id_; // Of the latest whole request.
+    connection_end end_of_wait_ = connection_end::idle_timeout; // Cause of a stopped wait.
+    std::string request_id_;                                    // Of the latest whole request.
     std::uint64_t answered_ = 0;
 };
 
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -10,20 +10,59 @@
 
 namespace {
 
-// Limit for reading and discarding input after the last answer, so that the caller can read that
-// answer.
+// Time for the caller to read its last answer and to close the connection.
 constexpr std::chrono::seconds linger_timeout{3};
 
 } // namespace
 
-/// Closes the sending half and keeps reading for a while: closing a socket with unread bytes resets
-/// the connection, and the caller might lose the answer.
-void caller_connection::linger()
+/// Ends the wait for a request. The read is cancelled rather than the connection closed, since it
+/// may have taken a request whose turn on the lane has not come yet.
+void caller_connection::stop_waiting(connection_end why)
+{
+    end_of_wait_ = why;
+    error_code ignored; // The read ends anyway if the socket has failed.
+    socket_.cancel(ignored);
+}
+
+void caller_connection::wait_stopped()
+{
+    error_code failed; // Shows again in the read.
+    if (socket_.available(failed) > 0 || failed) {
+        read();
+        return;
+    }
+    half_close();
+}
+
+/// Closes the sending half and leaves unread what crosses the close: the caller may send that
+/// again.
+void caller_connection::half_close()
+{
+    record_end(end_of_wait_);
+    begin_linger();
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& error) {
+                           error_code failed;
+                           const bool unread = !error && self->socket_.available(failed) > 0;
+                           if (self->phase_ != phase::closed && !unread) {
+                               self->close();
+                           }
+                       });
+}
+
+void caller_connection::begin_linger()
 {
     phase_ = phase::lingering;
     error_code ignored; // The caller may have closed already.
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     timer_->set(now() + linger_timeout);
+}
+
+/// Closes the sending half and keeps reading for a while: closing a socket with unread bytes resets
+/// the connection, and the caller might lose the answer.
+void caller_connection::linger()
+{
+    begin_linger();
     reader_.buffer().consume(reader_.buffer().size());
     read();
 }
@@ -47,7 +86,7 @@
 void caller_connection::close_if_idle()
 {
     if (phase_ == phase::idle) {
-        end(connection_end::leaving);
+        stop_waiting(connection_end::leaving);
     }
 }
 
--- a/libs/caller_front/src/connection_phase.h
+++ b/libs/caller_front/src/connection_phase.h
@@ -10,7 +10,7 @@
     idle,      ///< Waits for a request.
     reading,   ///< Part of a request has been received.
     answering, ///< A whole request has been received, and its answer is not sent yet.
-    lingering, ///< The sending half is closed; input is discarded.
+    lingering, ///< The sending half is closed; input is ignored.
     closed
 };
 
--- a/libs/caller_front/tests/caller_connection_test.cpp
+++ b/libs/caller_front/tests/caller_connection_test.cpp
@@ -53,4 +53,36 @@
     CHECK(counts(fixture, ended("answer_sent", "no")));
 }
 
+TEST_CASE("a request that waits in the socket as idle connections are closed is answered")
+{
+    connection_fixture fixture(never);
+    fixture.send(plain_request());
+    fixture.connection->close_if_idle();
+    CHECK(fixture.received().starts_with("HTTP/1.1 404"));
+}
+
+TEST_CASE("a request that arrives before the idle limit is handled is answered")
+{
+    connection_fixture fixture(short_limit);
+    // The lane is busy until the limit has passed; the request arrives before the timer's turn.
+    asio::post(fixture.lane, [&] {
+        connection_fixture::pass(2 * short_limit);
+        asio::post(fixture.lane,
+                   [&] { asio::post(fixture.lane, [&] { fixture.send(plain_request()); }); });
+    });
+    CHECK(fixture.received().starts_with("HTTP/1.1 404"));
+}
+
+TEST_CASE("an idle connection without a request is closed in an orderly way")
+{
+    connection_fixture fixture(never);
+    fixture.connection->close_if_idle();
+    fixture.run_ready();
+    char byte = 0;
+    error_code error;
+    fixture.caller.read_some(asio::buffer(&byte, 1), error);
+    CHECK(error == asio::error::eof);
+    CHECK(counts(fixture, ended("leaving", "no")));
+}
+
 } // namespace ej::front
