A raised idle limit holds for connections that are idle already

Callers that reused a connection within the limit in force met a connection that the daemon had closed, or was closing, beside a change of the configuration.

The deadline of an idle connection was computed once, from the limit in force when it became idle. After the operators raised the limit, such a connection was still closed by the old one.

Now the limit in force is looked up when the old one has passed. A lowered limit does not shorten a wait that has begun, since callers may still rely on the earlier one; a test guards that as well.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -60,7 +60,8 @@
 void caller_connection::await_request()
 {
     phase_ = phase::idle;
-    timer_->set(now() + limits().idle_timeout);
+    idle_since_ = now();
+    timer_->set(idle_since_ + limits().idle_timeout);
     if (reader_.buffer().size() > 0) {
         begin_request();
         return;
@@ -191,7 +192,7 @@
 {
     switch (phase_) {
     case phase::idle:
-        stop_waiting(connection_end::idle_timeout);
+        idle_limit_passed();
         break;
     case phase::lingering:
         close();
@@ -207,6 +208,18 @@
     }
 }
 
+/// The limit that was in force when the connection became idle has passed. A caller may rely on one
+/// that was raised since; a lowered one applies to later waits.
+void caller_connection::idle_limit_passed()
+{
+    const auto end = idle_since_ + limits().idle_timeout;
+    if (now() < end) {
+        timer_->set(end);
+        return;
+    }
+    stop_waiting(connection_end::idle_timeout);
+}
+
 void caller_connection::abort()
 {
     end(connection_end::call_aborted);
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -11,6 +11,7 @@
 #include "request_reader.h"
 #include "upstream_pool.h"
 
+#include <core/instant.h>
 #include <http/response.h>
 
 #include <cstdint>
@@ -58,6 +59,7 @@
     void reject(const error_code& error);
     void send_rejection(unsigned status, std::string_view reason);
     void timed_out();
+    void idle_limit_passed();
     void send(const std::string& text, bool last);
     void written(const error_code& error);
     void on_answer_sent();
@@ -79,6 +81,7 @@
     std::shared_ptr<forwarded_call> call_;
     std::shared_ptr<lazy_timer> timer_;
     phase phase_ = phase::idle;
+    core::instant idle_since_{};
     bool keep_alive_ = true;
     bool chunked_ = true;    // The caller supports chunked answers.
     bool head_only_ = false; // The request was HEAD.
--- a/libs/caller_front/tests/caller_connection_test.cpp
+++ b/libs/caller_front/tests/caller_connection_test.cpp
@@ -85,4 +85,24 @@
     CHECK(counts(fixture, ended("leaving", "no")));
 }
 
+TEST_CASE("a raised idle limit extends connections that are idle already")
+{
+    connection_fixture fixture(short_limit);
+    fixture.configure(never);
+    connection_fixture::pass(2 * short_limit);
+    fixture.run_ready();
+    fixture.send(plain_request());
+    CHECK(fixture.received().starts_with("HTTP/1.1 404"));
+}
+
+TEST_CASE("a lowered idle limit does not shorten the wait of idle connections")
+{
+    connection_fixture fixture(never);
+    fixture.configure(short_limit);
+    connection_fixture::pass(2 * short_limit);
+    fixture.run_ready();
+    fixture.send(plain_request());
+    CHECK(fixture.received().starts_with("HTTP/1.1 404"));
+}
+
 } // namespace ej::front
