A leaving daemon answers requests that it has read behind an earlier one

Callers on kept connections sent their next request behind an answer that announced no close. When SIGTERM came meanwhile, the daemon read that request, dropped it and closed the connection: neither an answer nor a refusal.

Whether to close was decided twice, when the answer's head was sent and again when its last byte was, and the second decision overruled the promise of the first. A stream lasts for seconds between the two. The buffer with whole requests that had been read ahead was thrown away.

Now only an announced close makes the daemon discard input. Behind any other answer it handles what has arrived and then closes the idle connection, and it announces the close with the answer behind which no request has been read.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -151,7 +151,7 @@
 {
     phase_ = phase::answering;
     timer_->clear();
-    keep_alive_ = request.keep_alive && !context_.leaving;
+    keep_alive_ = request.keep_alive;
     chunked_ = request.takes_chunks;
     head_only_ = request.message.method == "HEAD";
     request_id_ = request.message.header_value(context_.headers.request_id).value_or("");
@@ -257,13 +257,24 @@
 {
     call_.reset();
     ++answered_;
-    phase_ = phase::idle;
-    if (!keep_alive_ || context_.leaving) {
-        record_end(keep_alive_ ? connection_end::leaving : connection_end::answer_sent);
+    if (!keep_alive_) {
+        phase_ = phase::idle;
+        record_end(connection_end::answer_sent);
         linger();
         return;
     }
     await_request();
+    // The answer announced no close, so the caller may have sent its next request already.
+    if (context_.leaving && phase_ == phase::idle) {
+        stop_waiting(connection_end::leaving);
+    }
+}
+
+/// A leaving daemon closes each connection behind an answer that says so, unless a further request
+/// has been read already.
+bool caller_connection::announces_close() const
+{
+    return !keep_alive_ || (context_.leaving && reader_.buffer().size() == 0);
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -63,6 +63,7 @@
     void send(const std::string& text, bool last);
     void written(const error_code& error);
     void on_answer_sent();
+    [[nodiscard]] bool announces_close() const;
     void stop_waiting(connection_end why);
     void wait_stopped();
     void half_close();
--- a/libs/caller_front/src/caller_connection_reply.cpp
+++ b/libs/caller_front/src/caller_connection_reply.cpp
@@ -23,7 +23,7 @@
     if (!no_body && !head_only_) {
         absl::StrAppend(&text, "Content-Length: ", answer.body.size(), "\r\n");
     }
-    keep_alive_ = keep_alive_ && !context_.leaving;
+    keep_alive_ = !announces_close();
     if (!keep_alive_) {
         absl::StrAppend(&text, "Connection: close\r\n");
     }
@@ -40,7 +40,7 @@
         return;
     }
     auto text = head_text(head);
-    keep_alive_ = keep_alive_ && chunked_ && !context_.leaving;
+    keep_alive_ = chunked_ && !announces_close();
     absl::StrAppend(&text, chunked_ ? "Transfer-Encoding: chunked\r\n" : "",
                     keep_alive_ ? "" : "Connection: close\r\n", "\r\n");
     send(text, false);
--- a/libs/caller_front/src/request_reader.h
+++ b/libs/caller_front/src/request_reader.h
@@ -21,6 +21,7 @@
 
     /// Buffer for received bytes.
     [[nodiscard]] beast::flat_buffer& buffer() { return buffer_; }
+    [[nodiscard]] const beast::flat_buffer& buffer() const { return buffer_; }
 
     /// Starts a new request with these limits.
     void begin(const forwarding::caller_limits& limits);
--- a/libs/caller_front/tests/caller_connection_test.cpp
+++ b/libs/caller_front/tests/caller_connection_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 namespace ej::front {
@@ -20,6 +21,16 @@
            outstanding + "\"} 1\n";
 }
 
+std::size_t occurrences(const std::string& text, const std::string& part)
+{
+    std::size_t found = 0;
+    for (auto place = text.find(part); place != std::string::npos;
+         place = text.find(part, place + part.size())) {
+        ++found;
+    }
+    return found;
+}
+
 bool counts(const connection_fixture& fixture, const std::string& metric)
 {
     return fixture.context.metrics.text().find(metric) != std::string::npos;
@@ -105,4 +116,41 @@
     CHECK(fixture.received().starts_with("HTTP/1.1 404"));
 }
 
+TEST_CASE("a request sent after an answer that announced no close is answered on shutdown")
+{
+    connection_fixture fixture(never);
+    fixture.send(plain_request());
+    while (fixture.caller.available() == 0) {
+        fixture.run_one();
+    }
+    // The answer is sent, and its handler has not run.
+    fixture.context.leaving = true;
+    fixture.send(plain_request());
+    const auto answers = fixture.received();
+    CHECK(occurrences(answers, "HTTP/1.1 404") == 2);
+    CHECK(occurrences(answers, "Connection: close") == 1);
+}
+
+TEST_CASE("a request that was read ahead of its predecessor's answer is answered on shutdown")
+{
+    connection_fixture fixture(never);
+    fixture.context.leaving = true;
+    fixture.send(plain_request() + plain_request());
+    const auto answers = fixture.received();
+    CHECK(occurrences(answers, "HTTP/1.1 404") == 2);
+    CHECK(occurrences(answers, "Connection: close") == 1);
+}
+
+TEST_CASE("a connection whose last answer announced no close ends on shutdown")
+{
+    connection_fixture fixture(never);
+    fixture.send(plain_request());
+    while (fixture.caller.available() == 0) {
+        fixture.run_one();
+    }
+    fixture.context.leaving = true;
+    CHECK(occurrences(fixture.received(), "HTTP/1.1 404") == 1);
+    CHECK(counts(fixture, ended("leaving", "no")));
+}
+
 } // namespace ej::front
--- a/libs/caller_front/tests/connection_fixture.cpp
+++ b/libs/caller_front/tests/connection_fixture.cpp
@@ -45,6 +45,12 @@
     lane.poll();
 }
 
+void connection_fixture::run_one()
+{
+    lane.restart();
+    lane.poll_one();
+}
+
 void connection_fixture::pass(core::duration time)
 {
     std::this_thread::sleep_for(time);
--- a/libs/caller_front/tests/connection_fixture.h
+++ b/libs/caller_front/tests/connection_fixture.h
@@ -27,6 +27,9 @@
     /// Runs what is ready on the lane.
     void run_ready();
 
+    /// Runs one handler on the lane, if one is ready.
+    void run_one();
+
     /// Sleeps, without running the lane, until `time` has passed.
     static void pass(core::duration time);
 
