A leaving daemon ends only when every request it took is answered

Around SIGTERM callers saw the connection end without an answer although an endpoint had been given their request.

The shutdown ended 50 ms after it saw that no call was open. The listener and kept connections went on taking requests until the process was gone: a request that was partly read, or arrived within that time, was forwarded and cut. On a starved VM, where the stop of the listener waits for its lane, the span is longer.

Now the shutdown stops the listener and waits for that, refuses every further request, closes idle connections and ends when no connection is left on which a request may still be answered, at the latest when the grace is over.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -32,10 +32,12 @@
       output_(socket_, [this](const error_code& error) { written(error); })
 {
     ++context_.callers_open;
+    ++context_.callers_active;
 }
 
 caller_connection::~caller_connection()
 {
+    stop_serving();
     --context_.callers_open;
 }
 
@@ -55,6 +57,9 @@
         }
     });
     await_request();
+    if (!accepts_requests()) {
+        close_if_idle();
+    }
 }
 
 void caller_connection::await_request()
@@ -265,8 +270,8 @@
     }
     await_request();
     // The answer announced no close, so the caller may have sent its next request already.
-    if (context_.leaving && phase_ == phase::idle) {
-        stop_waiting(connection_end::leaving);
+    if (context_.leaving) {
+        close_if_idle();
     }
 }
 
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -67,6 +67,8 @@
     void stop_waiting(connection_end why);
     void wait_stopped();
     void half_close();
+    [[nodiscard]] bool accepts_requests() const;
+    void stop_serving();
     void begin_linger();
     void linger();
     void disconnect(connection_end why);
@@ -87,6 +89,7 @@
     bool chunked_ = true;    // The caller supports chunked answers.
     bool head_only_ = false; // The request was HEAD.
     bool reading_ = false;
+    bool serving_ = true; // Included in `callers_active`.
     caller_output output_;
     bool last_written_ = false; // The last part of the answer has been queued.
     std::size_t lingered_ = 0;
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -50,9 +50,27 @@
                        });
 }
 
+/// False once the last calls of a leaving daemon have ended.
+bool caller_connection::accepts_requests() const
+{
+    if (!context_.leaving) {
+        return true;
+    }
+    const auto schedule = *context_.schedule.load();
+    return !schedule || now() < schedule->end;
+}
+
+void caller_connection::stop_serving()
+{
+    if (std::exchange(serving_, false)) {
+        --context_.callers_active;
+    }
+}
+
 void caller_connection::begin_linger()
 {
     phase_ = phase::lingering;
+    stop_serving();
     error_code ignored; // The caller may have closed already.
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     timer_->set(now() + linger_timeout);
@@ -114,6 +132,7 @@
 void caller_connection::close()
 {
     phase_ = phase::closed;
+    stop_serving();
     timer_->stop();
     error_code ignored; // The connection is discarded anyway.
     socket_.close(ignored);
--- a/libs/caller_front/src/caller_listener.cpp
+++ b/libs/caller_front/src/caller_listener.cpp
@@ -57,28 +57,40 @@
         acceptor_.close(ignored);
         pause_.cancel();
     });
+    end_.wait();
 }
 
 void caller_listener::accept()
 {
+    if (!acceptor_.is_open()) {
+        ended_.set_value();
+        return;
+    }
     lane& next = *lanes_[next_lane_++ % lanes_.size()];
     acceptor_.async_accept(next.loop(), [this, &next](const error_code& error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
-            return;
-        }
-        if (!error) {
-            next.serve(std::move(socket));
-            accept();
-            return;
-        }
-        logging::log(logging::level::warn, "accept failed", {{"error", error.message()}});
-        pause_.expires_after(accept_pause);
-        pause_.async_wait([this](const error_code& ended) {
-            if (!ended) {
-                accept();
-            }
-        });
+        accepted(next, error, std::move(socket));
     });
 }
 
+void caller_listener::accepted(lane& next, const error_code& error, tcp::socket socket)
+{
+    if (!error) {
+        next.serve(std::move(socket));
+        accept();
+        return;
+    }
+    if (acceptor_.is_open()) {
+        logging::log(logging::level::warn, "accept failed", {{"error", error.message()}});
+        accept_later();
+        return;
+    }
+    accept();
+}
+
+void caller_listener::accept_later()
+{
+    pause_.expires_after(accept_pause);
+    pause_.async_wait([this](const error_code&) { accept(); });
+}
+
 } // namespace ej::front
--- a/libs/caller_front/src/caller_listener.h
+++ b/libs/caller_front/src/caller_listener.h
@@ -7,6 +7,7 @@
 
 #include <absl/status/status.h>
 
+#include <future>
 #include <memory>
 #include <vector>
 
@@ -24,7 +25,8 @@
     /// Starts to accept.
     void start();
 
-    /// Stops accepting; called from any thread.
+    /// Stops accepting and waits until the lanes have every accepted connection. Called from any
+    /// other thread than the first lane's, after `start`.
     void stop();
 
     /// The bound address.
@@ -32,12 +34,16 @@
 
 private:
     void accept();
+    void accepted(lane& next, const error_code& error, tcp::socket socket);
+    void accept_later();
 
     std::vector<std::unique_ptr<lane>>& lanes_;
     tcp::acceptor acceptor_;
     asio::steady_timer pause_;
     core::address local_;
     std::size_t next_lane_ = 0;
+    std::promise<void> ended_; // Set when nothing is accepted any more.
+    std::shared_future<void> end_{ended_.get_future()};
 };
 
 } // namespace ej::front
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -158,14 +158,19 @@
     };
     wait_until(earliest, [] { return false; });
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
-    const auto all_answered = [&] { return context.calls_open == 0; };
+    wait_until(last - answer_margin, [&] { return context.calls_open == 0; });
+    parts_->listener->stop();
+    // A call that begins now would outlast the process, so every further request is refused.
+    context.schedule.store(shutdown_schedule{core::instant::min(), now()});
+    std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
+    const auto all_answered = [&] { return context.callers_active == 0; };
     wait_until(last - answer_margin, all_answered);
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->end_calls(); });
     wait_until(last, all_answered);
-    parts_->listener->stop();
     logging::log(logging::level::info, "left",
                  {{"calls_open", std::to_string(context.calls_open)},
-                  {"callers_open", std::to_string(context.callers_open)}});
+                  {"callers_open", std::to_string(context.callers_open)},
+                  {"callers_active", std::to_string(context.callers_active)}});
     // Allows time for sending the last answers.
     timer.expires_after(leave_interval);
     timer.wait();
--- a/tests/forward/connection_end_test.cpp
+++ b/tests/forward/connection_end_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,26 @@
     return {{step_kind::send, signed_answer(request, 200, "done")}};
 }
 
+// Longer than a daemon without requests needs to end.
+constexpr milliseconds past_end{600};
+
+std::vector<step> serve_past_end(const std::string& request, int)
+{
+    return {{step_kind::wait, "", past_end},
+            {step_kind::send, signed_answer(request, 200, "done")}};
+}
+
+bool refuses_connections(const core::address& where)
+{
+    try {
+        const caller probe(where);
+        return false;
+    }
+    catch (const std::runtime_error&) {
+        return true;
+    }
+}
+
 } // namespace
 
 TEST_CASE("a request that was read during a stream is answered by a leaving daemon")
@@ -60,4 +81,37 @@
     left.get();
 }
 
+TEST_CASE("a request that is complete as the last call of a leaving daemon ends is answered")
+{
+    daemon_fixture fixture;
+    const endpoint_stand_in app(serve_past_end);
+    fixture.add("i-1", "app", app);
+    fixture.configure(1, R"(,{"name":"long","host":"h.example","prefix":"/long/","kind":)"
+                         R"("non_idempotent","timeoutMs":60000,"service":"app","maxAttempts":1})");
+    fixture.start();
+    REQUIRE(fixture.wait_for_endpoints(1));
+    const auto where = fixture.listen_address();
+    const std::string body(10'000, 'b');
+    const auto text = "POST /long/x HTTP/1.1\r\nHost: h.example\r\n"
+                      "Endivejunction-Attempt-Id: a\r\nAuthorization: Token k1\r\n"
+                      "Content-Length: 10000\r\n\r\n" +
+                      body;
+    const auto head_size = text.size() - body.size();
+    caller slow(where);
+    slow.send(text.substr(0, head_size));
+    auto left = std::async(std::launch::async, [&] {
+        fixture.daemon->drain();
+        fixture.daemon.reset(); // As at the end of the process.
+    });
+    auto sent = head_size;
+    REQUIRE(daemon_fixture::wait_until([&] {
+        slow.send(text.substr(sent++, 1)); // Keeps the idle limit from passing.
+        return refuses_connections(where);
+    }));
+    slow.send(text.substr(sent));
+    CHECK(slow.read_answer().starts_with("HTTP/1.1 503"));
+    CHECK(app.requests().empty());
+    left.get();
+}
+
 } // namespace ej::forward_tests
