A signal during the shutdown does not abort the process

Callers of a leaving daemon lost every open request at once: the process aborted.

The shutdown slept with asio's blocking wait, which throws when a signal interrupts it; nothing catches that. A second SIGTERM or a SIGHUP during the grace is enough.

Before the fix 'a signal that interrupts the shutdown does not abort it' ended with 'wait: Interrupted system call'. std::this_thread::sleep_for goes on sleeping after a signal.

--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -148,12 +148,9 @@
     const auto earliest = began + balancer_notice_time;
     context.schedule.store(shutdown_schedule{earliest, last});
     context.leaving = true;
-    asio::io_context waiting;
-    asio::steady_timer timer(waiting);
-    const auto wait_until = [&](core::instant end, const auto& done) {
+    const auto wait_until = [](core::instant end, const auto& done) {
         while (now() < end && !done()) {
-            timer.expires_after(leave_interval);
-            timer.wait();
+            std::this_thread::sleep_for(leave_interval);
         }
     };
     wait_until(earliest, [] { return false; });
@@ -172,8 +169,7 @@
                   {"callers_open", std::to_string(context.callers_open)},
                   {"callers_active", std::to_string(context.callers_active)}});
     // Allows time for sending the last answers.
-    timer.expires_after(leave_interval);
-    timer.wait();
+    std::this_thread::sleep_for(leave_interval);
 }
 
 core::address front_daemon::caller_address() const
--- a/tests/forward/connection_end_test.cpp
+++ b/tests/forward/connection_end_test.cpp
@@ -1,8 +1,12 @@
 #include "caller.h"
 #include "daemon_fixture.h"
+#include "interrupting_signal.h"
 
 #include <catch2/catch.hpp>
 
+#include <pthread.h>
+#include <signal.h>
+
 #include <future>
 #include <stdexcept>
 #include <string>
@@ -114,4 +118,20 @@
     left.get();
 }
 
+TEST_CASE("a signal that interrupts the shutdown does not abort it")
+{
+    const interrupting_signal installed;
+    daemon_fixture fixture;
+    fixture.configure_and_start(0);
+    std::promise<pthread_t> draining;
+    auto left = std::async(std::launch::async, [&] {
+        draining.set_value(::pthread_self());
+        fixture.daemon->drain();
+    });
+    const auto thread = draining.get_future().get();
+    REQUIRE(daemon_fixture::wait_until([&] { return fixture.ready_status() == 503; }));
+    ::pthread_kill(thread, SIGUSR1);
+    CHECK_NOTHROW(left.get());
+}
+
 } // namespace ej::forward_tests
