SIGHUP during the shutdown does not kill the process

Callers saw all connections to a VM end without an answer where its settings changed, or the platform sent SIGTERM again, while it was leaving.

The object that catches SIGTERM, SIGINT and SIGHUP was a temporary that was destroyed before the daemon was drained. From then on each of these signals had its default effect, as between the start of the daemon and the construction of that object: the process was killed with its calls open.

Before the fix 'a daemon that gets SIGHUP during its shutdown answers the requests that it has' got no answer, and the process ended by signal 1 (exit status 129). Now the signals are caught from before the daemon starts until the process ends.

--- a/endivejunction/src/forward.cpp
+++ b/endivejunction/src/forward.cpp
@@ -43,23 +43,26 @@
     return found == site_factories.end() ? std::nullopt : std::optional(found->second());
 }
 
-/// Reloads the settings when they change and returns at the first SIGTERM or SIGINT.
+/// Reloads the settings when they change. While it exists, signals do not end the process.
 class settings_supervisor {
 public:
-    settings_supervisor(std::vector<std::string> arguments, const forward_settings& settings,
-                        front::front_daemon& daemon)
+    settings_supervisor(std::vector<std::string> arguments, const forward_settings& settings)
         : arguments_(std::move(arguments)), current_settings_(settings), watch_(settings.file),
-          daemon_(daemon), signals_(loop_, SIGTERM, SIGINT, SIGHUP), timer_(loop_)
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP), timer_(loop_)
     {
+    }
+
+    /// Applies changed settings to `daemon`; returns at the first SIGTERM or SIGINT.
+    void run(front::front_daemon& daemon)
+    {
+        daemon_ = &daemon;
         await_signal();
-        if (!settings.file.empty()) {
+        if (!current_settings_.file.empty()) {
             await_change();
         }
+        loop_.run();
     }
 
-    /// Returns when the daemon shall stop.
-    void run() { loop_.run(); }
-
 private:
     void await_signal()
     {
@@ -102,7 +105,7 @@
             return;
         }
         const bool same = settings == current_settings_;
-        daemon_.reconfigure(settings.front);
+        daemon_->reconfigure(settings.front);
         current_settings_ = std::move(settings);
         logging::log(logging::level::info, "settings read",
                      {{"cause", std::string(cause)}, {"changed", same ? "no" : "yes"}});
@@ -111,7 +114,7 @@
     std::vector<std::string> arguments_;
     forward_settings current_settings_;
     settings_file_watcher watch_;
-    front::front_daemon& daemon_;
+    front::front_daemon* daemon_ = nullptr; // Set while it runs.
     asio::io_context loop_{1};
     asio::signal_set signals_;
     asio::steady_timer timer_;
@@ -136,6 +139,7 @@
         return exit_invalid_settings;
     }
     logging::start(settings.log_level, logging::output::standard_output);
+    settings_supervisor supervisor({arguments.begin(), arguments.end()}, settings);
     auto started = front::front_daemon::start(settings.front, *std::move(site));
     if (!started.ok()) {
         logging::log(logging::level::error, "start failed",
@@ -149,7 +153,7 @@
                   {"callers", core::to_string(daemon->caller_address())},
                   {"ready", core::to_string(daemon->ready_address())},
                   {"store", core::to_string(settings.front.store)}});
-    settings_supervisor({arguments.begin(), arguments.end()}, settings, *daemon).run();
+    supervisor.run(*daemon);
     daemon->drain();
     logging::log(logging::level::info, "stopped");
     logging::stop();
