--- a/tests/forward/daemon_process_test.cpp
+++ b/tests/process/forward_signal_test.cpp
@@ -1,6 +1,7 @@
+#include "process_log.h"
+
 #include "caller.h"
 #include "daemon_fixture.h"
-#include "process_log.h"
 
 #include <harness/child_process.h>
 
@@ -11,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace ej::forward_tests {
+namespace ej::process_tests {
 
 namespace {
 
@@ -19,6 +20,9 @@
 using fleet::signed_answer;
 using fleet::step;
 using fleet::step_kind;
+using forward_tests::caller;
+using forward_tests::daemon_fixture;
+using forward_tests::request;
 using std::chrono::milliseconds;
 
 std::vector<step> serve_later(const std::string& request, int)
@@ -65,4 +69,4 @@
     CHECK(process->wait() == 0);
 }
 
-} // namespace ej::forward_tests
+} // namespace ej::process_tests
--- a/tests/forward/process_log.cpp
+++ b/tests/process/process_log.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <system_error>
 
-namespace ej::forward_tests {
+namespace ej::process_tests {
 
 process_log::process_log()
     : path_(std::filesystem::temp_directory_path() /
@@ -49,4 +49,4 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
-} // namespace ej::forward_tests
+} // namespace ej::process_tests
--- a/tests/forward/process_log.h
+++ b/tests/process/process_log.h
@@ -5,7 +5,7 @@
 #include <filesystem>
 #include <string>
 
-namespace ej::forward_tests {
+namespace ej::process_tests {
 
 /// The log file of a daemon process; removed at the end.
 class process_log {
@@ -30,4 +30,4 @@
     std::filesystem::path path_;
 };
 
-} // namespace ej::forward_tests
+} // namespace ej::process_tests
