--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -21,10 +21,8 @@
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} << 10;
 // Disconnects a caller that does not read its answer.
 constexpr seconds write_timeout{15};
-// Limits for reading and discarding input after the last answer, so that the caller can read that
-// answer.
+// Limit for discarded input, see `linger`.
 constexpr std::size_t max_lingered_bytes = std::size_t{64} << 20;
-constexpr seconds linger_timeout{3};
 
 } // namespace
 
@@ -34,10 +32,12 @@
       output_(socket_, [this](const error_code& error) { written(error); })
 {
     ++context_.callers_open;
+    ++context_.callers_active;
 }
 
 caller_connection::~caller_connection()
 {
+    stop_serving();
     --context_.callers_open;
 }
 
@@ -57,12 +57,16 @@
         }
     });
     await_request();
+    if (!accepts_requests()) {
+        close_if_idle();
+    }
 }
 
 void caller_connection::await_request()
 {
     phase_ = phase::idle;
-    timer_->set(now() + limits().idle_timeout);
+    idle_since_ = now();
+    timer_->set(idle_since_ + limits().idle_timeout);
     if (reader_.buffer().size() > 0) {
         begin_request();
         return;
@@ -97,8 +101,13 @@
     if (phase_ == phase::closed) {
         return;
     }
+    if (error == asio::error::operation_aborted) {
+        wait_stopped();
+        return;
+    }
     if (error) {
-        disconnect();
+        disconnect(error == asio::error::eof ? connection_end::caller_closed
+                                             : connection_end::read_failed);
         return;
     }
     if (phase_ == phase::lingering) {
@@ -147,9 +156,10 @@
 {
     phase_ = phase::answering;
     timer_->clear();
-    keep_alive_ = request.keep_alive && !context_.leaving;
+    keep_alive_ = request.keep_alive;
     chunked_ = request.takes_chunks;
     head_only_ = request.message.method == "HEAD";
+    request_id_ = request.message.header_value(context_.headers.request_id).value_or("");
     read(); // Detects that the caller closes the connection while the request runs.
     call_ = admit(context_, pool_, std::move(request), shared_from_this());
     if (call_ != nullptr) {
@@ -187,11 +197,13 @@
 {
     switch (phase_) {
     case phase::idle:
+        idle_limit_passed();
+        break;
     case phase::lingering:
         close();
         break;
     case phase::answering:
-        disconnect(); // The caller does not read its answer.
+        disconnect(connection_end::write_timeout);
         break;
     case phase::reading:
         send_rejection(status_request_timeout, "request_timeout");
@@ -201,9 +213,21 @@
     }
 }
 
+/// The limit that was in force when the connection became idle has passed. A caller may rely on one
+/// that was raised since; a lowered one applies to later waits.
+void caller_connection::idle_limit_passed()
+{
+    const auto end = idle_since_ + limits().idle_timeout;
+    if (now() < end) {
+        timer_->set(end);
+        return;
+    }
+    stop_waiting(connection_end::idle_timeout);
+}
+
 void caller_connection::abort()
 {
-    close();
+    end(connection_end::call_aborted);
 }
 
 void caller_connection::send(const std::string& text, bool last)
@@ -224,7 +248,7 @@
     }
     timer_->clear();
     if (error) {
-        disconnect();
+        disconnect(connection_end::write_failed);
     }
     else if (phase_ == phase::reading) {
         timer_->set(now() + limits().idle_timeout);
@@ -237,54 +261,25 @@
 void caller_connection::on_answer_sent()
 {
     call_.reset();
-    if (!keep_alive_ || context_.leaving) {
+    ++answered_;
+    if (!keep_alive_) {
+        phase_ = phase::idle;
+        record_end(connection_end::answer_sent);
         linger();
         return;
     }
     await_request();
-}
-
-/// Closes the sending half and keeps reading for a while: closing a socket with unread bytes resets
-/// the connection, and the caller might lose the answer.
-void caller_connection::linger()
-{
-    phase_ = phase::lingering;
-    error_code ignored; // The caller may have closed already.
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    timer_->set(now() + linger_timeout);
-    reader_.buffer().consume(reader_.buffer().size());
-    read();
-}
-
-void caller_connection::disconnect()
-{
-    const auto call = std::exchange(call_, nullptr);
-    close();
-    if (call != nullptr) {
-        call->caller_gone();
-    }
-}
-
-void caller_connection::end_call()
-{
-    if (const auto call = call_) {
-        call->end_now("leaving");
-    }
-}
-
-void caller_connection::close_if_idle()
-{
-    if (phase_ == phase::idle) {
-        close();
+    // The answer announced no close, so the caller may have sent its next request already.
+    if (context_.leaving) {
+        close_if_idle();
     }
 }
 
-void caller_connection::close()
+/// A leaving daemon closes each connection behind an answer that says so, unless a further request
+/// has been read already.
+bool caller_connection::announces_close() const
 {
-    phase_ = phase::closed;
-    timer_->stop();
-    error_code ignored; // The connection is discarded anyway.
-    socket_.close(ignored);
+    return !keep_alive_ || (context_.leaving && reader_.buffer().size() == 0);
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "caller_output.h"
+#include "connection_end.h"
+#include "connection_phase.h"
 #include "forwarded_call.h"
 #include "front_context.h"
 #include "lazy_timer.h"
@@ -9,8 +11,10 @@
 #include "request_reader.h"
 #include "upstream_pool.h"
 
+#include <core/instant.h>
 #include <http/response.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -31,7 +35,7 @@
 
     void start();
 
-    /// Closes the connection if no request is being read or answered.
+    /// Closes the connection if no request has arrived that is not answered yet.
     void close_if_idle();
 
     /// Ends the current call with its final answer now.
@@ -44,8 +48,7 @@
     void abort() override;
 
 private:
-    /// What the connection is doing.
-    enum class phase { idle, reading, answering, lingering, closed };
+    using phase = connection_phase;
 
     void await_request();
     void begin_request();
@@ -56,11 +59,21 @@
     void reject(const error_code& error);
     void send_rejection(unsigned status, std::string_view reason);
     void timed_out();
+    void idle_limit_passed();
     void send(const std::string& text, bool last);
     void written(const error_code& error);
     void on_answer_sent();
+    [[nodiscard]] bool announces_close() const;
+    void stop_waiting(connection_end why);
+    void wait_stopped();
+    void half_close();
+    [[nodiscard]] bool accepts_requests() const;
+    void stop_serving();
+    void begin_linger();
     void linger();
-    void disconnect();
+    void disconnect(connection_end why);
+    void end(connection_end why);
+    void record_end(connection_end why);
     void close();
     [[nodiscard]] forwarding::caller_limits limits() const;
 
@@ -71,13 +84,18 @@
     std::shared_ptr<forwarded_call> call_;
     std::shared_ptr<lazy_timer> timer_;
     phase phase_ = phase::idle;
+    core::instant idle_since_{};
     bool keep_alive_ = true;
     bool chunked_ = true;    // The caller supports chunked answers.
     bool head_only_ = false; // The request was HEAD.
     bool reading_ = false;
+    bool serving_ = true; // Included in `callers_active`.
     caller_output output_;
     bool last_written_ = false; // The last part of the answer has been queued.
     std::size_t lingered_ = 0;
+    connection_end end_of_wait_ = connection_end::idle_timeout; // Cause of a stopped wait.
+    std::string request_id_;                                    // Of the latest whole request.
+    std::uint64_t answered_ = 0;
 };
 
 } // namespace ej::front
--- /dev/null
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -0,0 +1,141 @@
+#include "caller_connection.h"
+#include "clock.h"
+
+#include "connection_log.h"
+
+#include <chrono>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+// Time for the caller to read its last answer and to close the connection.
+constexpr std::chrono::seconds linger_timeout{3};
+
+} // namespace
+
+/// Ends the wait for a request. The read is cancelled rather than the connection closed, since it
+/// may have taken a request whose turn on the lane has not come yet.
+void caller_connection::stop_waiting(connection_end why)
+{
+    end_of_wait_ = why;
+    error_code ignored; // The read ends anyway if the socket has failed.
+    socket_.cancel(ignored);
+}
+
+void caller_connection::wait_stopped()
+{
+    error_code failed; // Shows again in the read.
+    if (socket_.available(failed) > 0 || failed) {
+        read();
+        return;
+    }
+    half_close();
+}
+
+/// Closes the sending half and leaves unread what crosses the close: the caller may send that
+/// again.
+void caller_connection::half_close()
+{
+    record_end(end_of_wait_);
+    begin_linger();
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& error) {
+                           error_code failed;
+                           const bool unread = !error && self->socket_.available(failed) > 0;
+                           if (self->phase_ != phase::closed && !unread) {
+                               self->close();
+                           }
+                       });
+}
+
+/// False once the last calls of a leaving daemon have ended.
+bool caller_connection::accepts_requests() const
+{
+    if (!context_.leaving) {
+        return true;
+    }
+    const auto schedule = *context_.schedule.load();
+    return !schedule || now() < schedule->end;
+}
+
+void caller_connection::stop_serving()
+{
+    if (std::exchange(serving_, false)) {
+        --context_.callers_active;
+    }
+}
+
+void caller_connection::begin_linger()
+{
+    phase_ = phase::lingering;
+    stop_serving();
+    error_code ignored; // The caller may have closed already.
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    timer_->set(now() + linger_timeout);
+}
+
+/// Closes the sending half and keeps reading for a while: closing a socket with unread bytes resets
+/// the connection, and the caller might lose the answer.
+void caller_connection::linger()
+{
+    begin_linger();
+    reader_.buffer().consume(reader_.buffer().size());
+    read();
+}
+
+void caller_connection::disconnect(connection_end why)
+{
+    const auto call = std::exchange(call_, nullptr);
+    end(why);
+    if (call != nullptr) {
+        call->caller_gone();
+    }
+}
+
+void caller_connection::end_call()
+{
+    if (const auto call = call_) {
+        call->end_now("leaving");
+    }
+}
+
+void caller_connection::close_if_idle()
+{
+    if (phase_ == phase::idle) {
+        stop_waiting(connection_end::leaving);
+    }
+}
+
+void caller_connection::end(connection_end why)
+{
+    // The end of a lingering or closed connection has been recorded already.
+    if (phase_ != phase::lingering && phase_ != phase::closed) {
+        record_end(why);
+    }
+    close();
+}
+
+void caller_connection::record_end(connection_end why)
+{
+    error_code failed; // A socket that failed has no unread bytes.
+    const auto unread = socket_.available(failed);
+    const connection_summary ended{phase_, request_id_, answered_, reader_.buffer().size(),
+                                   failed ? 0 : unread};
+    context_.metrics.count(
+        "caller_connections_ended_total",
+        {{"end", std::string(to_string(why))}, {"outstanding", outstanding(ended) ? "yes" : "no"}});
+    log_connection_end(why, ended);
+}
+
+void caller_connection::close()
+{
+    phase_ = phase::closed;
+    stop_serving();
+    timer_->stop();
+    error_code ignored; // The connection is discarded anyway.
+    socket_.close(ignored);
+}
+
+} // namespace ej::front
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -148,27 +148,28 @@
     const auto earliest = began + balancer_notice_time;
     context.schedule.store(shutdown_schedule{earliest, last});
     context.leaving = true;
-    asio::io_context waiting;
-    asio::steady_timer timer(waiting);
-    const auto wait_until = [&](core::instant end, const auto& done) {
+    const auto wait_until = [](core::instant end, const auto& done) {
         while (now() < end && !done()) {
-            timer.expires_after(leave_interval);
-            timer.wait();
+            std::this_thread::sleep_for(leave_interval);
         }
     };
     wait_until(earliest, [] { return false; });
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
-    const auto all_answered = [&] { return context.calls_open == 0; };
+    wait_until(last - answer_margin, [&] { return context.calls_open == 0; });
+    parts_->listener->stop();
+    // A call that begins now would outlast the process, so every further request is refused.
+    context.schedule.store(shutdown_schedule{core::instant::min(), now()});
+    std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
+    const auto all_answered = [&] { return context.callers_active == 0; };
     wait_until(last - answer_margin, all_answered);
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->end_calls(); });
     wait_until(last, all_answered);
-    parts_->listener->stop();
     logging::log(logging::level::info, "left",
                  {{"calls_open", std::to_string(context.calls_open)},
-                  {"callers_open", std::to_string(context.callers_open)}});
+                  {"callers_open", std::to_string(context.callers_open)},
+                  {"callers_active", std::to_string(context.callers_active)}});
     // Allows time for sending the last answers.
-    timer.expires_after(leave_interval);
-    timer.wait();
+    std::this_thread::sleep_for(leave_interval);
 }
 
 core::address front_daemon::caller_address() const
