Log why a call's answer was cut and what its daemon knew then

Callers reported answers that ended early beside a change of the configuration. `call ended` could not tell the possible causes apart: it did not say whether the answer had begun, what the last attempt failed with, which version of the configuration was in force at the end, whether the endpoint was still registered, or how much time was left. A silent engine left no line of its own, and nothing showed whether the engine or the daemon's own lane was late.

`call ended` now carries `cut`, `last_failure`, `rules_now`, `endpoint_listed` and `time_left_ms`; `endpoint silent` carries the silence and the delay of the daemon's timer; the counter `answers_cut_total{reason}` counts answers whose connection was closed before their end.

--- a/libs/caller_front/src/call_log.cpp
+++ b/libs/caller_front/src/call_log.cpp
@@ -13,6 +13,11 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+std::string yes_or_no(bool value)
+{
+    return value ? "yes" : "no";
+}
+
 } // namespace
 
 void log_attempt_begin(const std::string& request, const core::endpoint& endpoint,
@@ -29,7 +34,7 @@
          {"tokens_unread", std::to_string(stats.tokens_unread + stats.others_tokens_unread)},
          {"slowness", std::to_string(stats.slowness)},
          {"behind", added.resume_after ? std::to_string(*added.resume_after) : "start"},
-         {"from_copy", added.memory_from.empty() ? "no" : "yes"},
+         {"from_copy", yes_or_no(!added.memory_from.empty())},
          {"time_left_ms", std::to_string(added.time_left.count())}});
 }
 
@@ -59,22 +64,38 @@
                   {"domain", endpoint.domain.text()}});
 }
 
+void log_silence(const std::string& request, const core::endpoint& endpoint,
+                 const silence_report& seen)
+{
+    logging::log(logging::level::info, "endpoint silent",
+                 {{"request", request},
+                  {"endpoint", endpoint.name.text()},
+                  {"address", core::to_string(endpoint.where)},
+                  {"detail", seen.detail},
+                  {"silent_ms", in_ms(seen.silent_for)},
+                  {"timer_late_ms", in_ms(seen.timer_late)}});
+}
+
 void log_call_end(const std::string& request, const forwarding::route& matched_route,
-                  core::revision rules_version, const std::string& endpoint,
-                  const forwarding::call_progress& progress, std::string_view outcome,
-                  unsigned status, core::duration took)
+                  const std::string& endpoint, const forwarding::call_progress& progress,
+                  const call_end& end)
 {
     logging::log(logging::level::info, "call ended",
                  {{"request", request},
-                  {"outcome", std::string(outcome)},
-                  {"status", std::to_string(status)},
+                  {"outcome", end.outcome},
+                  {"status", std::to_string(end.status)},
+                  {"cut", yes_or_no(end.cut)},
+                  {"last_failure", end.last_failure},
                   {"route", matched_route.name},
-                  {"rules", std::to_string(rules_version.value())},
+                  {"rules", std::to_string(end.rules_at_start.value())},
+                  {"rules_now", std::to_string(end.rules_at_end.value())},
                   {"endpoint", endpoint},
+                  {"endpoint_listed", yes_or_no(end.endpoint_listed)},
                   {"sends", std::to_string(progress.sends)},
                   {"unsent", std::to_string(progress.unsent)},
                   {"runs", std::to_string(progress.runs)},
-                  {"took_ms", in_ms(took)}});
+                  {"took_ms", in_ms(end.took)},
+                  {"time_left_ms", in_ms(end.time_left)}});
 }
 
 void log_rejection(const std::string& request, std::string_view target, std::string_view reason,
--- a/libs/caller_front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "call_end.h"
 #include "request_head.h"
+#include "silence_report.h"
 
 #include <forwarding/attempt_end.h>
 #include <forwarding/call_progress.h>
@@ -28,11 +30,14 @@
 /// Logs that an endpoint died while it served a request.
 void log_death(const std::string& request, const core::endpoint& endpoint);
 
-/// Logs the end of a call, with its route and the version of the configuration in use.
+/// Logs that an endpoint is silent.
+void log_silence(const std::string& request, const core::endpoint& endpoint,
+                 const silence_report& seen);
+
+/// Logs the end of a call, with its route and its last endpoint.
 void log_call_end(const std::string& request, const forwarding::route& matched_route,
-                  core::revision rules_version, const std::string& endpoint,
-                  const forwarding::call_progress& progress, std::string_view outcome,
-                  unsigned status, core::duration took);
+                  const std::string& endpoint, const forwarding::call_progress& progress,
+                  const call_end& end);
 
 /// Logs a request that was rejected without being forwarded.
 void log_rejection(const std::string& request, std::string_view target, std::string_view reason,
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -123,7 +123,7 @@
         environment_.pool, endpoint, environment_.context.headers.request_id, request_id_);
     tried_.insert(endpoint.name);
     tokens_unread_ = size_.prompt_tokens;
-    last_endpoint_ = endpoint.name.text();
+    last_endpoint_ = endpoint;
     log_attempt_begin(request_id_, endpoint, environment_.context.stats.of(endpoint), head);
     environment_.context.stats.begin(endpoint.name, size_.prompt_tokens);
     report_load_change(endpoint.name);
@@ -153,6 +153,7 @@
                                     const std::string& detail)
 {
     release_load(attempt);
+    last_failure_ = detail;
     const auto& endpoint = attempt.endpoint();
     auto& context = environment_.context;
     context.stats.failed(endpoint.name, end, now());
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -147,7 +147,8 @@
     std::weak_ptr<reply_sink> sink_;
     std::shared_ptr<lazy_timer> deadline_timer_;
     std::set<const upstream_attempt*> counted_; // Attempts whose load is included in `standing`.
-    std::string last_endpoint_;
+    std::optional<core::endpoint> last_endpoint_;
+    std::string last_failure_; // Detail of the last failed attempt.
     bool over_ = false;
 };
 
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -46,6 +46,7 @@
     const auto to = sink();
     if (to != nullptr && progress_.delivering) {
         to->abort();
+        environment_.context.metrics.count("answers_cut_total", {{"reason", std::string(reason)}});
     }
     else if (to != nullptr) {
         to->reply(local_reply(status, reason, request_id_, environment_.context.headers));
@@ -75,8 +76,15 @@
     const auto took = now() - request_.arrived;
     environment_.context.metrics.observe("call_seconds",
                                          {{"route", environment_.matched_route.name}}, took);
-    log_call_end(request_id_, environment_.matched_route, environment_.rules->rules().version,
-                 last_endpoint_, progress_, outcome, status, took);
+    const bool listed =
+        last_endpoint_ && environment_.context.endpoints.load()->lists(*last_endpoint_);
+    const auto rules_now = *environment_.context.rules.load();
+    log_call_end(request_id_, environment_.matched_route,
+                 last_endpoint_ ? last_endpoint_->name.text() : std::string(), progress_,
+                 {std::string(outcome), status,
+                  progress_.delivering && outcome.starts_with("failed"), last_failure_, listed,
+                  environment_.rules->rules().version, rules_now->rules().version, took,
+                  time_left()});
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/silence_monitor.cpp
+++ b/libs/caller_front/src/silence_monitor.cpp
@@ -37,7 +37,7 @@
 {
     bounds_ = bounds;
     last_output_ = now();
-    timer_->set(last_output_ + bounds_.probe_after);
+    set_timer(last_output_ + bounds_.probe_after);
 }
 
 void silence_monitor::stop()
@@ -52,24 +52,36 @@
 
 void silence_monitor::check_silence()
 {
-    const auto silent_for = now() - last_output_;
-    if (silent_for >= bounds_.give_up_after) {
+    const auto timer_late = now() - due_;
+    if (now() - last_output_ >= bounds_.give_up_after) {
         stop();
-        on_lost_("no output within the limit");
+        report_lost("no output within the limit", timer_late);
         return;
     }
     if (check_ != nullptr) {
         check_->cancel();
     }
-    check_ = std::make_shared<liveness_check>(pool_, where_, [weak = weak_from_this()](bool alive) {
-        const auto self = weak.lock();
-        if (self != nullptr && !alive) {
-            self->stop();
-            self->on_lost_("endpoint unreachable");
-        }
-    });
+    check_ = std::make_shared<liveness_check>(
+        pool_, where_, [weak = weak_from_this(), timer_late](bool alive) {
+            const auto self = weak.lock();
+            if (self != nullptr && !alive) {
+                self->stop();
+                self->report_lost("endpoint unreachable", timer_late);
+            }
+        });
     check_->start(check_timeout);
-    timer_->set(std::min(now() + bounds_.probe_after, last_output_ + bounds_.give_up_after));
+    set_timer(std::min(now() + bounds_.probe_after, last_output_ + bounds_.give_up_after));
+}
+
+void silence_monitor::set_timer(core::instant due)
+{
+    due_ = due;
+    timer_->set(due);
+}
+
+void silence_monitor::report_lost(const char* detail, core::duration timer_late)
+{
+    on_lost_({detail, now() - last_output_, timer_late});
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/silence_monitor.h
+++ b/libs/caller_front/src/silence_monitor.h
@@ -2,6 +2,7 @@
 
 #include "lazy_timer.h"
 #include "liveness_check.h"
+#include "silence_report.h"
 #include "upstream_pool.h"
 
 #include <forwarding/silence_timeouts.h>
@@ -11,7 +12,6 @@
 
 #include <functional>
 #include <memory>
-#include <string>
 
 namespace ej::front {
 
@@ -20,7 +20,7 @@
 /// Used on one lane.
 class silence_monitor : public std::enable_shared_from_this<silence_monitor> {
 public:
-    using lost_callback = std::function<void(const std::string& detail)>;
+    using lost_callback = std::function<void(const silence_report&)>;
 
     /// `pool` outlives the monitor. `on_lost` is called when the engine counts as lost.
     silence_monitor(upstream_pool& pool, lost_callback on_lost);
@@ -39,12 +39,15 @@
 
 private:
     void check_silence();
+    void set_timer(core::instant due);
+    void report_lost(const char* detail, core::duration timer_late);
 
     upstream_pool& pool_;
     lost_callback on_lost_;
     core::address where_;
     forwarding::silence_timeouts bounds_;
     core::instant last_output_{};
+    core::instant due_{}; // Of `timer_`.
     std::shared_ptr<lazy_timer> timer_;
     std::shared_ptr<liveness_check> check_;
 };
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -1,6 +1,7 @@
 #include "stream_call.h"
 #include "clock.h"
 
+#include "call_log.h"
 #include "local_reply.h"
 
 #include <forwarding/backup_choice.h>
@@ -97,10 +98,11 @@
     if (silence_ == nullptr) {
         const std::weak_ptr<forwarded_call> weak = weak_from_this();
         silence_ = std::make_shared<silence_monitor>(
-            environment_.pool, [this, weak](const std::string& detail) {
+            environment_.pool, [this, weak](const silence_report& seen) {
                 const auto self = weak.lock();
                 if (self != nullptr && !over() && current_ != nullptr) {
-                    abandon_attempt(attempt_end::silent, detail);
+                    log_silence(request_id_, current_->endpoint(), seen);
+                    abandon_attempt(attempt_end::silent, seen.detail);
                 }
             });
     }
