Keep a stream with its silent engine unless another one can continue it

A stream whose engine sent nothing for 1.5 gaps (0.85 of the target before the first event), or took no new connection within 150 ms, gave its attempt up first and asked afterwards whether a further one was allowed. Where the route is not resumable, its attempts were used up, or the retry budget was spent, the answer was cut or failed although the engine would have gone on. With no other engine the request went back to the same one, which read the prompt again each time.

Now `step_after_silence` decides before anything is given up: the stream moves only if its policy allows a further attempt, another engine that is not ejected is available and the budget pays. Otherwise it stays and the question is asked again at each probe, so it still leaves a hung engine as soon as another one is ready. Streams that can never move are not probed, which spares their engines the connections. `endpoint silent` and `silences_total` name the step.

--- a/libs/caller_front/src/call_log.cpp
+++ b/libs/caller_front/src/call_log.cpp
@@ -65,13 +65,14 @@
 }
 
 void log_silence(const std::string& request, const core::endpoint& endpoint,
-                 const silence_report& seen)
+                 const silence_report& seen, forwarding::silence_step step)
 {
     logging::log(logging::level::info, "endpoint silent",
                  {{"request", request},
                   {"endpoint", endpoint.name.text()},
                   {"address", core::to_string(endpoint.where)},
                   {"detail", seen.detail},
+                  {"step", std::string(to_string(step))},
                   {"silent_ms", in_ms(seen.silent_for)},
                   {"timer_late_ms", in_ms(seen.timer_late)}});
 }
--- a/libs/caller_front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -8,6 +8,7 @@
 #include <forwarding/call_progress.h>
 #include <forwarding/endpoint_stats.h>
 #include <forwarding/route.h>
+#include <forwarding/silence_step.h>
 
 #include <core/endpoint.h>
 #include <core/instant.h>
@@ -30,9 +31,9 @@
 /// Logs that an endpoint died while it served a request.
 void log_death(const std::string& request, const core::endpoint& endpoint);
 
-/// Logs that an endpoint is silent.
+/// Logs that an endpoint is silent, and the next step.
 void log_silence(const std::string& request, const core::endpoint& endpoint,
-                 const silence_report& seen);
+                 const silence_report& seen, forwarding::silence_step step);
 
 /// Logs the end of a call, with its route and its last endpoint.
 void log_call_end(const std::string& request, const forwarding::route& matched_route,
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -8,6 +8,7 @@
 
 #include <forwarding/draw_service.h>
 #include <forwarding/retry_policy.h>
+#include <forwarding/step_after_silence.h>
 #include <suspects/verdict.h>
 
 #include <algorithm>
@@ -195,6 +196,19 @@
     return step;
 }
 
+bool forwarded_call::may_move_from(const core::endpoint& endpoint)
+{
+    auto& context = environment_.context;
+    const auto at = now();
+    const bool other_engine = std::ranges::any_of(candidates(true), [&](const auto& one) {
+        return one.what.name != endpoint.name && one.stats.avoid_until <= at;
+    });
+    return forwarding::step_after_silence(progress_, environment_.matched_route, other_engine) ==
+               forwarding::silence_step::move &&
+           context.suspects.evaluate(digest_, at) != suspects::verdict::refuse &&
+           context.budget.take(service_, context.daemons, at);
+}
+
 bool forwarded_call::trusted(const answer_parser& answer) const
 {
     const auto& names = environment_.context.headers;
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -94,6 +94,10 @@
     /// last one failed to connect.
     [[nodiscard]] forwarding::next_step decide(forwarding::attempt_end end);
 
+    /// True if an attempt at the silent `endpoint` should be abandoned for one at another endpoint,
+    /// which is then charged to the retry budget.
+    [[nodiscard]] bool may_move_from(const core::endpoint& endpoint);
+
     /// True if `answer` has a signature header, whose value is not checked, and echoes the
     /// identifier of this request.
     [[nodiscard]] bool trusted(const answer_parser& answer) const;
--- a/libs/caller_front/src/silence_monitor.cpp
+++ b/libs/caller_front/src/silence_monitor.cpp
@@ -37,7 +37,9 @@
 {
     bounds_ = bounds;
     last_output_ = now();
-    set_timer(last_output_ + bounds_.probe_after);
+    if (timer_ != nullptr) {
+        set_timer(last_output_ + bounds_.probe_after);
+    }
 }
 
 void silence_monitor::stop()
@@ -54,7 +56,7 @@
 {
     const auto timer_late = now() - due_;
     if (now() - last_output_ >= bounds_.give_up_after) {
-        stop();
+        set_timer(now() + bounds_.probe_after);
         report_lost("no output within the limit", timer_late);
         return;
     }
@@ -65,12 +67,12 @@
         pool_, where_, [weak = weak_from_this(), timer_late](bool alive) {
             const auto self = weak.lock();
             if (self != nullptr && !alive) {
-                self->stop();
                 self->report_lost("endpoint unreachable", timer_late);
             }
         });
-    check_->start(check_timeout);
+    // Before the check starts, since its result may stop the monitor.
     set_timer(std::min(now() + bounds_.probe_after, last_output_ + bounds_.give_up_after));
+    check_->start(check_timeout);
 }
 
 void silence_monitor::set_timer(core::instant due)
--- a/libs/caller_front/src/silence_monitor.h
+++ b/libs/caller_front/src/silence_monitor.h
@@ -16,19 +16,20 @@
 namespace ej::front {
 
 /// Monitors an engine that is expected to send. After a period of silence a liveness check opens a
-/// new connection to it; if that fails, or after the maximum silence, the engine counts as lost.
-/// Used on one lane.
+/// new connection to it; if that fails, or after the maximum silence, the engine may be lost. Used
+/// on one lane.
 class silence_monitor : public std::enable_shared_from_this<silence_monitor> {
 public:
     using lost_callback = std::function<void(const silence_report&)>;
 
-    /// `pool` outlives the monitor. `on_lost` is called when the engine counts as lost.
+    /// `pool` outlives the monitor. `on_lost` is called when the engine may be lost, again and
+    /// again until it sends or the monitor is stopped.
     silence_monitor(upstream_pool& pool, lost_callback on_lost);
 
     /// Starts to monitor the engine at `where`.
     void begin(core::address where, const forwarding::silence_timeouts& bounds);
 
-    /// Records output of the engine; `bounds` apply from now on.
+    /// Records output of the engine, which need not be monitored; `bounds` apply from now on.
     void note_output(const forwarding::silence_timeouts& bounds);
 
     /// Stops monitoring until the next `begin`.
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -5,6 +5,7 @@
 #include "local_reply.h"
 
 #include <forwarding/backup_choice.h>
+#include <forwarding/step_after_silence.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -18,6 +19,7 @@
 
 using forwarding::attempt_end;
 using forwarding::next_step;
+using forwarding::silence_step;
 using std::chrono::milliseconds;
 
 constexpr unsigned status_ok = 200;
@@ -95,18 +97,44 @@
     framer_ = event_framer();
     failure_body_.clear();
     current_ = attempt_at(endpoint, std::move(head), connect_timeout);
+    monitor_silence(endpoint);
+}
+
+void stream_call::monitor_silence(const core::endpoint& endpoint)
+{
     if (silence_ == nullptr) {
         const std::weak_ptr<forwarded_call> weak = weak_from_this();
         silence_ = std::make_shared<silence_monitor>(
             environment_.pool, [this, weak](const silence_report& seen) {
                 const auto self = weak.lock();
                 if (self != nullptr && !over() && current_ != nullptr) {
-                    log_silence(request_id_, current_->endpoint(), seen);
-                    abandon_attempt(attempt_end::silent, seen.detail);
+                    handle_silence(seen);
                 }
             });
     }
-    silence_->begin(endpoint.where, bounds());
+    silence_noted_ = false;
+    silence_->note_output(bounds());
+    // Each liveness check takes one of the engine's connections, so it is only made if the stream
+    // could move.
+    if (step_after_silence(progress_, environment_.matched_route, true) == silence_step::move) {
+        silence_->begin(endpoint.where, bounds());
+    }
+}
+
+void stream_call::handle_silence(const silence_report& seen)
+{
+    const auto silent = current_->endpoint();
+    const auto step = may_move_from(silent) ? silence_step::move : silence_step::stay;
+    if (step == silence_step::move || !std::exchange(silence_noted_, true)) {
+        log_silence(request_id_, silent, seen, step);
+        environment_.context.metrics.count("silences_total",
+                                           {{"step", std::string(to_string(step))}});
+    }
+    if (step == silence_step::move) {
+        const auto self = shared_from_this();
+        take_failed(attempt_end::silent, seen.detail);
+        send();
+    }
 }
 
 void stream_call::on_head(upstream_attempt& attempt)
@@ -142,6 +170,7 @@
         return;
     }
     silence_->note_output(bounds());
+    silence_noted_ = false;
     if (framer_.overflowed()) {
         abandon_attempt(attempt_end::spoiled, "event exceeds the size limit");
     }
@@ -224,6 +253,19 @@
 void stream_call::abandon_attempt(attempt_end end, const std::string& detail)
 {
     const auto self = shared_from_this();
+    const auto lost = take_failed(end, detail);
+    const auto step = decide(end);
+    if (step == next_step::send_again) {
+        send();
+    }
+    else {
+        conclude(step, end, lost->answer(), std::move(failure_body_));
+    }
+}
+
+/// Cancels the current attempt and records its failure.
+forwarded_call::attempt_ptr stream_call::take_failed(attempt_end end, const std::string& detail)
+{
     const auto lost = std::exchange(current_, nullptr);
     silence_->stop();
     lost->cancel();
@@ -233,13 +275,7 @@
         // prompt again.
         copy_at_.reset();
     }
-    const auto step = decide(end);
-    if (step == next_step::send_again) {
-        send();
-    }
-    else {
-        conclude(step, end, lost->answer(), std::move(failure_body_));
-    }
+    return lost;
 }
 
 forwarding::silence_timeouts stream_call::bounds() const
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -39,7 +39,10 @@
     [[nodiscard]] std::optional<core::endpoint> choose_copy(const core::endpoint& runner) const;
     void deliver(upstream_attempt& attempt, const std::vector<framed_event>& events);
     void record_pace(const upstream_attempt& attempt, core::duration gap) const;
+    void monitor_silence(const core::endpoint& endpoint);
+    void handle_silence(const silence_report& seen);
     void abandon_attempt(forwarding::attempt_end end, const std::string& detail);
+    attempt_ptr take_failed(forwarding::attempt_end end, const std::string& detail);
     [[nodiscard]] forwarding::silence_timeouts bounds() const;
 
     attempt_ptr current_;
@@ -52,6 +55,7 @@
     std::optional<std::uint64_t> last_event_;
     std::optional<core::endpoint> copy_at_; // Has a copy of the current attempt's memory.
     std::shared_ptr<silence_monitor> silence_;
+    bool silence_noted_ = false; // The current silence was logged.
     std::shared_ptr<lazy_timer> resend_timer_;
 };
 
