Let a late lane read its input before its timers act

Callers saw connections close and answers end although the bytes that would have prevented it had arrived. On a VM with a tenth of a core a lane may stand still between two handlers of one poll. A timer that had expired by that poll then acted on the state before it: an engine counted as silent, a connect as timed out, an idle caller as gone, while the engine's events, the accepted connection or the caller's next request already waited in the kernel.

Before: "a timer of a late lane does not fire before input that arrived earlier is read" fired.

`lazy_timer` now runs its action only after the lane has polled once more since the deadline; the poll hands out input before expired timers.

--- a/libs/caller_front/src/lazy_timer.cpp
+++ b/libs/caller_front/src/lazy_timer.cpp
@@ -14,6 +14,7 @@
 void lazy_timer::set(core::instant deadline)
 {
     deadline_ = deadline;
+    input_polled_ = false;
     if (!armed_ || deadline < *armed_) {
         arm(deadline);
     }
@@ -48,6 +49,12 @@
         arm(*deadline_);
         return;
     }
+    if (!std::exchange(input_polled_, true)) {
+        // A lane that was late may not have seen input that arrived in time. It polls for input
+        // before it looks at expired timers.
+        arm(*deadline_);
+        return;
+    }
     deadline_.reset();
     if (action_) {
         // Copied, since the action may stop the timer, which resets `action_`.
--- a/libs/caller_front/src/lazy_timer.h
+++ b/libs/caller_front/src/lazy_timer.h
@@ -11,7 +11,8 @@
 namespace ej::front {
 
 /// A timer whose deadline moves often. Moving it later costs no system call: the timer fires at the
-/// old deadline and is then armed for the new one. Used on one lane.
+/// old deadline and is then armed for the new one. Input that arrived before the timer ran is
+/// handled before its action. Used on one lane.
 class lazy_timer : public std::enable_shared_from_this<lazy_timer> {
 public:
     /// `action` is called on the lane when the deadline has passed.
@@ -34,6 +35,7 @@
     std::function<void()> action_;
     std::optional<core::instant> deadline_;
     std::optional<core::instant> armed_; // Expiry of the wait that is pending.
+    bool input_polled_ = false;          // The lane has polled its input since the deadline.
 };
 
 } // namespace ej::front
