Count an endpoint that resets a new connection as alive

Callers saw streams leave sound engines, and requests refused as poison. An endpoint accepts a limited number of connections and resets those beyond it. A liveness check over a new connection then depended on the daemon's speed: a fast one saw the connection established, one on a slow VM saw the reset first and counted the engine as unreachable and, after a broken attempt, as dead.

A reset answer shows that a process holds the port.

--- a/libs/caller_front/src/liveness_check.cpp
+++ b/libs/caller_front/src/liveness_check.cpp
@@ -22,21 +22,46 @@
 
 void liveness_check::start(core::duration timeout)
 {
-    error_code error;
-    const auto number = asio::ip::make_address(where_.host, error);
-    if (error) {
-        end(false);
-        return;
-    }
     timer_ = std::make_shared<lazy_timer>(pool_.lane(), [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->end(false);
         }
     });
     timer_->set(now() + timeout);
+    connect();
+}
+
+void liveness_check::connect()
+{
+    error_code error;
+    const auto number = asio::ip::make_address(where_.host, error);
+    if (error) {
+        end(false);
+        return;
+    }
     connection_->socket.async_connect(
         tcp::endpoint(number, where_.port),
-        [self = shared_from_this()](const error_code& failure) { self->end(!failure); });
+        [self = shared_from_this()](const error_code& failure) { self->connected(failure); });
+}
+
+void liveness_check::connected(const error_code& error)
+{
+    if (on_result_ == nullptr) {
+        return;
+    }
+    if (error != asio::error::connection_reset) {
+        end(!error);
+        return;
+    }
+    // A process that ends also resets connections that it has not accepted yet; only one that still
+    // runs resets the next one as well.
+    if (std::exchange(was_reset_, true)) {
+        connection_ = nullptr;
+        end(true);
+        return;
+    }
+    connection_ = std::make_shared<upstream_connection>(pool_.lane());
+    connect();
 }
 
 void liveness_check::end(bool alive)
@@ -46,7 +71,7 @@
         return;
     }
     timer_->stop();
-    if (alive) {
+    if (alive && connection_ != nullptr) {
         error_code ignored; // The options only affect performance.
         connection_->socket.set_option(tcp::no_delay(true), ignored);
         connection_->socket.non_blocking(true, ignored);
--- a/libs/caller_front/src/liveness_check.h
+++ b/libs/caller_front/src/liveness_check.h
@@ -14,7 +14,8 @@
 namespace ej::front {
 
 /// Checks by a new connection whether an endpoint that stopped sending is reachable. The connection
-/// is kept for later requests. Used on one lane.
+/// is kept for later requests. An endpoint that resets the connection is reachable too: it may have
+/// as many as it accepts. Used on one lane.
 class liveness_check : public std::enable_shared_from_this<liveness_check> {
 public:
     using result_callback = std::function<void(bool alive)>;
@@ -28,6 +29,8 @@
     void cancel();
 
 private:
+    void connect();
+    void connected(const error_code& error);
     void end(bool alive);
 
     upstream_pool& pool_;
@@ -35,6 +38,7 @@
     result_callback on_result_;
     upstream_connection_ptr connection_;
     std::shared_ptr<lazy_timer> timer_;
+    bool was_reset_ = false; // The endpoint has reset a connection of this check.
 };
 
 } // namespace ej::front
