Drop a liveness check when its engine sends again

Callers saw streams leave engines that had just sent an event. A liveness check that began during a silence went on after the engine's next output; if its new connection was not established within 150 ms, the engine counted as lost all the same.

Before: "an engine that sends again is not reported lost by a check that began before" reported it lost.

Output now cancels the check that is running: it has answered the check's question.

--- a/libs/caller_front/src/silence_monitor.cpp
+++ b/libs/caller_front/src/silence_monitor.cpp
@@ -37,6 +37,9 @@
 {
     bounds_ = bounds;
     last_output_ = now();
+    if (check_ != nullptr) {
+        std::exchange(check_, nullptr)->cancel();
+    }
     if (timer_ != nullptr) {
         set_timer(last_output_ + bounds_.probe_after);
     }
