Let a begun stream wait for an engine instead of cutting its answer

Callers saw a stream's connection close although its deadline was far and another engine could have gone on a moment later. A stream that had lost its engine, or had left a silent one, was cut at once when its service had no ready engine (a change of registrations or configuration), when all engines were full for nine sends in a row, when 40 connects failed, or when the retry budget was spent at that moment.

Before: the three tests "a stream that was begun is not cut while ..." (no engine is ready, all engines are full, the retry budget is spent) got the events up to the loss and no end.

It still ends at its deadline, when its caller leaves, or when its attempts are used up. `stream waits for an endpoint` and `resume_pauses_total` name the reason.

--- a/libs/caller_front/src/call_log.cpp
+++ b/libs/caller_front/src/call_log.cpp
@@ -77,6 +77,13 @@
                   {"timer_late_ms", in_ms(seen.timer_late)}});
 }
 
+void log_resume_pause(const std::string& request, std::string_view reason, core::duration pause)
+{
+    logging::log(
+        logging::level::info, "stream waits for an endpoint",
+        {{"request", request}, {"reason", std::string(reason)}, {"pause_ms", in_ms(pause)}});
+}
+
 void log_call_end(const std::string& request, const forwarding::route& matched_route,
                   const std::string& endpoint, const forwarding::call_progress& progress,
                   const call_end& end)
--- a/libs/caller_front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -35,6 +35,9 @@
 void log_silence(const std::string& request, const core::endpoint& endpoint,
                  const silence_report& seen, forwarding::silence_step step);
 
+/// Logs that a stream pauses before it is resumed, for `reason`.
+void log_resume_pause(const std::string& request, std::string_view reason, core::duration pause);
+
 /// Logs the end of a call, with its route and its last endpoint.
 void log_call_end(const std::string& request, const forwarding::route& matched_route,
                   const std::string& endpoint, const forwarding::call_progress& progress,
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -181,8 +181,9 @@
     progress_.budget_left = true;
     auto step = policy.after(end, progress_, environment_.matched_route);
     auto& context = environment_.context;
-    if (step == forwarding::next_step::send_again &&
-        context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse) {
+    const bool further =
+        step == forwarding::next_step::send_again || step == forwarding::next_step::wait;
+    if (further && context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse) {
         context.metrics.count("sends_denied_total", {{"reason", "suspect"}});
         return progress_.may_have_run ? forwarding::next_step::fail : forwarding::next_step::refuse;
     }
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -111,8 +111,8 @@
     /// Sends an endpoint's complete answer to the caller.
     void pass_on(const answer_parser& answer, std::string body);
 
-    /// Ends the call according to `step`, which is not `send_again`, after an attempt that ended
-    /// with `end`, `answer` and `body`.
+    /// Ends the call according to `step`, which is neither `send_again` nor `wait`, after an
+    /// attempt that ended with `end`, `answer` and `body`.
     void conclude(forwarding::next_step step, forwarding::attempt_end end,
                   const answer_parser& answer, std::string body);
 
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -5,6 +5,7 @@
 #include "local_reply.h"
 
 #include <forwarding/backup_choice.h>
+#include <forwarding/resume_pause.h>
 #include <forwarding/step_after_silence.h>
 
 #include <absl/strings/str_cat.h>
@@ -69,6 +70,9 @@
     else if (endpoint) {
         send_to(*endpoint, false);
     }
+    else if (progress_.delivering) {
+        wait_to_resume("no_endpoint");
+    }
     else {
         give_up("no_endpoint", status_bad_gateway);
     }
@@ -81,6 +85,32 @@
     resend_timer_->set(now() + resend_pause);
 }
 
+/// Pauses a stream that cannot go on at any engine now. It ends with its deadline.
+void stream_call::wait_to_resume(std::string_view reason)
+{
+    const auto pause = forwarding::resume_pause(pauses_++);
+    log_resume_pause(request_id_, reason, pause);
+    environment_.context.metrics.count("resume_pauses_total", {{"reason", std::string(reason)}});
+    tried_.clear();
+    resend_timer_ = make_timer([this] { resume(); });
+    resend_timer_->set(now() + pause);
+}
+
+void stream_call::resume()
+{
+    auto& context = environment_.context;
+    if (!copy_holder() && candidates(true).empty()) {
+        wait_to_resume("no_endpoint");
+    }
+    else if (!send_allowed_ && !context.budget.take(service_, context.daemons, now())) {
+        wait_to_resume("budget");
+    }
+    else {
+        send_allowed_ = true;
+        send();
+    }
+}
+
 void stream_call::send_to(const core::endpoint& endpoint, bool from_copy)
 {
     request_head head;
@@ -92,7 +122,7 @@
     if (copy_at_) {
         head.backup_at = core::to_string(copy_at_->where);
     }
-    accepted_ = flowing_ = false;
+    accepted_ = flowing_ = send_allowed_ = false;
     from_copy_ = from_copy;
     framer_ = event_framer();
     failure_body_.clear();
@@ -133,6 +163,7 @@
     if (step == silence_step::move) {
         const auto self = shared_from_this();
         take_failed(attempt_end::silent, seen.detail);
+        send_allowed_ = true;
         send();
     }
 }
@@ -208,6 +239,7 @@
                                                 std::exchange(tokens_unread_, 0));
         report_load_change(attempt.endpoint().name);
         environment_.context.stats.succeeded(attempt.endpoint().name);
+        pauses_ = 0;
     }
     const auto to = sink();
     if (to == nullptr) {
@@ -256,8 +288,12 @@
     const auto lost = take_failed(end, detail);
     const auto step = decide(end);
     if (step == next_step::send_again) {
+        send_allowed_ = true;
         send();
     }
+    else if (step == next_step::wait) {
+        wait_to_resume(progress_.budget_left ? to_string(end) : "budget");
+    }
     else {
         conclude(step, end, lost->answer(), std::move(failure_body_));
     }
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -35,6 +35,8 @@
 
     void send_to(const core::endpoint& endpoint, bool from_copy);
     void send_later();
+    void wait_to_resume(std::string_view reason);
+    void resume();
     [[nodiscard]] std::optional<core::endpoint> copy_holder() const;
     [[nodiscard]] std::optional<core::endpoint> choose_copy(const core::endpoint& runner) const;
     void deliver(upstream_attempt& attempt, const std::vector<framed_event>& events);
@@ -57,6 +59,8 @@
     std::shared_ptr<silence_monitor> silence_;
     bool silence_noted_ = false; // The current silence was logged.
     std::shared_ptr<lazy_timer> resend_timer_;
+    std::uint32_t pauses_ = 0;  // Of the stream since its last output.
+    bool send_allowed_ = false; // The next send has been decided on and charged to the budget.
 };
 
 } // namespace ej::front
--- a/libs/forwarding/src/retry_policies.cpp
+++ b/libs/forwarding/src/retry_policies.cpp
@@ -53,11 +53,14 @@
 next_step resumable_policy::after(attempt_end end, const call_progress& progress,
                                   const route& by) const
 {
+    const bool may_run = !progress.expired && progress.runs < by.max_attempts;
     // Sends that certainly did not run come on top of the route's attempts.
-    if (may_send(progress, by.max_attempts + max_sends, max_unsent_stream) &&
-        progress.runs < by.max_attempts) {
+    if (may_run && may_send(progress, by.max_attempts + max_sends, max_unsent_stream)) {
         return next_step::send_again;
     }
+    if (may_run && progress.delivering) {
+        return next_step::wait;
+    }
     if (end == attempt_end::failed && !progress.delivering) {
         return next_step::pass_failure;
     }
--- a/stand_ins/fleet/include/fleet/endpoint_stand_in.h
+++ b/stand_ins/fleet/include/fleet/endpoint_stand_in.h
@@ -38,6 +38,9 @@
     /// Number of connections accepted so far.
     [[nodiscard]] int connections() const { return connections_; }
 
+    /// Ends the current and all further `hold` steps.
+    void release() { released_ = true; }
+
     /// Stops accepting connections and sends nothing more on those that are open.
     void stop_responding();
 
@@ -46,12 +49,14 @@
     void serve(int connection);
     bool run_steps(int connection, const std::vector<step>& steps);
     [[nodiscard]] bool wait(int connection, std::chrono::milliseconds time);
+    [[nodiscard]] bool hold(int connection);
 
     script answer_;
     int listener_;
     core::address address_;
     std::atomic<bool> stopping_{false};
     std::atomic<bool> unresponsive_{false};
+    std::atomic<bool> released_{false};
     std::atomic<int> abandoned_{0};
     std::atomic<int> connections_{0};
     mutable std::mutex mutex_;
--- a/stand_ins/fleet/include/fleet/step_kind.h
+++ b/stand_ins/fleet/include/fleet/step_kind.h
@@ -6,6 +6,7 @@
 enum class step_kind {
     send,
     wait,
+    hold,  ///< Sends nothing until the endpoint's `release` is called.
     close, ///< Closes the connection gracefully.
     reset, ///< Closes the connection with a TCP reset.
     hang   ///< Sends nothing more and keeps the connection open until the endpoint stops.
--- a/stand_ins/fleet/src/endpoint_stand_in.cpp
+++ b/stand_ins/fleet/src/endpoint_stand_in.cpp
@@ -100,6 +100,16 @@
     return !stopping_;
 }
 
+bool endpoint_stand_in::hold(int connection)
+{
+    while (!released_) {
+        if (!wait(connection, poll_interval)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool endpoint_stand_in::run_steps(int connection, const std::vector<step>& steps)
 {
     for (const step& current : steps) {
@@ -117,6 +127,11 @@
                 return false;
             }
             break;
+        case step_kind::hold:
+            if (!hold(connection)) {
+                return false;
+            }
+            break;
         case step_kind::hang:
             return wait(connection, std::chrono::hours(1));
         case step_kind::close:
--- a/tests/forward/call_end_test.cpp
+++ b/tests/forward/call_end_test.cpp
@@ -186,4 +186,73 @@
     CHECK(daemon_fixture::wait_until([&] { return engine.abandoned() == 1; }));
 }
 
+TEST_CASE("a stream that was begun is not cut while no engine is ready")
+{
+    daemon_fixture fixture;
+    endpoint_stand_in engine([](const std::string& text, int) {
+        std::vector<step> steps{{step_kind::send, stream_head(text)}};
+        add_events(steps, 1, last_before_pause);
+        steps.push_back({step_kind::hold, ""});
+        steps.push_back({step_kind::reset, ""});
+        return steps;
+    });
+    fixture.add("i-1", "llm", engine);
+    start(fixture, 1);
+    caller one(fixture.listen_address());
+    one.send(stream_request("/resumed/x"));
+    REQUIRE(one.read_until("word5").find("word5") != std::string::npos);
+    fixture.add("i-1", "llm", engine, "z1", "draining");
+    REQUIRE(fixture.wait_for_endpoints(0));
+    engine.release();
+    REQUIRE(daemon_fixture::wait_until([&] {
+        return fixture.metrics().find("attempts_ended_total{end=\"broken\"} 1\n") !=
+               std::string::npos;
+    }));
+    const endpoint_stand_in other(serve);
+    fixture.add("i-2", "llm", other, "z2");
+    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+}
+
+TEST_CASE("a stream that was begun is not cut while all engines are full")
+{
+    constexpr int refusals = 12; // More than the sends of one request without a pause.
+    daemon_fixture fixture;
+    const endpoint_stand_in engine([](const std::string& text, int number) -> std::vector<step> {
+        if (number == 0) {
+            std::vector<step> steps{{step_kind::send, stream_head(text)}};
+            add_events(steps, 1, last_before_pause);
+            steps.push_back({step_kind::reset, ""});
+            return steps;
+        }
+        if (number <= refusals) {
+            return {{step_kind::send, fleet::signed_answer(text, 503, "full",
+                                                           "Endivejunction-Not-Executed: 1\r\n")}};
+        }
+        return serve(text, number);
+    });
+    fixture.add("i-1", "llm", engine);
+    start(fixture, 1);
+    CHECK(joined_chunks(answer_to(fixture, "/resumed/x")) == whole_stream());
+}
+
+TEST_CASE("a stream that was begun is not cut while the retry budget is spent")
+{
+    daemon_fixture fixture;
+    fixture.settings.budget = {0, 1, milliseconds(500)};
+    const endpoint_stand_in engine([](const std::string& text, int number) {
+        if (number == 2) {
+            return serve(text, number);
+        }
+        // Each engine breaks off after three more events.
+        std::vector<step> steps{{step_kind::send, stream_head(text)}};
+        add_events(steps, first_event(text), first_event(text) + 2);
+        steps.push_back({step_kind::reset, ""});
+        return steps;
+    });
+    fixture.add("i-1", "llm", engine);
+    start(fixture, 1);
+    CHECK(joined_chunks(answer_to(fixture, "/resumed/x")) == whole_stream());
+    CHECK(engine.requests().size() == 3);
+}
+
 } // namespace ej::forward_tests
