--- a/tests/forward/call_end_test.cpp
+++ b/tests/forward/call_end_test.cpp
@@ -255,4 +255,18 @@
     CHECK(engine.requests().size() == 3);
 }
 
+TEST_CASE("an unsigned answer without an end to a stream is abandoned at the size limit")
+{
+    constexpr std::size_t more_than_limit = std::size_t{20} << 20;
+    daemon_fixture fixture;
+    const endpoint_stand_in engine([](const std::string&, int) -> std::vector<step> {
+        return {{step_kind::send, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n"},
+                {step_kind::send, std::string(more_than_limit, 'x')},
+                {step_kind::hang, ""}};
+    });
+    fixture.add("i-1", "llm", engine);
+    start(fixture, 1);
+    CHECK(answer_to(fixture, "/whole/x").find(" 502 ") != std::string::npos);
+}
+
 } // namespace ej::forward_tests
