Count a restarted engine as another one for a silent stream

An engine may start again under the name that it had and then knows nothing of its earlier streams. A stream that was silent on the old connection stayed with it until the deadline, since the only registered engine had the same name.

Before: "a stream leaves a silent engine that has started again under its name" got the events up to the silence and was cut at the deadline.

The incarnation is compared as well. "a stream goes on when its route and service are removed while it runs" is added as a guard; it passed before too.

--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -202,7 +202,9 @@
     auto& context = environment_.context;
     const auto at = now();
     const bool other_engine = std::ranges::any_of(candidates(true), [&](const auto& one) {
-        return one.what.name != endpoint.name && one.stats.avoid_until <= at;
+        const bool same =
+            one.what.name == endpoint.name && one.what.incarnation == endpoint.incarnation;
+        return !same && one.stats.avoid_until <= at;
     });
     return forwarding::step_after_silence(progress_, environment_.matched_route, other_engine) ==
                forwarding::silence_step::move &&
--- a/tests/forward/call_end_test.cpp
+++ b/tests/forward/call_end_test.cpp
@@ -186,6 +186,25 @@
     CHECK(daemon_fixture::wait_until([&] { return engine.abandoned() == 1; }));
 }
 
+TEST_CASE("a stream leaves a silent engine that has started again under its name")
+{
+    daemon_fixture fixture;
+    const endpoint_stand_in engine([](const std::string& text, int) {
+        std::vector<step> steps{{step_kind::send, stream_head(text)}};
+        add_events(steps, 1, last_before_pause);
+        steps.push_back({step_kind::hang, ""});
+        return steps;
+    });
+    fixture.add("i-1", "llm", engine);
+    start(fixture, 1);
+    caller one(fixture.listen_address());
+    one.send(stream_request("/resumed/x"));
+    REQUIRE(one.read_until("word5").find("word5") != std::string::npos);
+    const endpoint_stand_in again(serve);
+    fixture.add("i-1", "llm", again, "z1", "ready", 2);
+    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+}
+
 TEST_CASE("a stream that was begun is not cut while no engine is ready")
 {
     daemon_fixture fixture;
@@ -269,4 +288,29 @@
     CHECK(answer_to(fixture, "/whole/x").find(" 502 ") != std::string::npos);
 }
 
+TEST_CASE("a stream goes on when its route and service are removed while it runs")
+{
+    daemon_fixture fixture;
+    endpoint_stand_in engine([](const std::string& text, int) {
+        std::vector<step> steps{{step_kind::send, stream_head(text)}};
+        add_events(steps, 1, last_before_pause);
+        steps.push_back({step_kind::hold, ""});
+        add_events(steps, last_before_pause + 1, last_event);
+        steps.push_back({step_kind::send, fleet::last_chunk()});
+        return steps;
+    });
+    fixture.add("i-1", "llm", engine);
+    start(fixture, 1);
+    caller one(fixture.listen_address());
+    one.send(stream_request("/resumed/x"));
+    REQUIRE(one.read_until("word5").find("word5") != std::string::npos);
+    fixture.store.put("op/config", R"({"version":2,"routes":[],"services":[]})");
+    REQUIRE(daemon_fixture::wait_until(
+        [&] { return fixture.metrics().find("configuration_version 2\n") != std::string::npos; }));
+    fixture.store.remove("servers/i-1");
+    REQUIRE(fixture.wait_for_endpoints(0));
+    engine.release();
+    CHECK(joined_chunks(one.read_answer()) == whole_stream());
+}
+
 } // namespace ej::forward_tests
