--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -8,6 +8,7 @@
 
 #include <forwarding/draw_service.h>
 #include <forwarding/retry_policy.h>
+#include <forwarding/step_after_silence.h>
 #include <suspects/verdict.h>
 
 #include <algorithm>
@@ -123,7 +124,7 @@
         environment_.pool, endpoint, environment_.context.headers.request_id, request_id_);
     tried_.insert(endpoint.name);
     tokens_unread_ = size_.prompt_tokens;
-    last_endpoint_ = endpoint.name.text();
+    last_endpoint_ = endpoint;
     log_attempt_begin(request_id_, endpoint, environment_.context.stats.of(endpoint), head);
     environment_.context.stats.begin(endpoint.name, size_.prompt_tokens);
     report_load_change(endpoint.name);
@@ -153,6 +154,7 @@
                                     const std::string& detail)
 {
     release_load(attempt);
+    last_failure_ = detail;
     const auto& endpoint = attempt.endpoint();
     auto& context = environment_.context;
     context.stats.failed(endpoint.name, end, now());
@@ -179,8 +181,9 @@
     progress_.budget_left = true;
     auto step = policy.after(end, progress_, environment_.matched_route);
     auto& context = environment_.context;
-    if (step == forwarding::next_step::send_again &&
-        context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse) {
+    const bool further =
+        step == forwarding::next_step::send_again || step == forwarding::next_step::wait;
+    if (further && context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse) {
         context.metrics.count("sends_denied_total", {{"reason", "suspect"}});
         return progress_.may_have_run ? forwarding::next_step::fail : forwarding::next_step::refuse;
     }
@@ -194,6 +197,21 @@
     return step;
 }
 
+bool forwarded_call::may_move_from(const core::endpoint& endpoint)
+{
+    auto& context = environment_.context;
+    const auto at = now();
+    const bool other_engine = std::ranges::any_of(candidates(true), [&](const auto& one) {
+        const bool same =
+            one.what.name == endpoint.name && one.what.incarnation == endpoint.incarnation;
+        return !same && one.stats.avoid_until <= at;
+    });
+    return forwarding::step_after_silence(progress_, environment_.matched_route, other_engine) ==
+               forwarding::silence_step::move &&
+           context.suspects.evaluate(digest_, at) != suspects::verdict::refuse &&
+           context.budget.take(service_, context.daemons, at);
+}
+
 bool forwarded_call::trusted(const answer_parser& answer) const
 {
     const auto& names = environment_.context.headers;
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -94,6 +94,10 @@
     /// last one failed to connect.
     [[nodiscard]] forwarding::next_step decide(forwarding::attempt_end end);
 
+    /// True if an attempt at the silent `endpoint` should be abandoned for one at another endpoint,
+    /// which is then charged to the retry budget.
+    [[nodiscard]] bool may_move_from(const core::endpoint& endpoint);
+
     /// True if `answer` has a signature header, whose value is not checked, and echoes the
     /// identifier of this request.
     [[nodiscard]] bool trusted(const answer_parser& answer) const;
@@ -108,8 +112,8 @@
     /// Sends an endpoint's complete answer to the caller.
     void pass_on(const answer_parser& answer, std::string body);
 
-    /// Ends the call according to `step`, which is not `send_again`, after an attempt that ended
-    /// with `end`, `answer` and `body`.
+    /// Ends the call according to `step`, which is neither `send_again` nor `wait`, after an
+    /// attempt that ended with `end`, `answer` and `body`.
     void conclude(forwarding::next_step step, forwarding::attempt_end end,
                   const answer_parser& answer, std::string body);
 
@@ -148,7 +152,8 @@
     std::weak_ptr<reply_sink> sink_;
     std::shared_ptr<lazy_timer> deadline_timer_;
     std::set<const upstream_attempt*> counted_; // Attempts whose load is included in `standing`.
-    std::string last_endpoint_;
+    std::optional<core::endpoint> last_endpoint_;
+    std::string last_failure_; // Detail of the last failed attempt.
     bool over_ = false;
 };
 
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -1,9 +1,13 @@
 #include "stream_call.h"
 #include "clock.h"
 
+#include "answer_limits.h"
+#include "call_log.h"
 #include "local_reply.h"
 
 #include <forwarding/backup_choice.h>
+#include <forwarding/resume_pause.h>
+#include <forwarding/step_after_silence.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -17,6 +21,7 @@
 
 using forwarding::attempt_end;
 using forwarding::next_step;
+using forwarding::silence_step;
 using std::chrono::milliseconds;
 
 constexpr unsigned status_ok = 200;
@@ -66,6 +71,9 @@
     else if (endpoint) {
         send_to(*endpoint, false);
     }
+    else if (progress_.delivering) {
+        wait_to_resume("no_endpoint");
+    }
     else {
         give_up("no_endpoint", status_bad_gateway);
     }
@@ -78,6 +86,32 @@
     resend_timer_->set(now() + resend_pause);
 }
 
+/// Pauses a stream that cannot go on at any engine now. It ends with its deadline.
+void stream_call::wait_to_resume(std::string_view reason)
+{
+    const auto pause = forwarding::resume_pause(pauses_++);
+    log_resume_pause(request_id_, reason, pause);
+    environment_.context.metrics.count("resume_pauses_total", {{"reason", std::string(reason)}});
+    tried_.clear();
+    resend_timer_ = make_timer([this] { resume(); });
+    resend_timer_->set(now() + pause);
+}
+
+void stream_call::resume()
+{
+    auto& context = environment_.context;
+    if (!copy_holder() && candidates(true).empty()) {
+        wait_to_resume("no_endpoint");
+    }
+    else if (!send_allowed_ && !context.budget.take(service_, context.daemons, now())) {
+        wait_to_resume("budget");
+    }
+    else {
+        send_allowed_ = true;
+        send();
+    }
+}
+
 void stream_call::send_to(const core::endpoint& endpoint, bool from_copy)
 {
     request_head head;
@@ -89,22 +123,50 @@
     if (copy_at_) {
         head.backup_at = core::to_string(copy_at_->where);
     }
-    accepted_ = flowing_ = false;
+    accepted_ = flowing_ = send_allowed_ = false;
     from_copy_ = from_copy;
     framer_ = event_framer();
     failure_body_.clear();
     current_ = attempt_at(endpoint, std::move(head), connect_timeout);
+    monitor_silence(endpoint);
+}
+
+void stream_call::monitor_silence(const core::endpoint& endpoint)
+{
     if (silence_ == nullptr) {
         const std::weak_ptr<forwarded_call> weak = weak_from_this();
         silence_ = std::make_shared<silence_monitor>(
-            environment_.pool, [this, weak](const std::string& detail) {
+            environment_.pool, [this, weak](const silence_report& seen) {
                 const auto self = weak.lock();
                 if (self != nullptr && !over() && current_ != nullptr) {
-                    abandon_attempt(attempt_end::silent, detail);
+                    handle_silence(seen);
                 }
             });
     }
-    silence_->begin(endpoint.where, bounds());
+    silence_noted_ = false;
+    silence_->note_output(bounds());
+    // Each liveness check takes one of the engine's connections, so it is only made if the stream
+    // could move.
+    if (step_after_silence(progress_, environment_.matched_route, true) == silence_step::move) {
+        silence_->begin(endpoint.where, bounds());
+    }
+}
+
+void stream_call::handle_silence(const silence_report& seen)
+{
+    const auto silent = current_->endpoint();
+    const auto step = may_move_from(silent) ? silence_step::move : silence_step::stay;
+    if (step == silence_step::move || !std::exchange(silence_noted_, true)) {
+        log_silence(request_id_, silent, seen, step);
+        environment_.context.metrics.count("silences_total",
+                                           {{"step", std::string(to_string(step))}});
+    }
+    if (step == silence_step::move) {
+        const auto self = shared_from_this();
+        take_failed(attempt_end::silent, seen.detail);
+        send_allowed_ = true;
+        send();
+    }
 }
 
 void stream_call::on_head(upstream_attempt& attempt)
@@ -127,6 +189,9 @@
     const auto gap = now() - silence_->last_output();
     if (!accepted_) {
         failure_body_ += part;
+        if (failure_body_.size() > max_answer_bytes) {
+            abandon_attempt(attempt_end::spoiled, "answer exceeds the size limit");
+        }
         return;
     }
     const auto events = framer_.feed(part);
@@ -140,6 +205,7 @@
         return;
     }
     silence_->note_output(bounds());
+    silence_noted_ = false;
     if (framer_.overflowed()) {
         abandon_attempt(attempt_end::spoiled, "event exceeds the size limit");
     }
@@ -177,6 +243,7 @@
                                                 std::exchange(tokens_unread_, 0));
         report_load_change(attempt.endpoint().name);
         environment_.context.stats.succeeded(attempt.endpoint().name);
+        pauses_ = 0;
     }
     const auto to = sink();
     if (to == nullptr) {
@@ -222,6 +289,23 @@
 void stream_call::abandon_attempt(attempt_end end, const std::string& detail)
 {
     const auto self = shared_from_this();
+    const auto lost = take_failed(end, detail);
+    const auto step = decide(end);
+    if (step == next_step::send_again) {
+        send_allowed_ = true;
+        send();
+    }
+    else if (step == next_step::wait) {
+        wait_to_resume(progress_.budget_left ? to_string(end) : "budget");
+    }
+    else {
+        conclude(step, end, lost->answer(), std::move(failure_body_));
+    }
+}
+
+/// Cancels the current attempt and records its failure.
+forwarded_call::attempt_ptr stream_call::take_failed(attempt_end end, const std::string& detail)
+{
     const auto lost = std::exchange(current_, nullptr);
     silence_->stop();
     lost->cancel();
@@ -231,13 +315,7 @@
         // prompt again.
         copy_at_.reset();
     }
-    const auto step = decide(end);
-    if (step == next_step::send_again) {
-        send();
-    }
-    else {
-        conclude(step, end, lost->answer(), std::move(failure_body_));
-    }
+    return lost;
 }
 
 forwarding::silence_timeouts stream_call::bounds() const
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -35,11 +35,16 @@
 
     void send_to(const core::endpoint& endpoint, bool from_copy);
     void send_later();
+    void wait_to_resume(std::string_view reason);
+    void resume();
     [[nodiscard]] std::optional<core::endpoint> copy_holder() const;
     [[nodiscard]] std::optional<core::endpoint> choose_copy(const core::endpoint& runner) const;
     void deliver(upstream_attempt& attempt, const std::vector<framed_event>& events);
     void record_pace(const upstream_attempt& attempt, core::duration gap) const;
+    void monitor_silence(const core::endpoint& endpoint);
+    void handle_silence(const silence_report& seen);
     void abandon_attempt(forwarding::attempt_end end, const std::string& detail);
+    attempt_ptr take_failed(forwarding::attempt_end end, const std::string& detail);
     [[nodiscard]] forwarding::silence_timeouts bounds() const;
 
     attempt_ptr current_;
@@ -52,7 +57,10 @@
     std::optional<std::uint64_t> last_event_;
     std::optional<core::endpoint> copy_at_; // Has a copy of the current attempt's memory.
     std::shared_ptr<silence_monitor> silence_;
+    bool silence_noted_ = false; // The current silence was logged.
     std::shared_ptr<lazy_timer> resend_timer_;
+    std::uint32_t pauses_ = 0;  // Of the stream since its last output.
+    bool send_allowed_ = false; // The next send has been decided on and charged to the budget.
 };
 
 } // namespace ej::front
