--- a/libs/caller_front/include/caller_front/header_names.h
+++ b/libs/caller_front/include/caller_front/header_names.h
@@ -9,11 +9,12 @@
 /// Names of the header fields that the daemon reads and sets. The defaults are the project's own.
 struct header_names {
     // Set by the caller.
-    std::string request_id = "EJ-Request-Id";    ///< Forwarded; endpoints echo it.
-    std::string deadline_ms = "EJ-Deadline-Ms";  ///< Remaining time; reduced on forwarding.
-    std::string call_size = "EJ-Tokens";         ///< "PROMPT,OUTPUT" in tokens.
-    std::string last_event_id = "Last-Event-ID"; ///< The stream resumes after this event.
-    std::string key_scheme = "Bearer";           ///< Scheme of the Authorization field.
+    std::string request_id = "EJ-Request-Id";     ///< Forwarded; endpoints echo it.
+    std::string deadline_ms = "EJ-Deadline-Ms";   ///< Remaining time; reduced on forwarding.
+    std::string call_size = "EJ-Tokens";          ///< "PROMPT,OUTPUT" in tokens.
+    std::string prompt_parts = "EJ-Prompt-Parts"; ///< "ID:TOKENS,ID:TOKENS", IDs in hexadecimal.
+    std::string last_event_id = "Last-Event-ID";  ///< The stream resumes after this event.
+    std::string key_scheme = "Bearer";            ///< Scheme of the Authorization field.
     // Set by the daemon.
     std::string expected_endpoint = "EJ-Endpoint"; ///< Any other endpoint rejects the request.
     std::string workspace = "EJ-Workspace";
--- a/libs/core/include/core/text.h
+++ b/libs/core/include/core/text.h
@@ -24,13 +24,16 @@
 /// Splits `text` at each `separator`; one part if there is none. The parts are views into `text`.
 [[nodiscard]] std::vector<std::string_view> split(std::string_view text, char separator);
 
+inline constexpr int decimal = 10;
+inline constexpr int hexadecimal = 16;
+
 /// Parses the whole of `text` as a number; empty for any other text or a number out of range.
 template <std::integral Number>
-[[nodiscard]] std::optional<Number> parse_number(std::string_view text)
+[[nodiscard]] std::optional<Number> parse_number(std::string_view text, int base = decimal)
 {
     Number value = 0;
     const auto* const end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    const auto [stop, error] = std::from_chars(text.data(), end, value, base);
     if (error != std::errc{} || stop != end || text.empty()) {
         return std::nullopt;
     }
