free_port is shared by tests that need a fixed port

The soak's own copy moves to the fleet stand-ins: daemons in one test process need fixed ports for their datagrams too, since they register the port that they were given. No change of behaviour.

--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -3,21 +3,18 @@
 #include "soak_fleet.h"
 
 #include <fleet/endpoint_stand_in.h>
+#include <fleet/free_port.h>
 
 #include "caller.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <stdexcept>
 
 namespace ej::soak {
@@ -38,37 +35,6 @@
     return *std::move(result);
 }
 
-// Below the system's ephemeral ports: one of those could be given to another process between the
-// check and the use.
-constexpr std::uint16_t first_port = 12'000;
-constexpr std::uint16_t last_port = 32'000;
-constexpr int port_tries = 100;
-
-/// A currently unused port for sockets of `type` (TCP or UDP).
-std::uint16_t free_port(int type)
-{
-    std::random_device random;
-    std::uniform_int_distribution<std::uint16_t> port_distribution(first_port, last_port);
-    for (int tries = 0; tries < port_tries; ++tries) {
-        const auto port = port_distribution(random);
-        sockaddr_in bind_address{};
-        bind_address.sin_family = AF_INET;
-        bind_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind_address.sin_port = htons(port);
-        const int socket = ::socket(AF_INET, type, 0);
-        if (socket < 0) {
-            break;
-        }
-        const bool bound =
-            ::bind(socket, reinterpret_cast<sockaddr*>(&bind_address), sizeof bind_address) == 0;
-        ::close(socket);
-        if (bound) {
-            return port;
-        }
-    }
-    throw std::runtime_error("found no free port");
-}
-
 core::address local(std::uint16_t port)
 {
     return {"127.0.0.1", port};
@@ -89,9 +55,9 @@
     explicit daemon_slot(boost::asio::io_context& loop) : to_store(loop) {}
 
     loopback_proxy to_store;
-    core::address callers = local(free_port(SOCK_STREAM));
-    core::address ready = local(free_port(SOCK_STREAM));
-    core::address peers = local(free_port(SOCK_DGRAM));
+    core::address callers = local(fleet::free_port(SOCK_STREAM));
+    core::address ready = local(fleet::free_port(SOCK_STREAM));
+    core::address peers = local(fleet::free_port(SOCK_DGRAM));
     std::unique_ptr<harness::child_process> process;
     std::atomic<bool> end_requested{false};
 };
