An endpoint stand-in can crash and start again

The scripted endpoint could reset one connection or stop for good. A step and a function let it crash as a process does: new connections are refused, the open ones are reset, and after a time it accepts connections again at its address, which stays reserved meanwhile. Refusal comes before the resets, so that a check of the endpoint that follows a reset never finds it alive.

--- a/stand_ins/fleet/include/fleet/endpoint_stand_in.h
+++ b/stand_ins/fleet/include/fleet/endpoint_stand_in.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,7 +21,10 @@
     /// Returns the steps that answer `request`, the endpoint's request number `number` (from 0).
     using script = std::function<std::vector<step>(const std::string& request, int number)>;
 
-    explicit endpoint_stand_in(script answer);
+    /// Called on the endpoint's own thread when it accepts connections again after a crash.
+    using restart_callback = std::function<void()>;
+
+    explicit endpoint_stand_in(script answer, restart_callback on_restart = [] {});
     ~endpoint_stand_in();
     endpoint_stand_in(const endpoint_stand_in&) = delete;
     endpoint_stand_in& operator=(const endpoint_stand_in&) = delete;
@@ -41,15 +45,37 @@
     /// Stops accepting connections and sends nothing more on those that are open.
     void stop_responding();
 
+    /// Resets all connections and refuses new ones for `down`, then starts again at the same
+    /// address. Does nothing while the endpoint is down.
+    void crash(std::chrono::milliseconds down);
+
+    /// Number of crashes so far.
+    [[nodiscard]] int crashes() const { return crashes_; }
+
 private:
-    void accept();
-    void serve(int connection);
-    bool run_steps(int connection, const std::vector<step>& steps);
-    [[nodiscard]] bool wait(int connection, std::chrono::milliseconds time);
+    using instant = std::chrono::steady_clock::time_point;
+
+    /// A connection that was accepted after `crashes` crashes.
+    struct accepted {
+        int socket = -1;
+        int crashes = 0;
+    };
+
+    void run_listener();
+    void accept_one();
+    void restart();
+    void serve(const accepted& connection);
+    bool run_steps(const accepted& connection, const std::vector<step>& steps);
+    [[nodiscard]] bool wait(const accepted& connection, std::chrono::milliseconds time);
+    [[nodiscard]] bool lost(const accepted& connection) const;
 
     script answer_;
+    restart_callback on_restart_;
+    int reserved_; ///< Bound to the address all the time, so that no other socket can take it.
     int listener_;
     core::address address_;
+    std::optional<instant> down_until_;
+    std::atomic<int> crashes_{0};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> unresponsive_{false};
     std::atomic<int> abandoned_{0};
--- a/stand_ins/fleet/include/fleet/step_kind.h
+++ b/stand_ins/fleet/include/fleet/step_kind.h
@@ -8,6 +8,7 @@
     wait,
     close, ///< Closes the connection gracefully.
     reset, ///< Closes the connection with a TCP reset.
+    crash, ///< Crashes the endpoint; it accepts connections again after the step's time.
     hang   ///< Sends nothing more and keeps the connection open until the endpoint stops.
 };
 
--- a/stand_ins/fleet/src/endpoint_stand_in.cpp
+++ b/stand_ins/fleet/src/endpoint_stand_in.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <stdexcept>
 #include <utility>
 
@@ -25,25 +26,55 @@
     return text.empty() ? 0 : std::stoul(text);
 }
 
-} // namespace
-
-endpoint_stand_in::endpoint_stand_in(script answer)
-    : answer_(std::move(answer)), listener_(::socket(AF_INET, SOCK_STREAM, 0))
+/// A socket bound to `port` of the loopback address; 0 chooses a free port.
+int bound_socket(std::uint16_t port)
 {
-    if (listener_ < 0) {
-        throw std::runtime_error("cannot create the listening socket of the endpoint");
-    }
+    const int made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // Lets several sockets be bound to the port, of which one listens.
+    const int shared = 1;
     sockaddr_in where{};
     where.sin_family = AF_INET;
     where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    where.sin_port = htons(port);
+    if (made < 0 || ::setsockopt(made, SOL_SOCKET, SO_REUSEADDR, &shared, sizeof shared) != 0 ||
+        ::bind(made, reinterpret_cast<const sockaddr*>(&where), sizeof where) != 0) {
+        throw std::runtime_error("cannot bind the socket of the endpoint");
+    }
+    return made;
+}
+
+std::uint16_t port_of(int socket)
+{
+    sockaddr_in where{};
     socklen_t size = sizeof where;
-    auto* const generic = reinterpret_cast<sockaddr*>(&where);
-    if (::bind(listener_, generic, size) != 0 || ::listen(listener_, backlog) != 0 ||
-        ::getsockname(listener_, generic, &size) != 0) {
-        throw std::runtime_error("cannot bind the listening socket of the endpoint");
+    if (::getsockname(socket, reinterpret_cast<sockaddr*>(&where), &size) != 0) {
+        throw std::runtime_error("cannot read the address of the endpoint");
+    }
+    return ntohs(where.sin_port);
+}
+
+void listen_on(int socket)
+{
+    if (::listen(socket, backlog) != 0) {
+        throw std::runtime_error("cannot listen on the socket of the endpoint");
     }
-    address_ = {"127.0.0.1", ntohs(where.sin_port)};
-    acceptor_ = std::thread([this] { accept(); });
+}
+
+/// Makes the next close of `socket` a TCP reset.
+void reset_on_close(int socket)
+{
+    const linger immediate{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
+}
+
+} // namespace
+
+endpoint_stand_in::endpoint_stand_in(script answer, restart_callback on_restart)
+    : answer_(std::move(answer)), on_restart_(std::move(on_restart)), reserved_(bound_socket(0)),
+      listener_(bound_socket(port_of(reserved_))), address_("127.0.0.1", port_of(reserved_))
+{
+    listen_on(listener_);
+    acceptor_ = std::thread([this] { run_listener(); });
 }
 
 endpoint_stand_in::~endpoint_stand_in()
@@ -56,6 +87,7 @@
     if (!unresponsive_) {
         ::close(listener_);
     }
+    ::close(reserved_);
 }
 
 void endpoint_stand_in::stop_responding()
@@ -70,45 +102,104 @@
     return requests_;
 }
 
-void endpoint_stand_in::accept()
+void endpoint_stand_in::crash(std::chrono::milliseconds down)
+{
+    const std::scoped_lock lock(mutex_);
+    if (down_until_) {
+        return;
+    }
+    down_until_ = std::chrono::steady_clock::now() + down;
+    // Connections are refused before the open ones are reset, so that nobody who sees a reset
+    // still reaches the endpoint.
+    ::shutdown(listener_, SHUT_RDWR);
+    ++crashes_;
+}
+
+bool endpoint_stand_in::lost(const accepted& connection) const
+{
+    return stopping_ || crashes_ != connection.crashes;
+}
+
+void endpoint_stand_in::run_listener()
 {
     while (!stopping_ && !unresponsive_) {
         pollfd descriptor{listener_, POLLIN, 0};
         if (::poll(&descriptor, 1, poll_ms) <= 0 || unresponsive_) {
             continue;
         }
-        const int connection = ::accept(listener_, nullptr, nullptr);
-        if (connection < 0) {
-            continue;
+        if ((descriptor.revents & POLLHUP) != 0) {
+            restart();
+        }
+        else {
+            accept_one();
         }
-        ++connections_;
-        threads_.emplace_back([this, connection] { serve(connection); });
     }
 }
 
-bool endpoint_stand_in::wait(int connection, std::chrono::milliseconds time)
+void endpoint_stand_in::accept_one()
+{
+    const std::scoped_lock lock(mutex_);
+    if (down_until_) {
+        return;
+    }
+    const accepted connection{::accept(listener_, nullptr, nullptr), crashes_};
+    if (connection.socket < 0) {
+        return;
+    }
+    ++connections_;
+    threads_.emplace_back([this, connection] { serve(connection); });
+}
+
+void endpoint_stand_in::restart()
+{
+    instant until;
+    {
+        const std::scoped_lock lock(mutex_);
+        until = down_until_.value_or(instant());
+    }
+    while (!stopping_ && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(poll_interval);
+    }
+    if (stopping_) {
+        return;
+    }
+    {
+        const std::scoped_lock lock(mutex_);
+        ::close(listener_);
+        listener_ = bound_socket(address_.port);
+        listen_on(listener_);
+        down_until_.reset();
+    }
+    on_restart_();
+}
+
+bool endpoint_stand_in::wait(const accepted& connection, std::chrono::milliseconds time)
 {
-    for (std::chrono::milliseconds waited{0}; waited < time && !stopping_;
+    for (std::chrono::milliseconds waited{0}; waited < time && !lost(connection);
          waited += poll_interval) {
-        pollfd descriptor{connection, POLLIN | POLLRDHUP, 0};
+        pollfd descriptor{connection.socket, POLLIN | POLLRDHUP, 0};
         if (::poll(&descriptor, 1, static_cast<int>(poll_interval.count())) > 0 &&
             (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
             ++abandoned_;
             return false;
         }
     }
-    return !stopping_;
+    return !lost(connection);
 }
 
-bool endpoint_stand_in::run_steps(int connection, const std::vector<step>& steps)
+bool endpoint_stand_in::run_steps(const accepted& connection, const std::vector<step>& steps)
 {
     for (const step& current : steps) {
         if (unresponsive_) {
             return wait(connection, std::chrono::hours(1));
         }
+        if (lost(connection)) {
+            return false;
+        }
         switch (current.kind) {
         case step_kind::send:
-            if (::send(connection, current.text.data(), current.text.size(), MSG_NOSIGNAL) < 0) {
+            if (::send(connection.socket, current.text.data(), current.text.size(), MSG_NOSIGNAL) <
+                0) {
                 return false;
             }
             break;
@@ -121,23 +212,24 @@
             return wait(connection, std::chrono::hours(1));
         case step_kind::close:
             return false;
-        case step_kind::reset: {
-            const linger immediate{1, 0};
-            ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
+        case step_kind::reset:
+            reset_on_close(connection.socket);
+            return false;
+        case step_kind::crash:
+            crash(current.time);
             return false;
-        }
         }
     }
     return true;
 }
 
-void endpoint_stand_in::serve(int connection)
+void endpoint_stand_in::serve(const accepted& connection)
 {
     std::string bytes;
     constexpr std::size_t read_bytes = 16'384;
     std::vector<char> buffer(read_bytes);
     bool open = true;
-    while (open && !stopping_) {
+    while (open && !lost(connection)) {
         const auto head_end = bytes.find("\r\n\r\n");
         const auto request_end = head_end == std::string::npos
                                      ? std::string::npos
@@ -154,15 +246,18 @@
             open = run_steps(connection, answer_(request, number));
             continue;
         }
-        pollfd descriptor{connection, POLLIN, 0};
+        pollfd descriptor{connection.socket, POLLIN, 0};
         if (::poll(&descriptor, 1, poll_ms) <= 0) {
             continue;
         }
-        const auto count = ::recv(connection, buffer.data(), buffer.size(), 0);
+        const auto count = ::recv(connection.socket, buffer.data(), buffer.size(), 0);
         open = count > 0;
         bytes.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
     }
-    ::close(connection);
+    if (crashes_ != connection.crashes) {
+        reset_on_close(connection.socket);
+    }
+    ::close(connection.socket);
 }
 
 std::string header_value(const std::string& request, const std::string& name)
