The soak plays a prompt part on which engines crash

Crashes by a part were tested one after another only, not beside kills. With odd seeds from 1001, one generation in ten has a part on which the soak's engines exit; daemons and engines are killed, stopped and drained beside it. Other seeds have the same plans, requests and draws as before. Endpoints that end by themselves are reported now.

--- a/stand_ins/fleet/include/fleet/endpoint_stand_in.h
+++ b/stand_ins/fleet/include/fleet/endpoint_stand_in.h
@@ -102,6 +102,9 @@
 /// The value of header `name` in the text of a request; empty if it is absent. Case-sensitive.
 [[nodiscard]] std::string header_value(const std::string& request, const std::string& name);
 
+/// True if the prompt of `request` has the part `id`, written as the caller wrote it.
+[[nodiscard]] bool has_prompt_part(const std::string& request, const std::string& id);
+
 /// The JSON record that an endpoint registers in the store.
 [[nodiscard]] std::string registration(const std::string& service, const core::address& where,
                                        const std::string& zone, const std::string& state = "ready",
--- a/stand_ins/fleet/src/endpoint_stand_in.cpp
+++ b/stand_ins/fleet/src/endpoint_stand_in.cpp
@@ -1,5 +1,7 @@
 #include <fleet/endpoint_stand_in.h>
 
+#include <core/text.h>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -9,6 +11,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace ej::fleet {
@@ -270,6 +273,14 @@
     return request.substr(start, request.find("\r\n", start) - start);
 }
 
+bool has_prompt_part(const std::string& request, const std::string& id)
+{
+    const auto list = header_value(request, "Endivejunction-Prompt-Prefix");
+    return std::ranges::any_of(core::split(list, ','), [&](std::string_view entry) {
+        return entry.substr(0, entry.find(':')) == id;
+    });
+}
+
 std::string signed_answer(const std::string& request, int status, const std::string& body,
                           const std::string& more)
 {
--- a/tests/forward/engine_group.cpp
+++ b/tests/forward/engine_group.cpp
@@ -1,10 +1,7 @@
 #include "engine_group.h"
 
-#include <core/text.h>
-
 #include <algorithm>
 #include <array>
-#include <string_view>
 #include <utility>
 
 namespace ej::forward_tests {
@@ -53,8 +50,8 @@
 
 bool engine_group::crashes_on(const std::string& request) const
 {
-    return std::ranges::any_of(crashing_parts_,
-                               [&](const auto& part) { return has_part(request, part); });
+    return std::ranges::any_of(
+        crashing_parts_, [&](const auto& part) { return fleet::has_prompt_part(request, part); });
 }
 
 std::vector<step> engine_group::answer(std::size_t number, const std::string& request)
@@ -114,7 +111,7 @@
 {
     const std::scoped_lock lock(mutex_);
     return static_cast<int>(std::ranges::count_if(
-        run_, [&](const std::string& request) { return has_part(request, id); }));
+        run_, [&](const std::string& request) { return fleet::has_prompt_part(request, id); }));
 }
 
 int engine_group::arrivals_of(const std::string& id) const
@@ -131,12 +128,4 @@
     return static_cast<int>(run_.size());
 }
 
-bool has_part(const std::string& request, const std::string& id)
-{
-    const auto list = fleet::header_value(request, "Endivejunction-Prompt-Prefix");
-    return std::ranges::any_of(core::split(list, ','), [&](std::string_view entry) {
-        return entry.substr(0, entry.find(':')) == id;
-    });
-}
-
 } // namespace ej::forward_tests
--- a/tests/forward/engine_group.h
+++ b/tests/forward/engine_group.h
@@ -64,7 +64,4 @@
     std::vector<engine> engines_;
 };
 
-/// True if the prompt of `request` has the part `id`.
-[[nodiscard]] bool has_part(const std::string& request, const std::string& id);
-
 } // namespace ej::forward_tests
--- a/tests/soak/node/main.cpp
+++ b/tests/soak/node/main.cpp
@@ -1,6 +1,8 @@
 // An endpoint of the soak in its own process: an application or a model engine. It appends each run
 // to a file before the run begins, so that the soak can count the runs of a killed endpoint too.
 
+#include "crashing_part.h"
+
 #include <fleet/endpoint_stand_in.h>
 
 #include <boost/program_options.hpp>
@@ -16,6 +18,7 @@
 #include <iostream>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace ej::soak {
@@ -35,6 +38,7 @@
 struct node_settings {
     std::string name;
     bool engine = false;
+    bool crashes = false; ///< Crashes on a prompt part.
     std::string runs;
     double lost_answers = 0; ///< Fraction of requests that run but get no answer.
     double surplus = 0;      ///< Fraction of answers that are sent twice.
@@ -60,6 +64,10 @@
             return {{step_kind::send, not_run(request, 503)}};
         }
         record_run(request);
+        if (settings_.crashes && fleet::has_prompt_part(request, crashing_part)) {
+            std::this_thread::sleep_for(run_time);
+            ::_exit(crash_exit_code);
+        }
         return settings_.engine ? stream(request) : short_answer(request);
     }
 
@@ -131,9 +139,10 @@
     node_settings settings;
     po::options_description options;
     options.add_options()("name", po::value(&settings.name)->required())(
-        "engine", po::bool_switch(&settings.engine))("runs", po::value(&settings.runs)->required())(
-        "lost-answers", po::value(&settings.lost_answers))("surplus", po::value(&settings.surplus))(
-        "shed", po::value(&settings.shed));
+        "engine", po::bool_switch(&settings.engine))("crashes", po::bool_switch(&settings.crashes))(
+        "runs", po::value(&settings.runs)->required())("lost-answers",
+                                                       po::value(&settings.lost_answers))(
+        "surplus", po::value(&settings.surplus))("shed", po::value(&settings.shed));
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
     po::notify(values);
--- a/tests/soak/src/call_log.cpp
+++ b/tests/soak/src/call_log.cpp
@@ -99,6 +99,12 @@
     return found;
 }
 
+std::vector<call_record> call_log::calls() const
+{
+    const std::scoped_lock lock(mutex_);
+    return calls_;
+}
+
 std::string call_log::summary() const
 {
     const std::scoped_lock lock(mutex_);
--- a/tests/soak/src/call_log.h
+++ b/tests/soak/src/call_log.h
@@ -17,6 +17,9 @@
     void add(const call_record& call);
     void add(const kill_record& kill);
 
+    /// All calls so far.
+    [[nodiscard]] std::vector<call_record> calls() const;
+
     /// The violated guarantees, one line each. `runs` maps a request id to its number of runs.
     [[nodiscard]] std::vector<std::string> faults(const std::map<std::string, int>& runs) const;
 
--- a/tests/soak/src/call_record.h
+++ b/tests/soak/src/call_record.h
@@ -14,6 +14,7 @@
 struct call_record {
     std::string id;
     call_kind kind = call_kind::read;
+    bool crashing = false;          ///< Its prompt has the part on which engines crash.
     std::size_t daemon = 0;         ///< Index of the daemon that the request was sent to.
     bool connection_reused = false; ///< Sent on a connection that served an earlier request.
     int status = 0;                 ///< 0: the connection closed before a response head.
--- a/tests/soak/src/caller_pool.cpp
+++ b/tests/soak/src/caller_pool.cpp
@@ -1,11 +1,13 @@
 #include "caller_pool.h"
 
 #include "caller.h"
+#include "crashing_part.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <random>
 #include <stdexcept>
@@ -22,15 +24,31 @@
 constexpr std::array paths{"POST /act/x", "GET /read/x", "POST /gen/x"};
 // On average, one request in this many opens a new connection.
 constexpr int calls_per_connection = 8;
+constexpr std::size_t longest_part_id = 8;
 
-std::string request_of(call_kind kind, const std::string& id)
+// One generation in this many has the crashing part, if engines crash on one.
+constexpr int calls_per_crashing_call = 10;
+
+/// The list of prompt parts: one that all requests share, and a last one of the request's own.
+std::string parts_of(const call_record& call)
+{
+    const auto own = std::to_string(std::hash<std::string>{}(call.id));
+    const auto crashing = call.crashing ? std::string(crashing_part) + ":90," : std::string();
+    return "Endivejunction-Prompt-Prefix: 5c1e07a2:800," + crashing +
+           own.substr(0, longest_part_id) + ":250\r\n";
+}
+
+std::string request_of(const call_record& call, bool with_parts)
 {
     // Prompts and confirmations have distinct bodies; all reads are the same request.
-    const auto body = kind == call_kind::read ? std::string() : "body of " + id;
-    const auto length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    return std::string(paths.at(static_cast<std::size_t>(kind))) +
-           " HTTP/1.1\r\nHost: h.example\r\nEndivejunction-Attempt-Id: " + id +
-           "\r\nAuthorization: Token k1\r\nEndivejunction-Deadline-Ms: 6000\r\n" + length + "\r\n" +
+    const auto body = call.kind == call_kind::read ? std::string() : "body of " + call.id;
+    auto fields = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (with_parts && call.kind == call_kind::generate) {
+        fields += parts_of(call);
+    }
+    return std::string(paths.at(static_cast<std::size_t>(call.kind))) +
+           " HTTP/1.1\r\nHost: h.example\r\nEndivejunction-Attempt-Id: " + call.id +
+           "\r\nAuthorization: Token k1\r\nEndivejunction-Deadline-Ms: 6000\r\n" + fields + "\r\n" +
            body;
 }
 
@@ -72,10 +90,10 @@
 }
 
 /// Sends the request and reads its answer; true if `connection` can be reused.
-bool exchange(forward_tests::caller& connection, call_record& call)
+bool exchange(forward_tests::caller& connection, call_record& call, bool with_parts)
 {
     call.began = std::chrono::steady_clock::now();
-    connection.send(request_of(call.kind, call.id));
+    connection.send(request_of(call, with_parts));
     const auto answer = connection.read_answer();
     call.ended = std::chrono::steady_clock::now();
     check_answer(call, answer);
@@ -147,7 +165,9 @@
         call.kind = static_cast<call_kind>(draw(paths.size()));
         call.daemon = daemon;
         call.connection_reused = connection_reused;
-        if (!exchange(*connection, call)) {
+        call.crashing = system_.engines_crash() && call.kind == call_kind::generate &&
+                        draw(calls_per_crashing_call) == 0;
+        if (!exchange(*connection, call, system_.engines_crash())) {
             connection.reset();
         }
         calls_.add(call);
@@ -163,7 +183,7 @@
     call.daemon = daemon;
     try {
         forward_tests::caller connection(system.callers(daemon));
-        exchange(connection, call);
+        exchange(connection, call, system.engines_crash());
     }
     catch (const std::runtime_error&) {
         call.status = 0; // The daemon does not listen.
--- a/tests/soak/src/fault.cpp
+++ b/tests/soak/src/fault.cpp
@@ -3,6 +3,7 @@
 #include "soak_fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 namespace ej::soak {
@@ -13,8 +14,21 @@
 constexpr std::uint64_t shortest_fault_ms = 100;
 constexpr std::uint64_t longest_fault_ms = 2'000;
 
+// Smaller seeds are replayed as they were before crashing parts existed.
+constexpr std::uint64_t first_seed_with_parts = 1'000;
+
+// Faults beside a crashing part: the promise holds for daemons that reach the store and each other.
+constexpr std::array faults_beside_crashes{
+    fault_kind::kill_daemon,    fault_kind::stop_daemon,          fault_kind::kill_endpoint,
+    fault_kind::drain_endpoint, fault_kind::change_configuration, fault_kind::reload_settings};
+
 } // namespace
 
+bool has_crashing_part(std::uint64_t seed)
+{
+    return seed >= first_seed_with_parts && seed % 2 == 1;
+}
+
 std::vector<fault> make_plan(std::uint64_t seed, std::chrono::milliseconds length)
 {
     std::mt19937_64 random(seed);
@@ -30,6 +44,12 @@
         made.target = draw(soak_fleet::daemon_count * soak_fleet::endpoint_count);
         plan.push_back(made);
     }
+    if (has_crashing_part(seed)) {
+        std::erase_if(plan, [](const fault& one) {
+            return std::ranges::find(faults_beside_crashes, one.kind) ==
+                   faults_beside_crashes.end();
+        });
+    }
     return plan;
 }
 
--- a/tests/soak/src/fault.h
+++ b/tests/soak/src/fault.h
@@ -20,6 +20,9 @@
     friend auto operator<=>(const fault&, const fault&) = default;
 };
 
+/// True if callers send requests with a prompt part on which engines crash during `seed`.
+[[nodiscard]] bool has_crashing_part(std::uint64_t seed);
+
 /// The faults for `seed`, ordered by start time within `length`. Faults may overlap.
 [[nodiscard]] std::vector<fault> make_plan(std::uint64_t seed, std::chrono::milliseconds length);
 
--- a/tests/soak/src/fault_runner.cpp
+++ b/tests/soak/src/fault_runner.cpp
@@ -1,5 +1,7 @@
 #include "fault_runner.h"
 
+#include "crashing_part.h"
+
 #include <signal.h>
 
 #include <array>
@@ -15,6 +17,8 @@
 constexpr milliseconds poll_interval{10};
 // A daemon ends within its grace of 4 s after SIGTERM; the rest is margin for a busy machine.
 constexpr milliseconds end_of_grace{4'500};
+// From an engine's crash to its restart.
+constexpr milliseconds crash_time{1'000};
 
 std::size_t daemon_of(const fault& injected)
 {
@@ -28,8 +32,8 @@
 
 } // namespace
 
-fault_runner::fault_runner(soak_fleet& system, call_log& calls)
-    : system_(system), calls_(calls), start_(std::chrono::steady_clock::now()),
+fault_runner::fault_runner(soak_fleet& system, call_log& calls, crash_log& crashes)
+    : system_(system), calls_(calls), crashes_(crashes), start_(std::chrono::steady_clock::now()),
       daemon_busy_(soak_fleet::daemon_count), endpoint_busy_(soak_fleet::endpoint_count)
 {
 }
@@ -57,6 +61,18 @@
         run_due_ends_until(start_ + injected.at);
         (this->*action_of(injected.kind))(injected);
     }
+    if (!due_.empty()) {
+        run_due_ends_until(due_.rbegin()->first);
+    }
+}
+
+void fault_runner::tend(milliseconds time)
+{
+    run_due_ends_until(std::chrono::steady_clock::now() + time);
+}
+
+void fault_runner::finish()
+{
     while (!due_.empty()) {
         run_due_ends_until(due_.begin()->first);
     }
@@ -70,13 +86,8 @@
             const auto end = due_.extract(due_.begin());
             end.mapped()();
         }
-        for (std::size_t daemon = 0; daemon < soak_fleet::daemon_count; ++daemon) {
-            if (!daemon_busy_[daemon] && system_.daemon_ended_unexpectedly(daemon)) {
-                unexpected_exits_.push_back("daemon " + std::to_string(daemon) +
-                                            " ended by itself");
-                system_.restart_daemon(daemon);
-            }
-        }
+        check_daemons();
+        check_endpoints();
         if (now >= until) {
             return;
         }
@@ -84,6 +95,37 @@
     }
 }
 
+void fault_runner::check_daemons()
+{
+    for (std::size_t daemon = 0; daemon < soak_fleet::daemon_count; ++daemon) {
+        if (!daemon_busy_[daemon] && system_.daemon_ended_unexpectedly(daemon)) {
+            unexpected_exits_.push_back("daemon " + std::to_string(daemon) + " ended by itself");
+            system_.restart_daemon(daemon);
+        }
+    }
+}
+
+void fault_runner::check_endpoints()
+{
+    const fault down{.length = crash_time};
+    for (std::size_t endpoint = 0; endpoint < soak_fleet::endpoint_count; ++endpoint) {
+        const auto code = endpoint_busy_[endpoint] ? std::nullopt : system_.endpoint_exit(endpoint);
+        if (!code) {
+            continue;
+        }
+        if (*code == crash_exit_code) {
+            crashes_.add_crash(std::chrono::steady_clock::now());
+        }
+        else {
+            unexpected_exits_.push_back("endpoint " + std::to_string(endpoint) +
+                                        " ended by itself");
+        }
+        hold_process(
+            endpoint_busy_, endpoint, down, [] {},
+            [this, endpoint] { system_.replace_endpoint(endpoint); });
+    }
+}
+
 void fault_runner::schedule_end(const fault& injected, std::function<void()> end)
 {
     due_.emplace(std::chrono::steady_clock::now() + injected.length, std::move(end));
@@ -124,6 +166,7 @@
         [&] {
             const auto now = std::chrono::steady_clock::now();
             calls_.add(kill_record{daemon, now, now + injected.length});
+            crashes_.add(daemon_outage{daemon, now, now + injected.length});
             system_.signal_daemon(daemon, SIGKILL);
         },
         [this, daemon] { restart(daemon); });
@@ -135,7 +178,12 @@
     fault stop = injected;
     stop.length = end_of_grace;
     hold_process(
-        daemon_busy_, daemon, stop, [&] { system_.signal_daemon(daemon, SIGTERM); },
+        daemon_busy_, daemon, stop,
+        [&] {
+            const auto now = std::chrono::steady_clock::now();
+            crashes_.add(daemon_outage{daemon, now, now + stop.length});
+            system_.signal_daemon(daemon, SIGTERM);
+        },
         [this, daemon] { restart(daemon); });
 }
 
--- a/tests/soak/src/fault_runner.h
+++ b/tests/soak/src/fault_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_log.h"
+#include "crash_log.h"
 #include "fault.h"
 #include "loopback_proxy.h"
 #include "proxy_mode.h"
@@ -18,12 +19,18 @@
 /// Injects the faults of a plan. Not thread-safe.
 class fault_runner {
 public:
-    /// `system` and `calls` must outlive the runner.
-    fault_runner(soak_fleet& system, call_log& calls);
+    /// `system`, `calls` and `crashes` must outlive the runner.
+    fault_runner(soak_fleet& system, call_log& calls, crash_log& crashes);
 
-    /// Injects the faults of `plan`; returns when all of them have ended and every process runs.
+    /// Injects the faults of `plan`; returns when all of them have ended.
     void play(const std::vector<fault>& plan);
 
+    /// Restarts processes that end, for `time`.
+    void tend(std::chrono::milliseconds time);
+
+    /// Returns when every process runs; to be called once nothing makes them end any more.
+    void finish();
+
     /// Descriptions of processes that ended without a signal from the runner or with an error.
     [[nodiscard]] const std::vector<std::string>& unexpected_exits() const
     {
@@ -66,9 +73,12 @@
                       const std::function<void()>& begin, std::function<void()> end);
     void restart(std::size_t daemon);
     void run_due_ends_until(instant until);
+    void check_daemons();
+    void check_endpoints();
 
     soak_fleet& system_;
     call_log& calls_;
+    crash_log& crashes_;
     instant start_;
     std::multimap<instant, std::function<void()>> due_;
     std::vector<bool> daemon_busy_;
--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -3,6 +3,7 @@
 
 #include "call_log.h"
 #include "caller_pool.h"
+#include "crash_log.h"
 #include "fault.h"
 #include "fault_runner.h"
 #include "soak_fleet.h"
@@ -18,7 +19,6 @@
 #include <iostream>
 #include <random>
 #include <stdexcept>
-#include <thread>
 
 namespace ej::soak {
 
@@ -84,28 +84,32 @@
     const auto folder = settings.failed_logs_folder + "/" + std::to_string(seed);
     std::filesystem::remove_all(folder);
     call_log calls;
+    crash_log crashes;
     std::vector<std::string> faults;
     std::size_t injected = 0;
     {
-        soak_fleet system(settings.programs, folder);
+        soak_fleet system(settings.programs, folder, has_crashing_part(seed));
         if (!system.wait_until_ready()) {
             faults.emplace_back("daemons are not ready");
         }
         const auto plan = make_plan(seed, settings.length);
         injected = plan.size();
-        fault_runner runner(system, calls);
+        fault_runner runner(system, calls, crashes);
         {
             caller_pool callers(system, calls, seed);
             runner.play(plan);
             system.end_all_faults();
-            std::this_thread::sleep_for(recovery);
+            runner.tend(recovery);
         }
+        runner.finish();
         std::ranges::copy(runner.unexpected_exits(), std::back_inserter(faults));
         std::ranges::copy(check_recovery(system, calls), std::back_inserter(faults));
-        std::ranges::copy(calls.faults(system.runs()), std::back_inserter(faults));
+        const auto runs = system.runs();
+        std::ranges::copy(calls.faults(runs), std::back_inserter(faults));
+        std::ranges::copy(crashes.faults(calls.calls(), runs), std::back_inserter(faults));
     }
     std::cout << "seed " << seed << ": " << injected << " faults, " << calls.summary() << ", "
-              << faults.size() << " promises broken\n";
+              << crashes.crashes() << " crashes, " << faults.size() << " promises broken\n";
     for (const std::string& one : faults) {
         std::cout << "  " << one << '\n';
     }
--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -68,12 +68,13 @@
     loopback_proxy proxy;
     std::string name;
     std::string domain;
+    core::address address; ///< As registered.
     bool engine = false;
     std::unique_ptr<harness::child_process> process;
 };
 
-soak_fleet::soak_fleet(std::string programs, std::string folder)
-    : programs_(std::move(programs)), folder_(std::move(folder)),
+soak_fleet::soak_fleet(std::string programs, std::string folder, bool engines_crash)
+    : programs_(std::move(programs)), folder_(std::move(folder)), engines_crash_(engines_crash),
       work_(boost::asio::make_work_guard(loop_))
 {
     std::filesystem::create_directories(folder_);
@@ -152,6 +153,9 @@
     if (slot.engine) {
         arguments.emplace_back("--engine");
     }
+    if (slot.engine && engines_crash_) {
+        arguments.emplace_back("--crashes");
+    }
     slot.process =
         value_or_throw(harness::child_process::start(programs_ + "/soak_node", arguments));
     const auto bind_address =
@@ -160,14 +164,15 @@
         throw std::runtime_error("an endpoint did not print its listen address");
     }
     slot.proxy.forward_to(*bind_address);
+    slot.address = slot.engine && engines_crash_ ? *bind_address : slot.proxy.address();
     register_endpoint(slot, "ready");
 }
 
 void soak_fleet::register_endpoint(const endpoint_slot& one, const std::string& state)
 {
     store_.put("servers/" + one.name,
-               fleet::registration(one.engine ? "llm" : "app", one.proxy.address(), one.domain,
-                                   state, static_cast<long long>(started_endpoints_)));
+               fleet::registration(one.engine ? "llm" : "app", one.address, one.domain, state,
+                                   static_cast<long long>(started_endpoints_)));
 }
 
 bool soak_fleet::wait_until_ready() const
@@ -227,6 +232,12 @@
     endpoints_.at(endpoint)->process->signal(number);
 }
 
+std::optional<int> soak_fleet::endpoint_exit(std::size_t endpoint)
+{
+    auto& process = *endpoints_.at(endpoint)->process;
+    return process.ended() ? std::optional(process.wait()) : std::nullopt;
+}
+
 void soak_fleet::replace_endpoint(std::size_t endpoint)
 {
     const auto old_name = endpoints_.at(endpoint)->name;
--- a/tests/soak/src/soak_fleet.h
+++ b/tests/soak/src/soak_fleet.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,9 +32,10 @@
     static constexpr std::size_t engine_count = 5;
     static constexpr std::size_t endpoint_count = 8; ///< The first `engine_count` are engines.
 
-    /// Starts the programs in the folder `programs`; their logs are written to `folder`.
-    /// Throws std::runtime_error.
-    soak_fleet(std::string programs, std::string folder);
+    /// Starts the programs in the folder `programs`; their logs are written to `folder`. With
+    /// `engines_crash`, engines crash on a prompt part, and no proxy is in front of them: it would
+    /// accept connections for an engine that is down. Throws std::runtime_error.
+    soak_fleet(std::string programs, std::string folder, bool engines_crash);
     ~soak_fleet();
     soak_fleet(const soak_fleet&) = delete;
     soak_fleet& operator=(const soak_fleet&) = delete;
@@ -46,6 +48,9 @@
     /// The address of a daemon for callers. Thread-safe.
     [[nodiscard]] core::address callers(std::size_t daemon) const;
 
+    /// True if engines crash on a prompt part. Thread-safe.
+    [[nodiscard]] bool engines_crash() const { return engines_crash_; }
+
     /// True if the daemon's readiness check succeeds, as a load balancer would test it.
     /// Thread-safe.
     [[nodiscard]] bool ready(std::size_t daemon) const;
@@ -58,6 +63,8 @@
     [[nodiscard]] bool daemon_ended_unexpectedly(std::size_t daemon);
 
     void signal_endpoint(std::size_t endpoint, int number);
+    /// The exit code of the endpoint's process; empty while it runs.
+    [[nodiscard]] std::optional<int> endpoint_exit(std::size_t endpoint);
     /// Starts the endpoint under a new name and registers it, then removes the old entry.
     void replace_endpoint(std::size_t endpoint);
     /// Changes the endpoint's registration to draining.
@@ -86,6 +93,7 @@
 
     std::string programs_;
     std::string folder_;
+    bool engines_crash_;
     boost::asio::io_context loop_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     fleet::store_stand_in store_;
