--- a/tests/forward/crashing_part_test.cpp
+++ b/tests/forward/crashing_part_test.cpp
@@ -87,6 +87,25 @@
     return false;
 }
 
+/// Sends requests that share parts at once and crashes the engines of `domain` before their output.
+std::vector<prompt_outcome> ask_while_crashing(engine_group& engines, const daemon_fixture& at,
+                                               const std::string& domain)
+{
+    constexpr int requests_at_once = 9;
+    const auto before = engines.arrivals();
+    std::vector<std::future<prompt_outcome>> running(requests_at_once);
+    std::ranges::generate(running, [&] {
+        return std::async(std::launch::async, [&] { return ask(at, {shared, other}); });
+    });
+    REQUIRE(daemon_fixture::wait_until(
+        [&] { return engines.arrivals() == before + requests_at_once; }));
+    engines.crash_domain(domain);
+    std::vector<prompt_outcome> outcomes;
+    std::ranges::transform(running, std::back_inserter(outcomes),
+                           [](auto& one) { return one.get(); });
+    return outcomes;
+}
+
 } // namespace
 
 TEST_CASE("requests that share a part on which engines crash and differ otherwise are refused "
@@ -246,23 +265,13 @@
 TEST_CASE("a part that many requests share is not held back when the engines of one failure domain "
           "crash together")
 {
-    constexpr std::size_t requests_at_once = 9;
     daemon_fixture fixture;
     engine_group engines(fixture, {}, std::chrono::milliseconds(300));
     fixture.configure_and_start(engine_group::count);
     for (const auto* const domain : {"z1", "z2", "z3", "z1", "z1"}) {
         wait_until_back(engines, {&fixture});
-        const auto before = engines.arrivals();
-        std::vector<std::future<prompt_outcome>> running(requests_at_once);
-        std::ranges::generate(running, [&] {
-            return std::async(std::launch::async, [&] { return ask(fixture, {shared, other}); });
-        });
-        REQUIRE(daemon_fixture::wait_until(
-            [&] { return engines.arrivals() == before + int(requests_at_once); }));
-        engines.crash_domain(domain);
-        for (auto& one : running) {
-            CHECK(one.get().served());
-        }
+        const auto outcomes = ask_while_crashing(engines, fixture, domain);
+        CHECK(std::ranges::all_of(outcomes, &prompt_outcome::served));
     }
     wait_until_back(engines, {&fixture});
     for (int number = 0; number < requests_sent; ++number) {
