Red test: a resumed stream that ends before its next event looks complete

Callers would see a stream end as complete in the middle: the first engine breaks off inside event 5, and the one that resumes closes its connection after the head of an answer with neither a length nor chunks. The first attempt of a stream is guarded against this, a resumed one isn't: stream_call::on_complete asks whether the call has delivered events, not whether this attempt has.

--- a/tests/forward/unframed_answer_test.cpp
+++ b/tests/forward/unframed_answer_test.cpp
@@ -199,4 +199,24 @@
     CHECK_FALSE(answer_to(fixture, "POST", "/gen/x", "id1").starts_with("HTTP/1.1 200 "));
 }
 
+TEST_CASE(
+    "a stream whose resumed attempt ends unframed before its next event does not look complete")
+{
+    const endpoint_stand_in engine([](const std::string& request, int) -> std::vector<step> {
+        if (resumes_after(request) > 0) {
+            return {
+                {step_kind::send, unframed_head(request, "Content-Type: text/event-stream\r\n")},
+                {step_kind::wait, "", std::chrono::milliseconds(20)},
+                {step_kind::close, ""}};
+        }
+        return cut_stream(request, 9, step_kind::close);
+    });
+    daemon_fixture fixture;
+    fixture.add("i-1", "llm", engine);
+    fixture.configure_and_start(1);
+    const auto answer = answer_to(fixture, "POST", "/gen/x", "id1");
+    CHECK(answer.find("word4") != std::string::npos);
+    CHECK(answer.find("\r\n0\r\n") == std::string::npos);
+}
+
 } // namespace ej::forward_tests
