--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -3,21 +3,18 @@
 #include "soak_fleet.h"
 
 #include <fleet/endpoint_stand_in.h>
+#include <fleet/free_port.h>
 
 #include "caller.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <stdexcept>
 
 namespace ej::soak {
@@ -38,37 +35,6 @@
     return *std::move(result);
 }
 
-// Below the system's ephemeral ports: one of those could be given to another process between the
-// check and the use.
-constexpr std::uint16_t first_port = 12'000;
-constexpr std::uint16_t last_port = 32'000;
-constexpr int port_tries = 100;
-
-/// A currently unused port for sockets of `type` (TCP or UDP).
-std::uint16_t free_port(int type)
-{
-    std::random_device random;
-    std::uniform_int_distribution<std::uint16_t> port_distribution(first_port, last_port);
-    for (int tries = 0; tries < port_tries; ++tries) {
-        const auto port = port_distribution(random);
-        sockaddr_in bind_address{};
-        bind_address.sin_family = AF_INET;
-        bind_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind_address.sin_port = htons(port);
-        const int socket = ::socket(AF_INET, type, 0);
-        if (socket < 0) {
-            break;
-        }
-        const bool bound =
-            ::bind(socket, reinterpret_cast<sockaddr*>(&bind_address), sizeof bind_address) == 0;
-        ::close(socket);
-        if (bound) {
-            return port;
-        }
-    }
-    throw std::runtime_error("found no free port");
-}
-
 core::address local(std::uint16_t port)
 {
     return {"127.0.0.1", port};
@@ -89,9 +55,9 @@
     explicit daemon_slot(boost::asio::io_context& loop) : to_store(loop) {}
 
     loopback_proxy to_store;
-    core::address callers = local(free_port(SOCK_STREAM));
-    core::address ready = local(free_port(SOCK_STREAM));
-    core::address peers = local(free_port(SOCK_DGRAM));
+    core::address callers = local(fleet::free_port(SOCK_STREAM));
+    core::address ready = local(fleet::free_port(SOCK_STREAM));
+    core::address peers = local(fleet::free_port(SOCK_DGRAM));
     std::unique_ptr<harness::child_process> process;
     std::atomic<bool> end_requested{false};
 };
@@ -102,12 +68,13 @@
     loopback_proxy proxy;
     std::string name;
     std::string domain;
+    core::address address; ///< As registered.
     bool engine = false;
     std::unique_ptr<harness::child_process> process;
 };
 
-soak_fleet::soak_fleet(std::string programs, std::string folder)
-    : programs_(std::move(programs)), folder_(std::move(folder)),
+soak_fleet::soak_fleet(std::string programs, std::string folder, bool engines_crash)
+    : programs_(std::move(programs)), folder_(std::move(folder)), engines_crash_(engines_crash),
       work_(boost::asio::make_work_guard(loop_))
 {
     std::filesystem::create_directories(folder_);
@@ -186,6 +153,9 @@
     if (slot.engine) {
         arguments.emplace_back("--engine");
     }
+    if (slot.engine && engines_crash_) {
+        arguments.emplace_back("--crashes");
+    }
     slot.process =
         value_or_throw(harness::child_process::start(programs_ + "/soak_node", arguments));
     const auto bind_address =
@@ -194,14 +164,15 @@
         throw std::runtime_error("an endpoint did not print its listen address");
     }
     slot.proxy.forward_to(*bind_address);
+    slot.address = slot.engine && engines_crash_ ? *bind_address : slot.proxy.address();
     register_endpoint(slot, "ready");
 }
 
 void soak_fleet::register_endpoint(const endpoint_slot& one, const std::string& state)
 {
     store_.put("servers/" + one.name,
-               fleet::registration(one.engine ? "llm" : "app", one.proxy.address(), one.domain,
-                                   state, static_cast<long long>(started_endpoints_)));
+               fleet::registration(one.engine ? "llm" : "app", one.address, one.domain, state,
+                                   static_cast<long long>(started_endpoints_)));
 }
 
 bool soak_fleet::wait_until_ready() const
@@ -261,6 +232,12 @@
     endpoints_.at(endpoint)->process->signal(number);
 }
 
+std::optional<int> soak_fleet::endpoint_exit(std::size_t endpoint)
+{
+    auto& process = *endpoints_.at(endpoint)->process;
+    return process.ended() ? std::optional(process.wait()) : std::nullopt;
+}
+
 void soak_fleet::replace_endpoint(std::size_t endpoint)
 {
     const auto old_name = endpoints_.at(endpoint)->name;
