A resumed stream that ends unframed before its next event goes on elsewhere

Callers got events 1 to 4 of 8 and then the end of a complete answer.

An engine that resumed the stream closed its connection behind the head of an answer with neither a length nor chunks. The check for an answer without any event asked whether the whole call had delivered one, which an earlier attempt had.

--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -266,7 +266,10 @@
         abandon_attempt(end, absl::StrCat("status ", attempt.answer().status()));
         return;
     }
-    if (framer_.within_event() || !progress_.delivering) {
+    // Only the end of its connection ends an unframed answer; without an event it may have been
+    // cut.
+    const bool cut_short = attempt.unframed() && !flowing_;
+    if (framer_.within_event() || !progress_.delivering || cut_short) {
         abandon_attempt(attempt_end::spoiled, "stream ended before its last event was complete");
         return;
     }
