Let a stream leave a silent engine after many refusals

A stream that waited for full engines has made more sends than one round allows. `step_after_silence` then kept it with the engine that took it at last, even if that one fell silent for good, until the deadline.

Before: "a stream that was refused by many full engines may still leave a silent one" got `stay`.

A policy's `wait` also means that a further run is allowed, so the stream may move.

--- a/libs/forwarding/src/step_after_silence.cpp
+++ b/libs/forwarding/src/step_after_silence.cpp
@@ -15,7 +15,8 @@
     abandoned.may_have_run = true;
     abandoned.budget_left = true;
     const auto next = policy_for(by).after(attempt_end::silent, abandoned, by);
-    return other_engine && next == next_step::send_again ? silence_step::move : silence_step::stay;
+    const bool may_go_on = next == next_step::send_again || next == next_step::wait;
+    return other_engine && may_go_on ? silence_step::move : silence_step::stay;
 }
 
 } // namespace ej::forwarding
