--- a/libs/caller_front/src/daemon_record.cpp
+++ b/libs/caller_front/src/daemon_record.cpp
@@ -14,7 +14,7 @@
         return std::nullopt;
     }
     const auto where = core::parse_address(std::string(text.substr(0, space)));
-    if (!where) {
+    if (!where || !core::is_connectable(*where)) {
         return std::nullopt;
     }
     return daemon_record{*where, core::failure_domain_id(std::string(text.substr(space + 1)))};
--- a/libs/core/include/core/address.h
+++ b/libs/core/include/core/address.h
@@ -27,4 +27,8 @@
 /// Parses "host:port" with a port from 0 to 65535. Empty for any other text.
 [[nodiscard]] std::optional<address> parse_address(std::string_view text);
 
+/// True if a connection to `value` is possible: its host is an IP address in digits other than the
+/// unspecified one, and its port is not 0.
+[[nodiscard]] bool is_connectable(const address& value);
+
 } // namespace ej::core
