A liveness check of an address that is no IP address does not crash

What callers would see: the daemon ended if it checked an endpoint whose host is not an IP address. No path leads there today, since such an endpoint never gets a request; registrations with such a host are rejected as well.

Cause: the check ended before its timer existed.

Evidence: the new test ended with SIGSEGV before.

Fix: the timer is stopped only if there is one.

--- a/libs/caller_front/src/liveness_check.cpp
+++ b/libs/caller_front/src/liveness_check.cpp
@@ -45,7 +45,9 @@
     if (on_result == nullptr) {
         return;
     }
-    timer_->stop();
+    if (timer_ != nullptr) {
+        timer_->stop();
+    }
     if (alive) {
         error_code ignored; // The options only affect performance.
         connection_->socket.set_option(tcp::no_delay(true), ignored);
