A chunk extension or trailer without an end is bounded

What callers would see: an endpoint that wrote a chunk extension or a trailer without end held a call until its deadline (504), while the daemon's memory grew by whatever the endpoint wrote.

Cause: the parser limits the header of an answer; it waits for the end of a chunk's line and of the trailer without any limit.

Evidence: tests/forward/endless_answer_test.cpp failed before for both. Bytes that are no answer, empty lines, spaces, an endless head or field, and endless bodies, whole or chunked, ended the attempt before the deadline already; the test holds that for whole calls and streams.

Fix: more than 64 KiB that the parser cannot consume spoil the answer, and the connection is closed.

--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::size_t read_bytes = 8'192;
 
+// Limit for received bytes that the parser cannot consume yet. It limits the header of an answer
+// itself, but neither chunk extensions nor trailers.
+constexpr std::size_t max_unparsed_bytes = 65'536;
+
 // TCP_USER_TIMEOUT: bytes unacknowledged for this long mean that the endpoint has vanished without
 // closing the connection. Allows several round trips between failure domains and one
 // retransmission.
@@ -163,6 +167,10 @@
             return false;
         }
     }
+    if (!parser_->is_done() && buffer.size() > max_unparsed_bytes) {
+        ended(attempt_end::spoiled, "part of the answer exceeds the size limit");
+        return false;
+    }
     if (!parser_->is_header_done()) {
         return true;
     }
