Interim answers and answers to other requests without an end are bounded

What callers would see: an endpoint that wrote interim answers, answers to other requests, or the body of one, without end held a non-idempotent call until its deadline.

Cause: such messages are skipped, without a limit on how many bytes.

Evidence: three cases of tests/forward/endless_answer_test.cpp failed before with 504 instead of 502.

Fix: after 1 MiB of skipped messages the answer counts as spoiled and the connection is closed.

--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -20,6 +20,9 @@
 // itself, but neither chunk extensions nor trailers.
 constexpr std::size_t max_unparsed_bytes = 65'536;
 
+// Limit for the interim answers and the answers to other requests that precede the expected one.
+constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20;
+
 // TCP_USER_TIMEOUT: bytes unacknowledged for this long mean that the endpoint has vanished without
 // closing the connection. Allows several round trips between failure domains and one
 // retransmission.
@@ -159,6 +162,7 @@
         error_code error;
         const auto used = parser_->put(buffer.data(), error);
         buffer.consume(used);
+        message_bytes_ += used;
         if (error == wire::error::need_more) {
             break;
         }
@@ -180,6 +184,11 @@
     if (over_) {
         return false;
     }
+    const bool skipped = parser_->interim() || stale_answer_;
+    if (skipped && skipped_bytes_ + message_bytes_ > max_skipped_bytes) {
+        ended(attempt_end::spoiled, "bytes before the answer exceed the size limit");
+        return false;
+    }
     auto part = parser_->take_body();
     if (!part.empty() && !stale_answer_) {
         if (const auto listener = listener_.lock()) {
@@ -189,7 +198,8 @@
     if (over_ || !parser_->is_done()) {
         return !over_;
     }
-    if (parser_->interim() || stale_answer_) {
+    if (skipped) {
+        skipped_bytes_ += std::exchange(message_bytes_, 0);
         parser_ = std::make_unique<answer_parser>();
         parser_->skip(head_only_);
         head_seen_ = stale_answer_ = false;
--- a/libs/caller_front/src/upstream_attempt.h
+++ b/libs/caller_front/src/upstream_attempt.h
@@ -72,6 +72,8 @@
     std::unique_ptr<answer_parser> parser_;
     std::shared_ptr<lazy_timer> connect_timer_;
     core::instant started_{};
+    std::size_t message_bytes_ = 0; // Of the current message.
+    std::size_t skipped_bytes_ = 0; // Of earlier messages, which were not the answer.
     bool head_only_ = false;
     bool reused_ = false; // The connection has carried an earlier request.
     bool sent_ = false;
--- a/tests/forward/endless_answer_test.cpp
+++ b/tests/forward/endless_answer_test.cpp
@@ -31,6 +31,7 @@
     "Endivejunction-Attempt-Id: $id\r\nEndivejunction-Response-Signature: s\r\n";
 const std::string ok = "HTTP/1.1 200 OK\r\n";
 const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+const std::string other_id = "Endivejunction-Attempt-Id: other\r\n";
 const std::string chunk_of_text = "10\r\n0123456789abcdef\r\n";
 
 flooding_endpoint::beginning beginning_of(const flood& one)
@@ -70,6 +71,9 @@
         flood{"bytes that are no answer", "", "x"}, flood{"empty lines", "", "\r\n"},
         flood{"spaces", "", " "}, flood{"fields of a head", ok, "A: b\r\n"},
         flood{"a field without an end", ok + "A: ", "b"},
+        flood{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        flood{"answers to other requests", "", ok + other_id + "Content-Length: 2\r\n\r\nno"},
+        flood{"the body of an answer to another request", ok + other_id + chunked, chunk_of_text},
         flood{"an unsigned body", ok + chunked, chunk_of_text},
         flood{"a signed body", ok + signature_fields + chunked, chunk_of_text},
         flood{"a signed body without a length", ok + signature_fields + "\r\n", "x"},
