An answer that cannot count ends its attempt at its head

What callers would see: a call waited until its deadline for the slow, endless body of an answer without signature or id, although no body could make that answer count.

Cause: an answer was classified only once it was complete.

Evidence: "an unsigned body, slowly" in tests/forward/endless_answer_test.cpp failed before with 504 instead of 502.

Fix: an answer that its head already shows to be spoiled ends the attempt there; the connection is closed and the call goes on as after any spoiled answer.

--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -89,6 +89,13 @@
 void buffered_call::on_head(upstream_attempt& attempt)
 {
     note_load(attempt);
+    // Nothing in the body could change the outcome, and it may have no end.
+    const bool served = attempt.answer().success() && trusted(attempt.answer());
+    if (!served && end_of(attempt) == attempt_end::spoiled) {
+        attempt.cancel();
+        on_end(attempt, attempt_end::spoiled,
+               "status " + std::to_string(attempt.answer().status()));
+    }
 }
 
 void buffered_call::on_body(upstream_attempt& attempt, std::string part)
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -114,6 +114,11 @@
     }
     note_load(attempt);
     accepted_ = attempt.answer().status() == status_ok && trusted(attempt.answer());
+    // Nothing in the body could change the outcome, and it may have no end.
+    if (!accepted_ && end_of(attempt) == attempt_end::spoiled) {
+        abandon_attempt(attempt_end::spoiled, absl::StrCat("status ", attempt.answer().status()));
+        return;
+    }
     if (accepted_ && head_.headers.empty()) {
         head_ = {status_ok, answer_fields(attempt.answer().headers()), {}};
     }
--- a/tests/forward/endless_answer_test.cpp
+++ b/tests/forward/endless_answer_test.cpp
@@ -75,6 +75,7 @@
         flood{"answers to other requests", "", ok + other_id + "Content-Length: 2\r\n\r\nno"},
         flood{"the body of an answer to another request", ok + other_id + chunked, chunk_of_text},
         flood{"an unsigned body", ok + chunked, chunk_of_text},
+        flood{"an unsigned body, slowly", ok + "\r\n", "x", milliseconds(20)},
         flood{"a signed body", ok + signature_fields + chunked, chunk_of_text},
         flood{"a signed body without a length", ok + signature_fields + "\r\n", "x"},
         flood{"a chunk extension", ok + signature_fields + chunked + "4;", "a"},
