The body of a stream's failure is bounded like a whole answer

What callers would see: nothing, but an engine in trouble could make the daemon hold the body of a failure in memory without a limit until the silence limit or the deadline ended the attempt.

Cause: the limit of 16 MiB for a buffered answer was applied in whole calls only.

Evidence: by reading; "the body of a failure" and "the body of a refusal" in tests/forward/endless_answer_test.cpp passed before, ended by the silence limit, with no bound on memory.

Fix: the same limit in both kinds of call.

--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -15,9 +15,6 @@
 using forwarding::next_step;
 using std::chrono::milliseconds;
 
-// Limit for a buffered answer; longer ones count as spoiled.
-constexpr std::size_t max_answer_bytes = std::size_t{16} << 20;
-
 // A healthy endpoint accepts a connection within a few round trips; two fifths of the target leave
 // time for another endpoint. Without a target, the bounds below decide.
 constexpr double connect_share_of_target = 0.4;
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -59,6 +59,9 @@
 protected:
     using attempt_ptr = std::shared_ptr<upstream_attempt>;
 
+    /// Limit for a buffered answer; longer ones count as spoiled.
+    static constexpr std::size_t max_answer_bytes = std::size_t{16} << 20;
+
     /// Makes another attempt; the call ends with a refusal or failure if there is no endpoint.
     virtual void send() = 0;
 
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -132,6 +132,9 @@
     const auto gap = now() - silence_->last_output();
     if (!accepted_) {
         failure_body_ += part;
+        if (failure_body_.size() > max_answer_bytes) {
+            abandon_attempt(attempt_end::spoiled, "answer exceeds the size limit");
+        }
         return;
     }
     const auto events = framer_.feed(part);
