Only whole events count as output of a stream

What callers saw: an engine that wrote an event slowly and without end kept its stream open with no output until the deadline; the caller got nothing.

Cause: any byte of the body restarted the time after which a silent engine is given up.

Evidence: "an event without an end, slowly" in tests/forward/endless_answer_test.cpp failed before.

Fix: only bytes that complete an event restart it, so that the stream goes on at another engine.

--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -147,7 +147,10 @@
     if (over() || &attempt != current_.get()) {
         return;
     }
-    silence_->note_output(bounds());
+    // Bytes that complete no event are no output, and may have no end.
+    if (!events.empty()) {
+        silence_->note_output(bounds());
+    }
     if (framer_.overflowed()) {
         abandon_attempt(attempt_end::spoiled, "event exceeds the size limit");
     }
--- a/tests/forward/endless_answer_test.cpp
+++ b/tests/forward/endless_answer_test.cpp
@@ -120,7 +120,9 @@
 TEST_CASE("a stream is served by a second engine when the first writes without end")
 {
     daemon_fixture fixture;
-    const auto one = any_flood();
+    const auto one =
+        GENERATE(any_flood(), flood{"an event without an end, slowly",
+                                    ok + signature_fields + "\r\ndata: ", "x", milliseconds(20)});
     INFO(one.name);
     const flooding_endpoint endpoint(beginning_of(one), one.part, one.interval);
     const endpoint_stand_in sound([](const std::string& text, int) -> std::vector<step> {
