--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -59,6 +59,7 @@
 protected:
     using attempt_ptr = std::shared_ptr<upstream_attempt>;
 
+
     /// Makes another attempt; the call ends with a refusal or failure if there is no endpoint.
     virtual void send() = 0;
 
