Evidence against parts of prompts, across requests

Requests that share one deadly part and are never alike were sent on without end: a suspect is a digest of workspace, target and body, so that no death counted for the next request.

A part is keyed by itself, not by its workspace: an endpoint crashes on the part, whoever sends it. What tells a deadly part from the parts that sound requests share is output: an endpoint crashes as it begins to write, so one output proves all parts of its request. A death that a held part explains counts for no other part. A held part is let through once in growing pauses, at the daemon that owns it.

--- /dev/null
+++ b/libs/suspects/include/suspects/part_hold.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace ej::suspects {
+
+/// State of a part that is held back.
+struct part_hold {
+    std::uint32_t trials = 0; ///< Requests let through since, one after another.
+    core::instant next_trial{};
+
+    friend auto operator<=>(const part_hold&, const part_hold&) = default;
+};
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/include/suspects/part_verdict.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <suspects/part_digest.h>
+#include <suspects/verdict.h>
+
+#include <compare>
+#include <optional>
+
+namespace ej::suspects {
+
+/// How a request with certain parts may run.
+struct part_verdict {
+    verdict how = verdict::run;
+    std::optional<part_digest> held; ///< The part that keeps it from running normally.
+
+    friend auto operator<=>(const part_verdict&, const part_verdict&) = default;
+};
+
+} // namespace ej::suspects
--- /dev/null
+++ b/libs/suspects/src/part_table.cpp
@@ -0,0 +1,292 @@
+#include <suspects/part_table.h>
+
+#include <suspects/independent_deaths.h>
+#include <suspects/trial_pause.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace ej::suspects {
+
+namespace {
+
+// Longer than callers retry a failed request.
+constexpr std::chrono::minutes retention{15};
+
+// Longer than the longest pause between trials, so that a hold ends by a trial, or because requests
+// with the part no longer come.
+constexpr std::chrono::hours hold_retention{2};
+
+// Enough for every policy; bounds the memory of a part.
+constexpr std::size_t max_deaths = 16;
+
+constexpr std::size_t shards = 16;
+constexpr std::size_t capacity_per_shard = part_table::capacity / shards;
+
+/// Evicts the half of the histories that has been out of use for longest, except those of parts
+/// that are held back.
+void evict(std::unordered_map<part_digest, part_history>& histories)
+{
+    std::vector<core::instant> used;
+    for (const auto& [part, known] : histories) {
+        used.push_back(known.used);
+    }
+    const auto middle = used.begin() + static_cast<std::ptrdiff_t>(used.size() / 2);
+    std::ranges::nth_element(used, middle);
+    std::erase_if(histories, [limit = *middle](const auto& entry) {
+        return !entry.second.hold && entry.second.used <= limit;
+    });
+}
+
+part_history& history_of(std::unordered_map<part_digest, part_history>& histories, part_digest part,
+                         core::instant now)
+{
+    if (histories.size() >= capacity_per_shard && !histories.contains(part)) {
+        evict(histories);
+    }
+    part_history& known = histories[part];
+    known.used = std::max(known.used, now);
+    return known;
+}
+
+} // namespace
+
+part_table::part_table(std::unique_ptr<const part_policy> policy) : policy_(std::move(policy)) {}
+
+part_death part_table::record_death(const part_death& reported, core::instant now)
+{
+    std::vector<part_digest> added;
+    const part_death merged = deaths_.with(reported.death, [&](auto& deaths) {
+        const auto [place, is_new] =
+            deaths.try_emplace(reported.death, known_part_death{{reported.death, {}, {}}, now});
+        part_death& known = place->second.what;
+        std::ranges::set_difference(reported.parts, known.parts, std::back_inserter(added));
+        std::vector<part_digest> all;
+        std::ranges::set_union(reported.parts, known.parts, std::back_inserter(all));
+        known.parts = std::move(all);
+        // Daemons may disagree while a registration changes; any order gives the same result.
+        known.domain = std::max(known.domain, reported.domain);
+        return known;
+    });
+    for (const part_digest part : added) {
+        histories_.with(part, [&](auto& histories) {
+            part_history& known = history_of(histories, part, now);
+            const auto place = std::ranges::lower_bound(known.unanswered, reported.death);
+            if (place != known.unanswered.end() && *place == reported.death) {
+                return;
+            }
+            ++known.total;
+            known.last_death = now;
+            if (known.unanswered.size() < max_deaths) {
+                known.unanswered.insert(place, reported.death);
+            }
+        });
+    }
+    return added.empty() ? part_death{reported.death, reported.domain, {}} : merged;
+}
+
+std::vector<part_digest> part_table::record_output(std::span<const part_digest> parts,
+                                                   core::instant now)
+{
+    std::vector<part_digest> cleared;
+    for (const part_digest part : parts) {
+        histories_.with(part, [&](auto& histories) {
+            part_history& known = history_of(histories, part, now);
+            if (!known.unanswered.empty() || known.hold) {
+                cleared.push_back(part);
+            }
+            known.unanswered.clear();
+            known.hold.reset();
+            known.last_output = std::max(known.last_output.value_or(now), now);
+        });
+    }
+    return cleared;
+}
+
+bool part_table::is_held(part_digest part)
+{
+    return histories_.with(part, [&](auto& histories) {
+        const auto found = histories.find(part);
+        return found != histories.end() && found->second.hold.has_value();
+    });
+}
+
+bool part_table::holds_any(std::span<const part_digest> parts)
+{
+    return std::ranges::any_of(parts, [this](part_digest part) { return is_held(part); });
+}
+
+std::vector<known_part_death> part_table::deaths_of(part_digest part)
+{
+    const auto ids = histories_.with(part, [&](auto& histories) -> std::vector<death_id> {
+        const auto found = histories.find(part);
+        return found == histories.end() ? std::vector<death_id>{} : found->second.unanswered;
+    });
+    // The identifiers are copied out of the part's shard first, so that only one lock is held at a
+    // time.
+    std::vector<known_part_death> found;
+    for (const death_id& id : ids) {
+        deaths_.with(id, [&](auto& deaths) {
+            if (const auto known = deaths.find(id); known != deaths.end()) {
+                found.push_back(known->second);
+            }
+        });
+    }
+    return found;
+}
+
+part_evidence part_table::evidence_of(part_digest part, core::instant now)
+{
+    part_evidence known = histories_.with(part, [&](auto& histories) -> part_evidence {
+        const auto found = histories.find(part);
+        if (found == histories.end()) {
+            return {};
+        }
+        part_evidence counted;
+        counted.total = found->second.total;
+        counted.proven = found->second.last_output.has_value();
+        return counted;
+    });
+    auto deaths = deaths_of(part);
+    std::erase_if(deaths, [&](const known_part_death& one) {
+        return one.at + settle_time > now ||
+               std::ranges::any_of(one.what.parts, [&](part_digest other) {
+                   return other != part && is_held(other);
+               });
+    });
+    known.unanswered = static_cast<std::uint32_t>(deaths.size());
+    known.independent = independent_deaths(deaths);
+    known.bursts = bursts_of(deaths);
+    return known;
+}
+
+std::vector<part_digest> part_table::suspected()
+{
+    std::vector<part_digest> found;
+    histories_.for_each_shard([&](const auto& histories) {
+        for (const auto& [part, known] : histories) {
+            if (!known.hold && known.total > 0 && !known.unanswered.empty()) {
+                found.push_back(part);
+            }
+        }
+    });
+    std::ranges::sort(found);
+    return found;
+}
+
+void part_table::hold(part_digest part, core::instant now)
+{
+    histories_.with(part, [&](auto& histories) {
+        part_history& known = history_of(histories, part, now);
+        known.hold = part_hold{0, now + trial_pause(0)};
+    });
+}
+
+std::vector<part_digest> part_table::review(core::instant now)
+{
+    std::vector<part_digest> newly_held;
+    for (;;) {
+        // Parts that occur together share deaths. The ones with the most are held first, since
+        // these then explain the deaths for the others.
+        std::vector<part_digest> strongest;
+        std::uint32_t most = 0;
+        for (const part_digest part : suspected()) {
+            const auto known = evidence_of(part, now);
+            if (!policy_->holds(known) || known.unanswered < most) {
+                continue;
+            }
+            if (known.unanswered > most) {
+                strongest.clear();
+                most = known.unanswered;
+            }
+            strongest.push_back(part);
+        }
+        if (strongest.empty()) {
+            return newly_held;
+        }
+        for (const part_digest part : strongest) {
+            hold(part, now);
+            newly_held.push_back(part);
+        }
+    }
+}
+
+bool part_table::apply_held(const held_part& reported, core::instant now)
+{
+    const core::instant evidence_at = now - reported.since_evidence;
+    if (reported.since_evidence >= hold_retention) {
+        return true;
+    }
+    return histories_.with(reported.part, [&](auto& histories) {
+        part_history& known = history_of(histories, reported.part, evidence_at);
+        if (known.last_output && *known.last_output >= evidence_at) {
+            return false;
+        }
+        const part_hold told{reported.trials, now + reported.until_trial};
+        known.hold = std::max(known.hold.value_or(told), told);
+        known.last_death = std::max(known.last_death.value_or(evidence_at), evidence_at);
+        return true;
+    });
+}
+
+part_verdict part_table::evaluate(std::span<const part_digest> parts, const ownership& owns,
+                                  core::instant now)
+{
+    std::vector<part_digest> held;
+    std::ranges::copy_if(parts, std::back_inserter(held),
+                         [this](part_digest part) { return is_held(part); });
+    if (held.empty()) {
+        return {};
+    }
+    // The failure of a trial with two such parts would not tell which one is to blame.
+    const bool may_try = held.size() == 1 && owns(held.front());
+    const bool tries = histories_.with(held.front(), [&](auto& histories) {
+        part_history& known = history_of(histories, held.front(), now);
+        if (!may_try || !known.hold || now < known.hold->next_trial) {
+            return false;
+        }
+        const auto trials = known.hold->trials + 1;
+        known.hold = part_hold{trials, now + trial_pause(trials)};
+        known.last_death = now;
+        return true;
+    });
+    return {tries ? verdict::isolate : verdict::refuse, held.front()};
+}
+
+std::vector<held_part> part_table::held(core::instant now)
+{
+    std::vector<held_part> found;
+    histories_.for_each_shard([&](const auto& histories) {
+        for (const auto& [part, known] : histories) {
+            if (known.hold) {
+                found.push_back(
+                    {part, known.hold->trials,
+                     std::max(known.hold->next_trial - now, core::duration::zero()),
+                     std::max(now - known.last_death.value_or(now), core::duration::zero())});
+            }
+        }
+    });
+    std::ranges::sort(found);
+    return found;
+}
+
+void part_table::expire(core::instant now)
+{
+    const core::instant limit = now - retention;
+    const core::instant hold_limit = now - hold_retention;
+    deaths_.for_each_shard([&](auto& deaths) {
+        std::erase_if(deaths, [&](const auto& entry) { return entry.second.at <= limit; });
+    });
+    histories_.for_each_shard([&](auto& histories) {
+        std::erase_if(histories, [&](const auto& entry) {
+            // Every daemon dates a hold by its evidence, so that reports of it do not prolong it.
+            const part_history& known = entry.second;
+            return known.hold ? known.last_death.value_or(known.used) <= hold_limit
+                              : known.used <= limit;
+        });
+    });
+}
+
+} // namespace ej::suspects
