--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -76,7 +76,8 @@
 
 private:
     [[nodiscard]] bool is_held(part_digest part);
-    [[nodiscard]] std::vector<known_part_death> deaths_of(part_digest part);
+    [[nodiscard]] std::vector<known_part_death> settled_deaths(core::instant now);
+    [[nodiscard]] part_evidence evidence_among(std::vector<known_part_death> all, part_digest part);
     [[nodiscard]] std::vector<part_digest> suspected();
     void hold(part_digest part, core::instant now);
 
--- a/libs/suspects/src/independent_deaths.cpp
+++ b/libs/suspects/src/independent_deaths.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -13,40 +14,58 @@
 
 constexpr std::chrono::seconds burst_length{1};
 
-std::uint32_t bursts(std::vector<core::instant> times)
+using times = std::vector<core::instant>;
+
+/// The times at which bursts begin.
+times burst_starts(times deaths)
 {
-    std::ranges::sort(times);
-    std::uint32_t count = 0;
-    core::instant end = core::instant::min();
-    for (const core::instant at : times) {
-        if (at >= end) {
-            ++count;
-            end = at + burst_length;
+    std::ranges::sort(deaths);
+    times starts;
+    for (const core::instant at : deaths) {
+        if (starts.empty() || at >= starts.back() + burst_length) {
+            starts.push_back(at);
         }
     }
-    return count;
+    return starts;
 }
 
-} // namespace
+std::ptrdiff_t count_near(const times& deaths, core::instant start)
+{
+    return std::ranges::count_if(deaths, [start](core::instant at) {
+        return at > start - burst_length && at < start + burst_length;
+    });
+}
 
-std::uint32_t independent_deaths(std::span<const known_part_death> deaths)
+std::map<core::failure_domain_id, times> times_by_domain(std::span<const known_part_death> deaths)
 {
-    std::map<core::failure_domain_id, std::vector<core::instant>> times;
+    std::map<core::failure_domain_id, times> found;
     for (const known_part_death& one : deaths) {
-        times[one.what.domain].push_back(one.at);
+        found[one.what.domain].push_back(one.at);
     }
-    std::uint32_t count = 0;
-    for (const auto& [domain, of_domain] : times) {
-        count += bursts(of_domain);
+    return found;
+}
+
+} // namespace
+
+std::uint32_t independent_deaths(std::span<const known_part_death> deaths,
+                                 std::span<const known_part_death> all)
+{
+    auto every = times_by_domain(all);
+    std::ptrdiff_t count = 0;
+    for (const auto& [domain, of_domain] : times_by_domain(deaths)) {
+        const auto& others = every[domain];
+        count += std::ranges::count_if(burst_starts(of_domain), [&](core::instant start) {
+            return 2 * count_near(of_domain, start) >= count_near(others, start);
+        });
     }
-    return count;
+    return static_cast<std::uint32_t>(count);
 }
 
 std::uint32_t bursts_of(std::span<const known_part_death> deaths)
 {
-    std::vector<core::instant> times;
-    std::ranges::transform(deaths, std::back_inserter(times), &known_part_death::at);
-    return bursts(std::move(times));
+    times all;
+    std::ranges::transform(deaths, std::back_inserter(all), &known_part_death::at);
+    return static_cast<std::uint32_t>(burst_starts(std::move(all)).size());
 }
 
 } // namespace ej::suspects
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -118,48 +118,40 @@
     return std::ranges::any_of(parts, [this](part_digest part) { return is_held(part); });
 }
 
-std::vector<known_part_death> part_table::deaths_of(part_digest part)
+std::vector<known_part_death> part_table::settled_deaths(core::instant now)
 {
-    const auto ids = histories_.with(part, [&](auto& histories) -> std::vector<death_id> {
-        const auto found = histories.find(part);
-        return found == histories.end() ? std::vector<death_id>{} : found->second.unanswered;
-    });
-    // The identifiers are copied out of the part's shard first, so that only one lock is held at a
-    // time.
     std::vector<known_part_death> found;
-    for (const death_id& id : ids) {
-        deaths_.with(id, [&](auto& deaths) {
-            if (const auto known = deaths.find(id); known != deaths.end()) {
-                found.push_back(known->second);
+    deaths_.for_each_shard([&](const auto& deaths) {
+        for (const auto& [id, known] : deaths) {
+            if (known.at + settle_time <= now) {
+                found.push_back(known);
             }
-        });
-    }
+        }
+    });
     return found;
 }
 
 part_evidence part_table::evidence_of(part_digest part, core::instant now)
 {
-    part_evidence known = histories_.with(part, [&](auto& histories) -> part_evidence {
+    return evidence_among(settled_deaths(now), part);
+}
+
+part_evidence part_table::evidence_among(std::vector<known_part_death> all, part_digest part)
+{
+    const auto history = histories_.with(part, [&](auto& histories) -> part_history {
         const auto found = histories.find(part);
-        if (found == histories.end()) {
-            return {};
-        }
-        part_evidence counted;
-        counted.total = found->second.total;
-        counted.proven = found->second.last_output.has_value();
-        return counted;
+        return found == histories.end() ? part_history{} : found->second;
     });
-    auto deaths = deaths_of(part);
-    std::erase_if(deaths, [&](const known_part_death& one) {
-        return one.at + settle_time > now ||
-               std::ranges::any_of(one.what.parts, [&](part_digest other) {
-                   return other != part && is_held(other);
-               });
+    std::erase_if(all, [&](const known_part_death& one) {
+        return std::ranges::any_of(
+            one.what.parts, [&](part_digest other) { return other != part && is_held(other); });
     });
-    known.unanswered = static_cast<std::uint32_t>(deaths.size());
-    known.independent = independent_deaths(deaths);
-    known.bursts = bursts_of(deaths);
-    return known;
+    std::vector<known_part_death> own;
+    std::ranges::copy_if(all, std::back_inserter(own), [&](const known_part_death& one) {
+        return std::ranges::binary_search(history.unanswered, one.what.death);
+    });
+    return {history.total, static_cast<std::uint32_t>(own.size()), independent_deaths(own, all),
+            bursts_of(own), history.last_output.has_value()};
 }
 
 std::vector<part_digest> part_table::suspected()
@@ -187,13 +179,14 @@
 std::vector<part_digest> part_table::review(core::instant now)
 {
     std::vector<part_digest> newly_held;
+    const auto deaths = settled_deaths(now);
     for (;;) {
         // Parts that occur together share deaths. The ones with the most are held first, since
         // these then explain the deaths for the others.
         std::vector<part_digest> strongest;
         std::uint32_t most = 0;
         for (const part_digest part : suspected()) {
-            const auto known = evidence_of(part, now);
+            const auto known = evidence_among(deaths, part);
             if (!policy_->holds(known) || known.unanswered < most) {
                 continue;
             }
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -143,6 +143,20 @@
     CHECK(verdict_of(*table, {shared}, start + 2s) == verdict::run);
 }
 
+TEST_CASE("racks that crash one after another do not get a rare part that ran there held back")
+{
+    auto table = make_table();
+    core::instant now = start;
+    for (int number = 0; number < 40; ++number) {
+        const bool with_part = number % 8 == 0;
+        table->record_death(death(number, "d" + std::to_string(number / 8),
+                                  {with_part ? rare : part_digest(100 + std::uint64_t(number))}),
+                            now);
+        now += number % 8 == 7 ? 3s : 100ms;
+    }
+    CHECK(table->review(now).empty());
+}
+
 TEST_CASE("a cut from all failure domains at once does not get a part held back")
 {
     auto table = make_table();
