--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -59,6 +59,10 @@
     [[nodiscard]] part_verdict evaluate(std::span<const part_digest> parts, const ownership& owns,
                                         core::instant now);
 
+    /// True if a request with `parts` may be sent to another endpoint after one has died: none of
+    /// them is held back, or has two deaths and no output so far.
+    [[nodiscard]] bool allows_resend(std::span<const part_digest> parts);
+
     /// True if a part of `parts` is held back.
     [[nodiscard]] bool holds_any(std::span<const part_digest> parts);
 
@@ -79,7 +83,8 @@
     [[nodiscard]] std::vector<known_part_death> settled_deaths(core::instant now);
     [[nodiscard]] part_evidence evidence_among(std::vector<known_part_death> all, part_digest part);
     [[nodiscard]] std::vector<part_digest> suspected();
-    void hold(part_digest part, core::instant now);
+    void hold(part_digest part, core::duration pause, core::instant now);
+    void postpone_trials(std::span<const death_id> deaths, core::instant now);
 
     std::unique_ptr<const part_policy> policy_;
     concurrency::sharded<death_id, known_part_death> deaths_;
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -19,6 +19,14 @@
 // with the part no longer come.
 constexpr std::chrono::hours hold_retention{2};
 
+// Time to the first trial of a part whose deaths another part explains as well. One of the two is
+// probably sound, and many requests may have it.
+constexpr std::chrono::seconds ambiguous_pause{2};
+
+// A request with a part that has had no output yet is not sent again after this many deaths with
+// the part.
+constexpr std::size_t deaths_until_single_sends = 2;
+
 // Enough for every policy; bounds the memory of a part.
 constexpr std::size_t max_deaths = 16;
 
@@ -91,20 +99,45 @@
                                                    core::instant now)
 {
     std::vector<part_digest> cleared;
+    std::vector<death_id> of_released;
     for (const part_digest part : parts) {
         histories_.with(part, [&](auto& histories) {
             part_history& known = history_of(histories, part, now);
             if (!known.unanswered.empty() || known.hold) {
                 cleared.push_back(part);
             }
+            if (known.hold) {
+                std::ranges::copy(known.unanswered, std::back_inserter(of_released));
+            }
             known.unanswered.clear();
             known.hold.reset();
             known.last_output = std::max(known.last_output.value_or(now), now);
         });
     }
+    postpone_trials(of_released, now);
     return cleared;
 }
 
+/// The release of a part leaves the parts held beside it as the only explanation of its deaths.
+void part_table::postpone_trials(std::span<const death_id> deaths, core::instant now)
+{
+    for (const death_id& id : deaths) {
+        const auto beside = deaths_.with(id, [&](auto& known) -> std::vector<part_digest> {
+            const auto found = known.find(id);
+            return found == known.end() ? std::vector<part_digest>{} : found->second.what.parts;
+        });
+        for (const part_digest part : beside) {
+            histories_.with(part, [&](auto& histories) {
+                const auto found = histories.find(part);
+                if (found != histories.end() && found->second.hold) {
+                    part_hold& hold = *found->second.hold;
+                    hold.next_trial = std::max(hold.next_trial, now + trial_pause(hold.trials));
+                }
+            });
+        }
+    }
+}
+
 bool part_table::is_held(part_digest part)
 {
     return histories_.with(part, [&](auto& histories) {
@@ -113,6 +146,21 @@
     });
 }
 
+bool part_table::allows_resend(std::span<const part_digest> parts)
+{
+    return std::ranges::none_of(parts, [this](part_digest part) {
+        return histories_.with(part, [&](auto& histories) {
+            const auto found = histories.find(part);
+            if (found == histories.end()) {
+                return false;
+            }
+            const part_history& known = found->second;
+            return known.hold ||
+                   (!known.last_output && known.unanswered.size() >= deaths_until_single_sends);
+        });
+    });
+}
+
 bool part_table::holds_any(std::span<const part_digest> parts)
 {
     return std::ranges::any_of(parts, [this](part_digest part) { return is_held(part); });
@@ -168,11 +216,11 @@
     return found;
 }
 
-void part_table::hold(part_digest part, core::instant now)
+void part_table::hold(part_digest part, core::duration pause, core::instant now)
 {
     histories_.with(part, [&](auto& histories) {
         part_history& known = history_of(histories, part, now);
-        known.hold = part_hold{0, now + trial_pause(0)};
+        known.hold = part_hold{0, now + pause};
     });
 }
 
@@ -199,8 +247,9 @@
         if (strongest.empty()) {
             return newly_held;
         }
+        const core::duration pause = strongest.size() > 1 ? ambiguous_pause : trial_pause(0);
         for (const part_digest part : strongest) {
-            hold(part, now);
+            hold(part, pause, now);
             newly_held.push_back(part);
         }
     }
@@ -217,9 +266,11 @@
         if (known.last_output && *known.last_output >= evidence_at) {
             return false;
         }
-        const part_hold told{reported.trials, now + reported.until_trial};
-        known.hold = std::max(known.hold.value_or(told), told);
-        known.last_death = std::max(known.last_death.value_or(evidence_at), evidence_at);
+        // An equal report is not merged: its delay would prolong the hold with each repetition.
+        if (!known.hold || known.hold->trials < reported.trials) {
+            known.hold = part_hold{reported.trials, now + reported.until_trial};
+            known.last_death = std::max(known.last_death.value_or(evidence_at), evidence_at);
+        }
         return true;
     });
 }
--- a/libs/suspects/src/trial_pause.cpp
+++ b/libs/suspects/src/trial_pause.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-// The first trial comes soon, so that a part that is held by mistake is released within seconds; a
-// part that crashes endpoints costs one endpoint for each trial.
-constexpr std::chrono::seconds first_pause{2};
+// A trial of a part that crashes endpoints costs one of them.
+constexpr std::chrono::seconds first_pause{10};
 constexpr std::chrono::seconds longest_pause{3'600};
 constexpr int growth = 10;
 
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -194,12 +194,46 @@
 {
     auto table = make_table();
     const auto held_at = crash(*table, 3, {shared});
-    CHECK(verdict_of(*table, {shared}, held_at + 1s, owns_all) == verdict::refuse);
-    CHECK(verdict_of(*table, {shared}, held_at + 3s) == verdict::refuse);
-    CHECK(verdict_of(*table, {shared}, held_at + 3s, owns_all) == verdict::isolate);
-    CHECK(verdict_of(*table, {shared}, held_at + 3s, owns_all) == verdict::refuse);
-    CHECK(table->record_output(std::vector{shared}, held_at + 4s) == std::vector{shared});
-    CHECK(verdict_of(*table, {shared}, held_at + 4s) == verdict::run);
+    CHECK(verdict_of(*table, {shared}, held_at + 9s, owns_all) == verdict::refuse);
+    CHECK(verdict_of(*table, {shared}, held_at + 11s) == verdict::refuse);
+    CHECK(verdict_of(*table, {shared}, held_at + 11s, owns_all) == verdict::isolate);
+    CHECK(verdict_of(*table, {shared}, held_at + 11s, owns_all) == verdict::refuse);
+    CHECK(table->record_output(std::vector{shared}, held_at + 12s) == std::vector{shared});
+    CHECK(verdict_of(*table, {shared}, held_at + 12s) == verdict::run);
+}
+
+TEST_CASE("a sound part that was seen only beside a deadly one is tried first and released alone")
+{
+    auto table = make_table();
+    const auto held_at = crash(*table, 3, {deadly, shared});
+    CHECK(verdict_of(*table, {deadly, shared}, held_at + 3s, owns_all) == verdict::refuse);
+    CHECK(verdict_of(*table, {shared, rare}, held_at + 3s, owns_all) == verdict::isolate);
+    table->record_output(std::vector{shared, rare}, held_at + 4s);
+    CHECK(verdict_of(*table, {deadly, shared}, held_at + 4s, owns_all) == verdict::refuse);
+    CHECK(verdict_of(*table, {shared, rare}, held_at + 4s) == verdict::run);
+}
+
+TEST_CASE("a request with a part without output is not sent again after two deaths with the part")
+{
+    auto table = make_table();
+    table->record_death(death(0, "d0", {deadly, shared}), start);
+    CHECK(table->allows_resend(std::vector{deadly, shared}));
+    table->record_death(death(1, "d0", {deadly, shared}), start);
+    CHECK_FALSE(table->allows_resend(std::vector{shared, deadly}));
+    table->record_output(std::vector{shared}, start);
+    CHECK(table->allows_resend(std::vector{shared, rare}));
+    CHECK_FALSE(table->allows_resend(std::vector{shared, deadly}));
+}
+
+TEST_CASE("reports that arrive late do not postpone the trial of a held part")
+{
+    auto table = make_table();
+    const auto held_at = crash(*table, 3, {shared});
+    const auto told = table->held(held_at).front();
+    for (auto now = held_at; now < held_at + 10s; now += 1s) {
+        CHECK(table->apply_held(told, now));
+    }
+    CHECK(verdict_of(*table, {shared}, held_at + 11s, owns_all) == verdict::isolate);
 }
 
 TEST_CASE("a request with two held parts is no trial of either")
--- a/measure/suspects/prompt_fleet.cpp
+++ b/measure/suspects/prompt_fleet.cpp
@@ -295,13 +295,13 @@
     where.up = false;
     const int incarnation = where.incarnation++;
     for (auto& [number, lost] : std::exchange(where.running, {})) {
-        after(std::chrono::milliseconds(5 + random_() % 150),
-              [this, place, incarnation, one = std::move(lost)]() mutable {
-                  observe_death(place, incarnation, one);
-                  if (one.attempts < max_attempts && !tables_[one.daemon]->holds_any(one.parts)) {
-                      send(std::move(one), false);
-                  }
-              });
+        after(std::chrono::milliseconds(5 + random_() % 150), [this, place, incarnation,
+                                                               one = std::move(lost)]() mutable {
+            observe_death(place, incarnation, one);
+            if (one.attempts < max_attempts && tables_[one.daemon]->allows_resend(one.parts)) {
+                send(std::move(one), false);
+            }
+        });
     }
     after(restart_time, [&where] { where.up = true; });
 }
