Requests with a part on which engines crash are held back

Evidence went by a digest of the whole request.

Deaths without output now count against each shared part, and first outputs clear it, at all daemons. A held part is refused before it is sent, and a request that waits for its next attempt ends. Held parts are told each second and kept in the store under a lease, so that daemons that restart, alone or all at once, know them before their first configuration.

--- a/libs/caller_front/include/caller_front/store_layout.h
+++ b/libs/caller_front/include/caller_front/store_layout.h
@@ -6,6 +6,7 @@
 #include <core/endpoint_id.h>
 #include <core/findings.h>
 #include <core/vm_id.h>
+#include <suspects/part_digest.h>
 
 #include <absl/status/statusor.h>
 
@@ -40,6 +41,15 @@
         return daemons_prefix() + vm.text();
     }
 
+    /// Prefix of the keys of parts of prompts that are held back.
+    [[nodiscard]] virtual std::string held_parts_prefix() const = 0;
+
+    /// The key of a part that is held back.
+    [[nodiscard]] std::string held_part_key(suspects::part_digest part) const;
+
+    /// The part that is held back under `key`; empty for other keys.
+    [[nodiscard]] std::optional<suspects::part_digest> held_part_of(const std::string& key) const;
+
     /// The endpoint that registers under `key`; empty for other keys.
     [[nodiscard]] virtual std::optional<core::endpoint_id>
     endpoint_of(const std::string& key) const = 0;
--- a/libs/caller_front/src/call_admission.cpp
+++ b/libs/caller_front/src/call_admission.cpp
@@ -9,6 +9,7 @@
 #include "call_log.h"
 #include "local_reply.h"
 #include "request_head.h"
+#include "shared_parts.h"
 #include "stream_call.h"
 
 #include <algorithm>
@@ -82,7 +83,13 @@
             send_rejection({status_unavailable, "suspect"});
             return nullptr;
         }
-        return make_call(pool, *matched_route, workspace);
+        const auto parts = shared_parts_of(request_, context_.headers);
+        const auto by_parts = context_.parts.evaluate(parts).how;
+        if (by_parts == suspects::verdict::refuse) {
+            send_rejection({status_unavailable, "suspect"});
+            return nullptr;
+        }
+        return make_call(pool, *matched_route, workspace, by_parts == suspects::verdict::isolate);
     }
 
 private:
@@ -111,9 +118,10 @@
 
     std::shared_ptr<forwarded_call> make_call(upstream_pool& pool,
                                               const forwarding::route& matched_route,
-                                              core::workspace_id workspace)
+                                              core::workspace_id workspace, bool trial)
     {
-        call_environment environment{context_, pool, rules_, matched_route, std::move(workspace)};
+        call_environment environment{context_, pool, rules_, matched_route, std::move(workspace),
+                                     trial};
         if (matched_route.kind == core::work_kind::generation) {
             return std::make_shared<stream_call>(std::move(environment), std::move(request_),
                                                  sink_);
--- a/libs/caller_front/src/call_environment.h
+++ b/libs/caller_front/src/call_environment.h
@@ -19,6 +19,7 @@
     std::shared_ptr<const forwarding::indexed_ruleset> rules; ///< Keeps `matched_route` alive.
     const forwarding::route& matched_route;
     core::workspace_id workspace; ///< Empty for a caller without a key.
+    bool trial = false;           ///< Sent although a part of its prompt is held back.
 };
 
 } // namespace ej::front
--- a/libs/caller_front/src/death_check.cpp
+++ b/libs/caller_front/src/death_check.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <memory>
+#include <utility>
 
 namespace ej::front {
 
@@ -17,11 +18,12 @@
 } // namespace
 
 void check_death(front_context& context, upstream_pool& pool, const core::endpoint& endpoint,
-                 std::optional<suspects::request_digest> suspect, const std::string& request)
+                 std::optional<suspect_request> suspect, const std::string& request)
 {
     // A broken connection alone does not mean that the endpoint died: it must also be unreachable.
     const auto check = std::make_shared<liveness_check>(
-        pool, endpoint.where, [&context, endpoint, suspect, request](bool alive) {
+        pool, endpoint.where,
+        [&context, endpoint, suspect = std::move(suspect), request](bool alive) {
             if (alive) {
                 return;
             }
@@ -31,10 +33,12 @@
                 return;
             }
             const auto seen = context.suspects.record_death(
-                {{endpoint.name, endpoint.incarnation}, {*suspect}}, now());
+                {{endpoint.name, endpoint.incarnation}, {suspect->digest}}, now());
             if (!seen.running.empty()) {
                 context.death_seen(seen);
             }
+            context.parts.record_death(
+                {{endpoint.name, endpoint.incarnation}, endpoint.domain, suspect->parts});
         });
     check->start(check_timeout);
 }
--- a/libs/caller_front/src/death_check.h
+++ b/libs/caller_front/src/death_check.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "front_context.h"
+#include "suspect_request.h"
 #include "upstream_pool.h"
 
-#include <suspects/request_digest.h>
-
 #include <core/endpoint.h>
 
 #include <optional>
@@ -13,9 +12,10 @@
 namespace ej::front {
 
 /// Checks whether `endpoint`, whose connection broke during a request, has died. If so, counts its
-/// death and, with `suspect`, reports it to the other daemons as possibly caused by this request.
+/// death and, with `suspect`, reports it to the other daemons as possibly caused by this request or
+/// a part of its prompt.
 /// `context` and `pool` outlive the check.
 void check_death(front_context& context, upstream_pool& pool, const core::endpoint& endpoint,
-                 std::optional<suspects::request_digest> suspect, const std::string& request);
+                 std::optional<suspect_request> suspect, const std::string& request);
 
 } // namespace ej::front
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -5,6 +5,7 @@
 #include "call_log.h"
 #include "death_check.h"
 #include "local_reply.h"
+#include "shared_parts.h"
 
 #include <forwarding/draw_service.h>
 #include <forwarding/retry_policy.h>
@@ -44,6 +45,7 @@
       // Hashing the identifier spreads requests by weight without a random source.
       service_(draw_service(environment_.matched_route, std::hash<std::string>{}(request_id_))),
       digest_(request_digest_of(environment_.workspace, request_)),
+      parts_(shared_parts_of(request_, environment_.context.headers)),
       deadline_(deadline_for(request_, environment_.context.headers, environment_.matched_route)),
       sink_(std::move(sink))
 {
@@ -166,7 +168,8 @@
     context.metrics.count("attempts_ended_total", {{"end", std::string(to_string(end))}});
     if (attempt.sent() && (end == attempt_end::broken || end == attempt_end::silent)) {
         // A poison request crashes its endpoint before the first output.
-        const auto suspect = progress_.had_output ? std::nullopt : std::optional(digest_);
+        const auto suspect =
+            progress_.had_output ? std::nullopt : std::optional(suspect_request{digest_, parts_});
         check_death(context, environment_.pool, endpoint, suspect, request_id_);
     }
     log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
@@ -179,8 +182,9 @@
     progress_.budget_left = true;
     auto step = policy.after(end, progress_, environment_.matched_route);
     auto& context = environment_.context;
-    if (step == forwarding::next_step::send_again &&
-        context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse) {
+    // The trial of a held part goes on to another endpoint only if it has not begun.
+    const bool trial_goes_on = environment_.trial && !forwarding::may_have_run(end);
+    if (step == forwarding::next_step::send_again && !trial_goes_on && held_back()) {
         context.metrics.count("sends_denied_total", {{"reason", "suspect"}});
         return progress_.may_have_run ? forwarding::next_step::fail : forwarding::next_step::refuse;
     }
@@ -194,6 +198,13 @@
     return step;
 }
 
+bool forwarded_call::held_back() const
+{
+    auto& context = environment_.context;
+    return context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse ||
+           (!progress_.had_output && !context.parts.allows_resend(parts_));
+}
+
 bool forwarded_call::trusted(const answer_parser& answer) const
 {
     const auto& names = environment_.context.headers;
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -17,6 +17,7 @@
 #include <forwarding/next_step.h>
 #include <forwarding/route.h>
 
+#include <suspects/part_digest.h>
 #include <suspects/request_digest.h>
 
 #include <core/endpoint.h>
@@ -94,6 +95,10 @@
     /// last one failed to connect.
     [[nodiscard]] forwarding::next_step decide(forwarding::attempt_end end);
 
+    /// True if the request may not be sent again, since it or a part of its prompt crashes
+    /// endpoints.
+    [[nodiscard]] bool held_back() const;
+
     /// True if `answer` has a signature header, whose value is not checked, and echoes the
     /// identifier of this request.
     [[nodiscard]] bool trusted(const answer_parser& answer) const;
@@ -138,7 +143,8 @@
     forwarding::call_size size_;
     forwarding::call_progress progress_;
     core::service_id service_;
-    suspects::request_digest digest_; // Equal for repeated sends of the same request.
+    suspects::request_digest digest_;          // Equal for repeated sends of the same request.
+    std::vector<suspects::part_digest> parts_; // Of the prompt, shared with other requests.
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -72,6 +72,9 @@
     if (outcome == "served" && environment_.context.suspects.clear(digest_)) {
         environment_.context.suspect_cleared({digest_});
     }
+    if (outcome == "served" && !progress_.had_output) {
+        environment_.context.parts.record_output(parts_);
+    }
     const auto took = now() - request_.arrived;
     environment_.context.metrics.observe("call_seconds",
                                          {{"route", environment_.matched_route.name}}, took);
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "part_guard.h"
 #include "shutdown_schedule.h"
 #include "store_update.h"
+#include "stored_holds.h"
 
 #include <caller_front/front_settings.h>
 #include <caller_front/header_names.h>
@@ -57,6 +59,9 @@
     suspects::suspect_table suspects{
         std::make_unique<const suspects::isolate_then_refuse_policy>(weight_to_refuse)};
     metrics::registry metrics;
+    part_guard parts{settings.vm, metrics};
+    /// Used on the control loop alone.
+    stored_holds holds_in_store;
     /// Addresses for datagrams to the other daemons.
     concurrency::snapshot<std::vector<core::address>> peers{std::vector<core::address>()};
     /// The subset of `peers` in this daemon's failure domain.
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "daemon_registration.h"
 #include "front_context.h"
+#include "held_part_keeper.h"
 #include "lane.h"
 #include "peer_link.h"
 #include "ready_api.h"
@@ -53,8 +54,8 @@
           transport(asio::make_strand(loop)),
           store(transport, store_settings(context.settings), where.protocol),
           follower(context, store, *where.layout, loop),
-          registration(context, store, *where.layout), ready(context, store.counts()),
-          peers(context, loop)
+          registration(context, store, *where.layout), keeper(context, store, *where.layout, loop),
+          ready(context, store.counts()), peers(context, loop)
     {
         context.load_changed = [this](const core::endpoint_id& one) {
             peers.queue_load_change(one);
@@ -65,6 +66,9 @@
         context.suspect_cleared = [this](const suspects::cleared_request& one) {
             peers.broadcast_cleared(one);
         };
+        context.parts.broadcast = [this](const peer_message& one) { peers.broadcast(one); };
+        context.parts.review_later = [this] { peers.review_parts_later(); };
+        context.parts.held_changed = [this] { asio::post(loop, [this] { keeper.wake(); }); };
         context.send_store_update = [this](const store_update& one) {
             peers.send_store_update(one);
         };
@@ -97,6 +101,7 @@
     platform::store store;
     store_follower follower;
     daemon_registration registration;
+    held_part_keeper keeper;
     ready_api ready;
     peer_link peers;
     std::vector<std::unique_ptr<lane>> lanes;
@@ -129,6 +134,7 @@
     asio::co_spawn(
         made->loop, [&registration = made->registration] { return registration.run(); },
         asio::detached);
+    asio::co_spawn(made->loop, [&keeper = made->keeper] { return keeper.run(); }, asio::detached);
     made->listener->start();
     std::ranges::for_each(made->lanes, [](const auto& one) { one->run(); });
     made->thread = std::thread([&loop = made->loop] { loop.run(); });
--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "peer_codec.h"
 
 #include <suspects_wire/death_codec.h>
+#include <suspects_wire/part_codec.h>
 
 #include <nlohmann/json.hpp>
 
@@ -158,6 +159,21 @@
     return suspects_wire::encode(record);
 }
 
+std::vector<std::uint8_t> bytes_of(const suspects::part_death& seen)
+{
+    return suspects_wire::encode(seen);
+}
+
+std::vector<std::uint8_t> bytes_of(const suspects::held_parts& held)
+{
+    return suspects_wire::encode(held);
+}
+
+std::vector<std::uint8_t> bytes_of(const suspects::cleared_parts& cleared)
+{
+    return suspects_wire::encode(cleared);
+}
+
 } // namespace
 
 std::vector<std::uint8_t> encode(const peer_message& message)
@@ -179,6 +195,9 @@
     if (is_cleared(value)) {
         return suspects::cleared_request{suspects::request_digest(value[1].get<std::uint64_t>())};
     }
+    if (auto about_parts = suspects_wire::decode_part(bytes); about_parts.ok()) {
+        return std::visit([](auto& one) -> peer_message { return std::move(one); }, *about_parts);
+    }
     return suspects_wire::decode_death(bytes);
 }
 
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -25,11 +25,14 @@
 constexpr milliseconds full_load_interval{1'000};
 // Load shares per datagram: about 40 bytes each.
 constexpr std::size_t shares_per_datagram = 30;
+// About 20 bytes each.
+constexpr std::size_t held_parts_per_datagram = 500;
 
 } // namespace
 
 peer_link::peer_link(front_context& context, asio::io_context& loop)
-    : context_(context), loop_(loop), socket_(loop), batch_timer_(loop), full_load_timer_(loop)
+    : context_(context), loop_(loop), socket_(loop), batch_timer_(loop), full_load_timer_(loop),
+      review_timer_(loop)
 {
 }
 
@@ -117,6 +120,62 @@
     asio::post(loop_, [this, one] { send(one, *context_.peers.load()); });
 }
 
+void peer_link::apply(const suspects::part_death& seen)
+{
+    context_.parts.apply(seen);
+}
+
+void peer_link::apply(const suspects::held_parts& told)
+{
+    context_.parts.apply(told);
+}
+
+void peer_link::apply(const suspects::cleared_parts& told)
+{
+    context_.parts.apply(told);
+}
+
+void peer_link::broadcast(const peer_message& message)
+{
+    asio::post(loop_, [this, message] { send(message, *context_.peers.load()); });
+}
+
+void peer_link::review_parts_later()
+{
+    asio::post(loop_, [this] {
+        review_due_ = now() + suspects::part_table::settle_time;
+        if (!std::exchange(review_armed_, true)) {
+            await_review();
+        }
+    });
+}
+
+void peer_link::await_review()
+{
+    review_timer_.expires_at(review_due_);
+    review_timer_.async_wait([this](const error_code& error) {
+        if (error) {
+            return;
+        }
+        context_.parts.review();
+        review_armed_ = now() < review_due_;
+        if (review_armed_) {
+            await_review();
+        }
+    });
+}
+
+void peer_link::send_held_parts()
+{
+    const auto held = context_.parts.held();
+    for (std::size_t begin = 0; begin < held.size(); begin += held_parts_per_datagram) {
+        const auto count = std::min(held.size() - begin, held_parts_per_datagram);
+        const auto first = held.begin() + static_cast<std::ptrdiff_t>(begin);
+        send(suspects::held_parts{{first, first + static_cast<std::ptrdiff_t>(count)}},
+             *context_.peers.load());
+    }
+}
+
 void peer_link::broadcast_death(const suspects::death_record& seen)
 {
     asio::post(loop_, [this, seen] { send(seen, *context_.peers.load()); });
@@ -157,6 +216,8 @@
 {
     context_.stats.expire(now());
     context_.suspects.expire(now());
+    context_.parts.expire(now());
+    send_held_parts();
     send_shares(context_.stats.own_shares(), true);
     full_load_timer_.expires_after(full_load_interval);
     full_load_timer_.async_wait([this](const error_code& error) {
--- a/libs/caller_front/src/peer_link.h
+++ b/libs/caller_front/src/peer_link.h
@@ -6,6 +6,7 @@
 
 #include <core/address.h>
 #include <core/endpoint_id.h>
+#include <core/instant.h>
 
 #include <absl/status/status.h>
 #include <boost/asio/ip/udp.hpp>
@@ -20,9 +21,10 @@
 
 /// Exchanges datagrams with the other daemons: load at engines, observed deaths of endpoints and
 /// changes read from the store. A lost load report is repaired by the next full report, a lost
-/// store update by a query to the store; a lost death report only weakens a suspicion.
-/// `queue_load_change`, `broadcast_death` and `broadcast_cleared` are thread-safe, the other
-/// functions run on the loop.
+/// store update by a query to the store; a lost death report only weakens a suspicion; parts of
+/// prompts that are held back are reported again each second.
+/// `queue_load_change`, `broadcast`, `broadcast_death`, `broadcast_cleared` and
+/// `review_parts_later` are thread-safe, the other functions run on the loop.
 class peer_link {
 public:
     /// Both outlive the link.
@@ -40,6 +42,12 @@
     /// Sends changes read from the store to the daemons of this failure domain. On the loop.
     void send_store_update(const store_update& update);
 
+    /// Sends `message` to all daemons.
+    void broadcast(const peer_message& message);
+
+    /// Reviews the evidence against parts of prompts once other daemons have reported theirs.
+    void review_parts_later();
+
     /// Reports the death of an endpoint; `seen` holds information that was new to this daemon.
     void broadcast_death(const suspects::death_record& seen);
 
@@ -55,7 +63,12 @@
     void apply(const forwarding::load_message& message);
     void apply(const suspects::death_record& seen);
     void apply(const suspects::cleared_request& one);
+    void apply(const suspects::part_death& seen);
+    void apply(const suspects::held_parts& told);
+    void apply(const suspects::cleared_parts& told);
     void apply(const store_update& update);
+    void await_review();
+    void send_held_parts();
     void send_shares(std::vector<forwarding::load_share> shares, bool whole);
     void send(const peer_message& message, const std::vector<core::address>& to);
 
@@ -66,6 +79,9 @@
     std::array<std::uint8_t, 65'536> received_{};
     asio::steady_timer batch_timer_;
     asio::steady_timer full_load_timer_;
+    asio::steady_timer review_timer_;
+    core::instant review_due_{};
+    bool review_armed_ = false;
     std::uint64_t start_ = 0;
     std::uint64_t number_ = 0;
     std::mutex mutex_;
--- a/libs/caller_front/src/peer_message.h
+++ b/libs/caller_front/src/peer_message.h
@@ -3,15 +3,19 @@
 #include "store_update.h"
 
 #include <forwarding/load_message.h>
+#include <suspects/cleared_parts.h>
 #include <suspects/cleared_request.h>
 #include <suspects/death_record.h>
+#include <suspects/held_parts.h>
+#include <suspects/part_death.h>
 
 #include <variant>
 
 namespace ej::front {
 
 /// Content of a datagram between daemons.
-using peer_message = std::variant<forwarding::load_message, suspects::death_record,
-                                  suspects::cleared_request, store_update>;
+using peer_message =
+    std::variant<forwarding::load_message, suspects::death_record, suspects::cleared_request,
+                 suspects::part_death, suspects::held_parts, suspects::cleared_parts, store_update>;
 
 } // namespace ej::front
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -84,6 +84,7 @@
     }
     std::set<core::endpoint_id> present;
     daemons_.clear();
+    context_.holds_in_store.clear();
     peers_changed_ = true;
     for (const platform::store_item& item : listing->items) {
         apply(item);
@@ -188,15 +189,18 @@
     const auto own_key = layout_.daemon_key(context_.settings.vm);
     std::vector<core::address> peers;
     std::vector<core::address> domain_peers;
+    std::vector<core::vm_id> members{context_.settings.vm};
     std::size_t rank = 0;
     for (const auto& [key, daemon] : daemons_) {
         peers.push_back(daemon.peer_listen);
+        members.emplace_back(key.substr(layout_.daemons_prefix().size()));
         if (daemon.domain == context_.settings.domain) {
             domain_peers.push_back(daemon.peer_listen);
             rank += key < own_key ? 1 : 0;
         }
     }
     pace_.set_rank(rank);
+    context_.parts.members.store(std::move(members));
     context_.daemons = peers.size() + 1;
     context_.peers.store(std::move(peers));
     context_.domain_peers.store(std::move(domain_peers));
--- a/libs/caller_front/src/store_follower.h
+++ b/libs/caller_front/src/store_follower.h
@@ -51,6 +51,7 @@
     void apply_rules(const std::string& value);
     bool apply_endpoint(const core::endpoint_id& name, const platform::store_item& item);
     void apply_daemon(const platform::store_item& item);
+    void apply_held_part(suspects::part_digest part, const platform::store_item& item);
     void share_changes(core::revision since, core::revision as_of,
                        std::vector<platform::store_item> items);
     void note_result(const absl::Status& status);
--- a/libs/caller_front/src/store_follower_apply.cpp
+++ b/libs/caller_front/src/store_follower_apply.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include "clock.h"
+#include "stored_hold.h"
 
 #include <logging/log.h>
 
@@ -25,9 +26,29 @@
         apply_daemon(item);
         return true;
     }
+    if (const auto part = layout_.held_part_of(item.key)) {
+        apply_held_part(*part, item);
+        return true;
+    }
     return false;
 }
 
+void store_follower::apply_held_part(suspects::part_digest part, const platform::store_item& item)
+{
+    if (!item.value) {
+        context_.holds_in_store.erase(part);
+        return;
+    }
+    const auto trials = parse_stored_hold(*item.value);
+    if (!trials) {
+        context_.metrics.count("held_part_faults_total", {});
+        logging::log(logging::level::warn, "entry of a held part rejected", {{"key", item.key}});
+        return;
+    }
+    context_.holds_in_store[part] = {*trials, now()};
+    context_.parts.apply_stored(part, *trials);
+}
+
 void store_follower::apply_daemon(const platform::store_item& item)
 {
     const bool own = item.key == layout_.daemon_key(context_.settings.vm);
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -74,7 +74,14 @@
 void stream_call::send_later()
 {
     tried_.clear();
-    resend_timer_ = make_timer([this] { send(); });
+    resend_timer_ = make_timer([this] {
+        if (held_back() && !environment_.trial) {
+            give_up("suspect", status_bad_gateway);
+        }
+        else {
+            send();
+        }
+    });
     resend_timer_->set(now() + resend_pause);
 }
 
@@ -171,7 +178,9 @@
     if (out.empty()) {
         return;
     }
-    progress_.had_output = true;
+    if (!std::exchange(progress_.had_output, true)) {
+        environment_.context.parts.record_output(parts_);
+    }
     if (!std::exchange(flowing_, true)) {
         environment_.context.stats.first_output(attempt.endpoint().name,
                                                 std::exchange(tokens_unread_, 0));
--- a/libs/suspects/include/suspects/owner.h
+++ b/libs/suspects/include/suspects/owner.h
@@ -4,6 +4,7 @@
 
 #include <core/vm_id.h>
 
+#include <cstddef>
 #include <optional>
 #include <span>
 
@@ -14,4 +15,8 @@
 [[nodiscard]] std::optional<core::vm_id> owner(request_digest request,
                                                std::span<const core::vm_id> members);
 
+/// Number of members that come before `self` in the order of which `owner` is the first.
+[[nodiscard]] std::size_t owner_rank(request_digest request, const core::vm_id& self,
+                                     std::span<const core::vm_id> members);
+
 } // namespace ej::suspects
--- a/libs/suspects/include/suspects/part_hold.h
+++ b/libs/suspects/include/suspects/part_hold.h
@@ -11,6 +11,7 @@
 struct part_hold {
     std::uint32_t trials = 0; ///< Requests let through since, one after another.
     core::instant next_trial{};
+    bool ambiguous = false; ///< Other parts of the same requests explain all deaths as well.
 
     friend auto operator<=>(const part_hold&, const part_hold&) = default;
 };
--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -28,8 +28,8 @@
 /// parts of its request are sound. Thread-safe.
 class part_table {
 public:
-    /// True if this daemon decides on trials of the part.
-    using ownership = std::function<bool(part_digest)>;
+    /// Time by which this daemon lets others go first with a trial of the part.
+    using trial_delay = std::function<core::duration(part_digest)>;
 
     /// Number of parts that are remembered; those out of use for longest are evicted.
     static constexpr std::size_t capacity = 16'384;
@@ -56,11 +56,11 @@
     bool apply_held(const held_part& reported, core::instant now);
 
     /// Returns how a request with `parts` may run. If it is a trial, records it.
-    [[nodiscard]] part_verdict evaluate(std::span<const part_digest> parts, const ownership& owns,
-                                        core::instant now);
+    [[nodiscard]] part_verdict evaluate(std::span<const part_digest> parts,
+                                        const trial_delay& delay, core::instant now);
 
     /// True if a request with `parts` may be sent to another endpoint after one has died: none of
-    /// them is held back, or has two deaths and no output so far.
+    /// them is held back, or has two independent deaths and no output so far.
     [[nodiscard]] bool allows_resend(std::span<const part_digest> parts);
 
     /// True if a part of `parts` is held back.
@@ -83,7 +83,10 @@
     [[nodiscard]] std::vector<known_part_death> settled_deaths(core::instant now);
     [[nodiscard]] part_evidence evidence_among(std::vector<known_part_death> all, part_digest part);
     [[nodiscard]] std::vector<part_digest> suspected();
-    void hold(part_digest part, core::duration pause, core::instant now);
+    [[nodiscard]] part_history history_of(part_digest part);
+    [[nodiscard]] std::vector<known_part_death> deaths_with(std::span<const death_id> ids);
+    [[nodiscard]] bool is_ambiguous(part_digest part);
+    void hold(part_digest part, core::instant now);
     void postpone_trials(std::span<const death_id> deaths, core::instant now);
 
     std::unique_ptr<const part_policy> policy_;
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -19,13 +19,9 @@
 // with the part no longer come.
 constexpr std::chrono::hours hold_retention{2};
 
-// Time to the first trial of a part whose deaths another part explains as well. One of the two is
-// probably sound, and many requests may have it.
-constexpr std::chrono::seconds ambiguous_pause{2};
-
-// A request with a part that has had no output yet is not sent again after this many deaths with
-// the part.
-constexpr std::size_t deaths_until_single_sends = 2;
+// A request with a part that has had no output yet is not sent again after this many independent
+// deaths with the part.
+constexpr std::uint32_t deaths_until_single_sends = 2;
 
 // Enough for every policy; bounds the memory of a part.
 constexpr std::size_t max_deaths = 16;
@@ -48,8 +44,8 @@
     });
 }
 
-part_history& history_of(std::unordered_map<part_digest, part_history>& histories, part_digest part,
-                         core::instant now)
+part_history& use_history(std::unordered_map<part_digest, part_history>& histories,
+                          part_digest part, core::instant now)
 {
     if (histories.size() >= capacity_per_shard && !histories.contains(part)) {
         evict(histories);
@@ -80,7 +76,7 @@
     });
     for (const part_digest part : added) {
         histories_.with(part, [&](auto& histories) {
-            part_history& known = history_of(histories, part, now);
+            part_history& known = use_history(histories, part, now);
             const auto place = std::ranges::lower_bound(known.unanswered, reported.death);
             if (place != known.unanswered.end() && *place == reported.death) {
                 return;
@@ -102,7 +98,7 @@
     std::vector<death_id> of_released;
     for (const part_digest part : parts) {
         histories_.with(part, [&](auto& histories) {
-            part_history& known = history_of(histories, part, now);
+            part_history& known = use_history(histories, part, now);
             if (!known.unanswered.empty() || known.hold) {
                 cleared.push_back(part);
             }
@@ -121,12 +117,8 @@
 /// The release of a part leaves the parts held beside it as the only explanation of its deaths.
 void part_table::postpone_trials(std::span<const death_id> deaths, core::instant now)
 {
-    for (const death_id& id : deaths) {
-        const auto beside = deaths_.with(id, [&](auto& known) -> std::vector<part_digest> {
-            const auto found = known.find(id);
-            return found == known.end() ? std::vector<part_digest>{} : found->second.what.parts;
-        });
-        for (const part_digest part : beside) {
+    for (const known_part_death& death : deaths_with(deaths)) {
+        for (const part_digest part : death.what.parts) {
             histories_.with(part, [&](auto& histories) {
                 const auto found = histories.find(part);
                 if (found != histories.end() && found->second.hold) {
@@ -138,26 +130,55 @@
     }
 }
 
-bool part_table::is_held(part_digest part)
+bool part_table::allows_resend(std::span<const part_digest> parts)
 {
-    return histories_.with(part, [&](auto& histories) {
+    return std::ranges::none_of(parts, [this](part_digest part) {
+        const auto known = history_of(part);
+        if (known.last_output || known.unanswered.size() < deaths_until_single_sends) {
+            return known.hold.has_value();
+        }
+        const auto deaths = deaths_with(known.unanswered);
+        return known.hold || independent_deaths(deaths, deaths) >= deaths_until_single_sends;
+    });
+}
+
+part_history part_table::history_of(part_digest part)
+{
+    return histories_.with(part, [&](auto& histories) -> part_history {
         const auto found = histories.find(part);
-        return found != histories.end() && found->second.hold.has_value();
+        return found == histories.end() ? part_history{} : found->second;
     });
 }
 
-bool part_table::allows_resend(std::span<const part_digest> parts)
+std::vector<known_part_death> part_table::deaths_with(std::span<const death_id> ids)
 {
-    return std::ranges::none_of(parts, [this](part_digest part) {
-        return histories_.with(part, [&](auto& histories) {
-            const auto found = histories.find(part);
-            if (found == histories.end()) {
-                return false;
+    std::vector<known_part_death> found;
+    for (const death_id& id : ids) {
+        deaths_.with(id, [&](auto& deaths) {
+            if (const auto known = deaths.find(id); known != deaths.end()) {
+                found.push_back(known->second);
             }
-            const part_history& known = found->second;
-            return known.hold ||
-                   (!known.last_output && known.unanswered.size() >= deaths_until_single_sends);
         });
+    }
+    return found;
+}
+
+bool part_table::is_ambiguous(part_digest part)
+{
+    // Beside each death there is another part without output so far.
+    return std::ranges::all_of(
+        deaths_with(history_of(part).unanswered), [&](const known_part_death& one) {
+            return std::ranges::any_of(one.what.parts, [&](part_digest other) {
+                return other != part && !history_of(other).last_output;
+            });
+        });
+}
+
+bool part_table::is_held(part_digest part)
+{
+    return histories_.with(part, [&](auto& histories) {
+        const auto found = histories.find(part);
+        return found != histories.end() && found->second.hold.has_value();
     });
 }
 
@@ -186,10 +207,7 @@
 
 part_evidence part_table::evidence_among(std::vector<known_part_death> all, part_digest part)
 {
-    const auto history = histories_.with(part, [&](auto& histories) -> part_history {
-        const auto found = histories.find(part);
-        return found == histories.end() ? part_history{} : found->second;
-    });
+    const auto history = history_of(part);
     std::erase_if(all, [&](const known_part_death& one) {
         return std::ranges::any_of(
             one.what.parts, [&](part_digest other) { return other != part && is_held(other); });
@@ -216,11 +234,14 @@
     return found;
 }
 
-void part_table::hold(part_digest part, core::duration pause, core::instant now)
+void part_table::hold(part_digest part, core::instant now)
 {
+    // One of the parts that explain the same deaths is probably sound, and many requests may have
+    // it: the first of them is a trial.
+    const bool ambiguous = is_ambiguous(part);
     histories_.with(part, [&](auto& histories) {
-        part_history& known = history_of(histories, part, now);
-        known.hold = part_hold{0, now + pause};
+        part_history& known = use_history(histories, part, now);
+        known.hold = part_hold{0, ambiguous ? now : now + trial_pause(0), ambiguous};
     });
 }
 
@@ -247,9 +268,8 @@
         if (strongest.empty()) {
             return newly_held;
         }
-        const core::duration pause = strongest.size() > 1 ? ambiguous_pause : trial_pause(0);
         for (const part_digest part : strongest) {
-            hold(part, pause, now);
+            hold(part, now);
             newly_held.push_back(part);
         }
     }
@@ -262,20 +282,20 @@
         return true;
     }
     return histories_.with(reported.part, [&](auto& histories) {
-        part_history& known = history_of(histories, reported.part, evidence_at);
+        part_history& known = use_history(histories, reported.part, evidence_at);
         if (known.last_output && *known.last_output >= evidence_at) {
             return false;
         }
         // An equal report is not merged: its delay would prolong the hold with each repetition.
         if (!known.hold || known.hold->trials < reported.trials) {
-            known.hold = part_hold{reported.trials, now + reported.until_trial};
+            known.hold = part_hold{reported.trials, now + reported.until_trial, false};
             known.last_death = std::max(known.last_death.value_or(evidence_at), evidence_at);
         }
         return true;
     });
 }
 
-part_verdict part_table::evaluate(std::span<const part_digest> parts, const ownership& owns,
+part_verdict part_table::evaluate(std::span<const part_digest> parts, const trial_delay& delay,
                                   core::instant now)
 {
     std::vector<part_digest> held;
@@ -285,14 +305,17 @@
         return {};
     }
     // The failure of a trial with two such parts would not tell which one is to blame.
-    const bool may_try = held.size() == 1 && owns(held.front());
+    const bool may_try = held.size() == 1;
+    const auto latest = now - (may_try ? delay(held.front()) : core::duration::zero());
     const bool tries = histories_.with(held.front(), [&](auto& histories) {
-        part_history& known = history_of(histories, held.front(), now);
-        if (!may_try || !known.hold || now < known.hold->next_trial) {
+        part_history& known = use_history(histories, held.front(), now);
+        if (!may_try || !known.hold || latest < known.hold->next_trial) {
             return false;
         }
+        const bool ambiguous = known.hold->ambiguous;
         const auto trials = known.hold->trials + 1;
-        known.hold = part_hold{trials, now + trial_pause(trials)};
+        known.hold =
+            part_hold{trials, now + trial_pause(ambiguous ? trials - 1 : trials), ambiguous};
         known.last_death = now;
         return true;
     });
--- a/measure/suspects/prompt_fleet.cpp
+++ b/measure/suspects/prompt_fleet.cpp
@@ -22,6 +22,7 @@
 constexpr int prompt_spread_ms = 800;
 constexpr auto message_delay = 5ms;
 constexpr auto contact = 3s;
+constexpr auto rank_step = 2s;
 constexpr int max_attempts = 3;
 constexpr std::size_t unsafe_deaths = 5;
 constexpr std::uint64_t first_parts = 2;
@@ -193,12 +194,20 @@
     }
     figures_.sound_sent += one.deadly == 0 ? 1 : 0;
     const auto verdict = tables_[one.daemon]->evaluate(
-        one.parts, [&](part_digest part) { return part.value() % daemons == one.daemon; }, now_);
+        one.parts,
+        [&](part_digest part) -> core::duration {
+            return rank_step * ((one.daemon + daemons - part.value() % daemons) % daemons);
+        },
+        now_);
     if (verdict.how == suspects::verdict::refuse) {
         figures_.sound_refused += one.deadly == 0 ? 1 : 0;
         return;
     }
-    send(std::move(one), verdict.how == suspects::verdict::isolate);
+    const bool trial = verdict.how == suspects::verdict::isolate;
+    if (trial) {
+        report_held(one.daemon);
+    }
+    send(std::move(one), trial);
 }
 
 bool prompt_fleet::waits_for_isolation(const request& one, std::size_t place)
