A damaged datagram that announces a huge array no longer ends the daemon

A datagram of nine bytes that announces an array of 2^64-16 entries ended the process that read it: nlohmann::json::from_cbor throws out_of_range for such a size even where exceptions are switched off.

All of them read through libs/cbor now, which checks sizes and depth before the value is built.

--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "peer_codec.h"
 
+#include <cbor/parse.h>
 #include <suspects_wire/death_codec.h>
 #include <suspects_wire/part_codec.h>
 
@@ -183,9 +184,7 @@
 
 absl::StatusOr<peer_message> decode_peer(std::span<const std::uint8_t> bytes)
 {
-    constexpr bool strict = true;
-    constexpr bool may_throw = false;
-    const auto value = json::from_cbor(bytes.begin(), bytes.end(), strict, may_throw);
+    const auto value = cbor::parse(bytes.data(), bytes.data() + bytes.size());
     if (is_load(value)) {
         return load_of(value);
     }
--- a/libs/config_wire/src/peer_codec.cpp
+++ b/libs/config_wire/src/peer_codec.cpp
@@ -3,6 +3,8 @@
 #include "parse.h"
 #include "peer_message_to_json.h"
 
+#include <cbor/parse.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -67,7 +69,7 @@
 
 absl::StatusOr<config::peer_message> parse_peer_message(std::string_view bytes)
 {
-    return parse(json::from_cbor(bytes, true, false), message_from_json);
+    return parse(cbor::parse(bytes), message_from_json);
 }
 
 } // namespace ej::config_wire
--- a/libs/peer/src/frame.cpp
+++ b/libs/peer/src/frame.cpp
@@ -1,5 +1,6 @@
 #include "frame.h"
 
+#include <cbor/parse.h>
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -51,7 +52,7 @@
 
 std::optional<frame> decode(const std::string& bytes)
 {
-    const json object = json::from_cbor(bytes, true, false);
+    const json object = cbor::parse(bytes);
     if (!object.is_object()) {
         return std::nullopt;
     }
--- a/libs/peer_wire/src/codec.cpp
+++ b/libs/peer_wire/src/codec.cpp
@@ -3,6 +3,8 @@
 #include "reader.h"
 #include "writer.h"
 
+#include <cbor/parse.h>
+
 #include <algorithm>
 #include <array>
 
@@ -90,7 +92,7 @@
 
 std::optional<message> parse_message(const std::string& bytes, core::findings& faults)
 {
-    const auto object = json::from_cbor(bytes, true, false);
+    const auto object = cbor::parse(bytes);
     if (!object.is_object() || !has_number(object, "v") || !has_number(object, "k")) {
         faults.add("message", "is not a versioned message");
         return std::nullopt;
--- a/libs/suspects_wire/src/death_codec.cpp
+++ b/libs/suspects_wire/src/death_codec.cpp
@@ -1,5 +1,7 @@
 #include <suspects_wire/death_codec.h>
 
+#include <cbor/parse.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -41,9 +43,7 @@
 
 absl::StatusOr<suspects::death_record> decode_death(std::span<const std::uint8_t> bytes)
 {
-    constexpr bool strict = true;
-    constexpr bool may_throw = false;
-    const auto value = json::from_cbor(bytes.begin(), bytes.end(), strict, may_throw);
+    const auto value = cbor::parse(bytes.data(), bytes.data() + bytes.size());
     if (value.is_discarded() || !is_death_record(value)) {
         return absl::InvalidArgumentError("not a death record");
     }
--- a/libs/suspects_wire/src/part_codec.cpp
+++ b/libs/suspects_wire/src/part_codec.cpp
@@ -1,5 +1,7 @@
 #include <suspects_wire/part_codec.h>
 
+#include <cbor/parse.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -127,9 +129,7 @@
 
 absl::StatusOr<part_message> decode_part(std::span<const std::uint8_t> bytes)
 {
-    constexpr bool strict = true;
-    constexpr bool may_throw = false;
-    const auto value = json::from_cbor(bytes.begin(), bytes.end(), strict, may_throw);
+    const auto value = cbor::parse(bytes.data(), bytes.data() + bytes.size());
     if (is_death(value)) {
         return suspects::part_death{{core::endpoint_id(value[1].get<std::string>()),
                                      core::incarnation_id(value[2].get<std::string>())},
