Tests of held parts in datagrams and in the store

The entries of the store are read by the follower: a layout of another build and a key that names no part are skipped with a count, and an old entry does not hold back a part that had output since.

--- a/libs/caller_front/tests/parsers_test.cpp
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -209,22 +209,28 @@
 TEST_CASE("a message between daemons is unchanged after encoding and decoding, and a corrupted "
           "datagram is decoded or rejected without a crash")
 {
-    const peer_message message =
-        GENERATE(peer_message(forwarding::load_message{core::vm_id("vm"),
-                                                       7,
-                                                       9,
-                                                       true,
-                                                       {{core::endpoint_id("x"), 3, 12'000}},
-                                                       {{core::service_id("app"), 40, 2}}}),
-                 peer_message(store_update{core::revision(4),
-                                           core::revision(9),
-                                           false,
-                                           {{"a", std::nullopt, core::revision(5)},
-                                            {"b", "\xff any bytes", core::revision(9)}}}),
-                 peer_message(suspects::cleared_request{suspects::request_digest(7)}),
-                 peer_message(suspects::death_record{
-                     {core::endpoint_id("x"), core::incarnation_id("1")},
-                     {suspects::request_digest(5), suspects::request_digest(9)}}));
+    const peer_message message = GENERATE(
+        peer_message(forwarding::load_message{core::vm_id("vm"),
+                                              7,
+                                              9,
+                                              true,
+                                              {{core::endpoint_id("x"), 3, 12'000}},
+                                              {{core::service_id("app"), 40, 2}}}),
+        peer_message(store_update{
+            core::revision(4),
+            core::revision(9),
+            false,
+            {{"a", std::nullopt, core::revision(5)}, {"b", "\xff any bytes", core::revision(9)}}}),
+        peer_message(suspects::cleared_request{suspects::request_digest(7)}),
+        peer_message(
+            suspects::death_record{{core::endpoint_id("x"), core::incarnation_id("1")},
+                                   {suspects::request_digest(5), suspects::request_digest(9)}}),
+        peer_message(suspects::part_death{{core::endpoint_id("x"), core::incarnation_id("1")},
+                                          core::failure_domain_id("z1"),
+                                          {suspects::part_digest(5), suspects::part_digest(9)}}),
+        peer_message(suspects::held_parts{
+            {{suspects::part_digest(5), 2, std::chrono::seconds(3), std::chrono::seconds(4)}}}),
+        peer_message(suspects::cleared_parts{{suspects::part_digest(5)}}));
     const auto bytes = encode(message);
     REQUIRE(decode_peer(bytes).ok());
     CHECK(*decode_peer(bytes) == message);
--- a/libs/caller_front/tests/store_follower_test.cpp
+++ b/libs/caller_front/tests/store_follower_test.cpp
@@ -16,7 +16,9 @@
 #include <rapidcheck.h>
 
 #include <chrono>
+#include <cstdint>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -192,4 +194,36 @@
     CHECK(split_update(oversized).front().items.empty());
 }
 
+TEST_CASE("a part whose entry is in the store is held back and a malformed entry is skipped")
+{
+    follower_fixture in;
+    const auto at = in.revision;
+    in.follower.apply_update({core::revision(at),
+                              core::revision(at + 3),
+                              false,
+                              {{"endivejunction-held/d1", "1 0", core::revision(at + 1)},
+                               {"endivejunction-held/d2", "2 0", core::revision(at + 2)},
+                               {"endivejunction-held/x", "1 0", core::revision(at + 3)}}});
+    const auto holds = [&](std::uint64_t part) {
+        const suspects::part_digest one(part);
+        return in.context.parts.holds_any(std::span(&one, 1));
+    };
+    CHECK(holds(0xd1));
+    CHECK_FALSE(holds(0xd2));
+    CHECK(in.context.metrics.text().find("held_part_faults_total 1") != std::string::npos);
+}
+
+TEST_CASE("an old entry of a part that had output since does not hold it back")
+{
+    follower_fixture in;
+    const suspects::part_digest part(0xd1);
+    in.context.parts.record_output(std::span(&part, 1));
+    const auto at = in.revision;
+    in.follower.apply_update({core::revision(at),
+                              core::revision(at + 1),
+                              false,
+                              {{"endivejunction-held/d1", "1 0", core::revision(at + 1)}}});
+    CHECK_FALSE(in.context.parts.holds_any(std::span(&part, 1)));
+}
+
 } // namespace ej::front
