--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -17,6 +17,7 @@
 #include <forwarding/next_step.h>
 #include <forwarding/route.h>
 
+#include <suspects/part_digest.h>
 #include <suspects/request_digest.h>
 
 #include <core/endpoint.h>
@@ -59,7 +60,6 @@
 protected:
     using attempt_ptr = std::shared_ptr<upstream_attempt>;
 
-
     /// Makes another attempt; the call ends with a refusal or failure if there is no endpoint.
     virtual void send() = 0;
 
@@ -99,6 +99,10 @@
     /// which is then charged to the retry budget.
     [[nodiscard]] bool may_move_from(const core::endpoint& endpoint);
 
+    /// True if the request may not be sent again, since it or a part of its prompt crashes
+    /// endpoints.
+    [[nodiscard]] bool held_back() const;
+
     /// True if `answer` has a signature header, whose value is not checked, and echoes the
     /// identifier of this request.
     [[nodiscard]] bool trusted(const answer_parser& answer) const;
@@ -144,7 +148,8 @@
     forwarding::call_size size_;
     forwarding::call_progress progress_;
     core::service_id service_;
-    suspects::request_digest digest_; // Equal for repeated sends of the same request.
+    suspects::request_digest digest_;          // Equal for repeated sends of the same request.
+    std::vector<suspects::part_digest> parts_; // Of the prompt, shared with other requests.
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <cbor/parse.h>
 #include <suspects_wire/death_codec.h>
+#include <suspects_wire/part_codec.h>
 
 #include <nlohmann/json.hpp>
 
@@ -159,6 +160,21 @@
     return suspects_wire::encode(record);
 }
 
+std::vector<std::uint8_t> bytes_of(const suspects::part_death& seen)
+{
+    return suspects_wire::encode(seen);
+}
+
+std::vector<std::uint8_t> bytes_of(const suspects::held_parts& held)
+{
+    return suspects_wire::encode(held);
+}
+
+std::vector<std::uint8_t> bytes_of(const suspects::cleared_parts& cleared)
+{
+    return suspects_wire::encode(cleared);
+}
+
 } // namespace
 
 std::vector<std::uint8_t> encode(const peer_message& message)
@@ -168,7 +184,7 @@
 
 absl::StatusOr<peer_message> decode_peer(std::span<const std::uint8_t> bytes)
 {
-    const auto value = cbor::parse({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+    const auto value = cbor::parse(bytes);
     if (is_load(value)) {
         return load_of(value);
     }
@@ -178,6 +194,9 @@
     if (is_cleared(value)) {
         return suspects::cleared_request{suspects::request_digest(value[1].get<std::uint64_t>())};
     }
+    if (auto about_parts = suspects_wire::decode_part(bytes); about_parts.ok()) {
+        return std::visit([](auto& one) -> peer_message { return std::move(one); }, *about_parts);
+    }
     return suspects_wire::decode_death(bytes);
 }
 
--- a/libs/cbor/tests/parse_test.cpp
+++ b/libs/cbor/tests/parse_test.cpp
@@ -1,9 +1,16 @@
 #include <cbor/parse.h>
 
+#include "indefinite_strings.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
+#include <cstddef>
+#include <cstdint>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace ej::cbor {
 
@@ -27,6 +34,13 @@
     return value;
 }
 
+using octets = std::vector<std::uint8_t>;
+
+json parsed(const octets& message)
+{
+    return parse(std::span(message));
+}
+
 } // namespace
 
 TEST_CASE("a value is unchanged after encoding and parsing")
@@ -53,6 +67,8 @@
         for (int change = 0; change < changes; ++change) {
             bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
         }
+        const std::span octets(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+        RC_PRE(!has_indefinite_string(octets));
         const auto value = parse(bytes);
         json expected(json::value_t::discarded);
         try {
@@ -69,4 +85,59 @@
     CHECK(holds);
 }
 
+TEST_CASE("a message that announces a size beyond any memory is rejected")
+{
+    CHECK(parsed(octets{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xf0}).is_discarded());
+    CHECK(parsed(octets{0xbb, 0x84, 0x07, 0x00, 0x1b, 0x80, 0x00, 0x00, 0x00}).is_discarded());
+    CHECK(parsed(octets{0x9a, 0x00, 0xff, 0xff, 0xff}).is_discarded());
+}
+
+TEST_CASE("a message that is nested as deeply as a datagram allows is rejected")
+{
+    constexpr std::size_t longest_datagram = 65'507;
+    constexpr std::uint8_t array_of_one = 0x81;
+    CHECK(parsed(octets(longest_datagram, array_of_one)).is_discarded());
+    constexpr std::uint8_t array_of_unknown_size = 0x9f;
+    CHECK(parsed(octets(longest_datagram, array_of_unknown_size)).is_discarded());
+}
+
+TEST_CASE("any bytes are parsed or rejected without an exception")
+{
+    rc::prop("any bytes", [] {
+        const auto any = *rc::gen::arbitrary<octets>();
+        static_cast<void>(parsed(any));
+    });
+}
+
+TEST_CASE("a valid message is parsed and one with a surplus byte is rejected")
+{
+    const json value{7, {{1, 2}, {"text", 3.5, nullptr}}, {{"key", true}}};
+    auto encoded = json::to_cbor(value);
+    CHECK(parsed(encoded) == value);
+    encoded.push_back(0);
+    CHECK(parsed(encoded).is_discarded());
+}
+
+TEST_CASE("a string without a length is rejected however many are nested")
+{
+    constexpr std::size_t longest_datagram = 65'507;
+    constexpr std::uint8_t text_without_length = 0x7f;
+    constexpr std::uint8_t bytes_without_length = 0x5f;
+    constexpr std::uint8_t empty_text = 0x60;
+    CHECK(parsed(octets(longest_datagram, text_without_length)).is_discarded());
+    CHECK(parsed(octets(longest_datagram, bytes_without_length)).is_discarded());
+    octets alternating(longest_datagram, text_without_length);
+    for (std::size_t place = 1; place < alternating.size(); place += 2) {
+        alternating[place] = empty_text;
+    }
+    CHECK(parsed(alternating).is_discarded());
+    CHECK(parsed({0x82, 0x01, text_without_length, empty_text, 0xff}).is_discarded());
+}
+
+TEST_CASE("bytes that look like a head within a string do not reject it")
+{
+    const json value{"\x7f_", json::binary({0x7f, 0x5f}), 0x7f};
+    CHECK(parsed(json::to_cbor(value)) == value);
+}
+
 } // namespace ej::cbor
