--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -184,7 +184,7 @@
 
 absl::StatusOr<peer_message> decode_peer(std::span<const std::uint8_t> bytes)
 {
-    const auto value = cbor::parse(bytes);
+    const auto value = cbor::parse(bytes.data(), bytes.size());
     if (is_load(value)) {
         return load_of(value);
     }
--- a/libs/cbor/include/cbor/parse.h
+++ b/libs/cbor/include/cbor/parse.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <span>
 #include <string_view>
 
 namespace ej::cbor {
@@ -16,6 +15,6 @@
 /// value (`is_discarded`) if it is invalid, nests deeper than `max_depth`, announces more entries
 /// than it has, or has a string of indefinite length. Never throws.
 [[nodiscard]] nlohmann::json parse(std::string_view bytes);
-[[nodiscard]] nlohmann::json parse(std::span<const std::uint8_t> bytes);
+[[nodiscard]] nlohmann::json parse(const std::uint8_t* data, std::size_t size);
 
 } // namespace ej::cbor
--- a/libs/cbor/src/parse.cpp
+++ b/libs/cbor/src/parse.cpp
@@ -3,13 +3,15 @@
 #include "indefinite_strings.h"
 #include "tree_builder.h"
 
+#include <span>
 #include <utility>
 
 namespace ej::cbor {
 
-nlohmann::json parse(std::span<const std::uint8_t> bytes)
+nlohmann::json parse(const std::uint8_t* data, std::size_t size)
 {
     using nlohmann::json;
+    const std::span bytes(data, size);
     // The library's reader recurses for each part of such a string, without a limit.
     if (has_indefinite_string(bytes)) {
         return json(json::value_t::discarded);
@@ -22,7 +24,7 @@
 
 nlohmann::json parse(std::string_view bytes)
 {
-    return parse(std::span(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()));
+    return parse(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
 }
 
 } // namespace ej::cbor
--- a/libs/cbor/tests/parse_test.cpp
+++ b/libs/cbor/tests/parse_test.cpp
@@ -38,7 +38,7 @@
 
 json parsed(const octets& message)
 {
-    return parse(std::span(message));
+    return parse(message.data(), message.size());
 }
 
 } // namespace
--- a/libs/suspects_wire/src/death_codec.cpp
+++ b/libs/suspects_wire/src/death_codec.cpp
@@ -43,7 +43,7 @@
 
 absl::StatusOr<suspects::death_record> decode_death(std::span<const std::uint8_t> bytes)
 {
-    const auto value = cbor::parse(bytes);
+    const auto value = cbor::parse(bytes.data(), bytes.size());
     if (value.is_discarded() || !is_death_record(value)) {
         return absl::InvalidArgumentError("not a death record");
     }
--- a/libs/suspects_wire/src/part_codec.cpp
+++ b/libs/suspects_wire/src/part_codec.cpp
@@ -129,7 +129,7 @@
 
 absl::StatusOr<part_message> decode_part(std::span<const std::uint8_t> bytes)
 {
-    const auto value = cbor::parse(bytes);
+    const auto value = cbor::parse(bytes.data(), bytes.size());
     if (is_death(value)) {
         return suspects::part_death{{core::endpoint_id(value[1].get<std::string>()),
                                      core::incarnation_id(value[2].get<std::string>())},
