--- a/libs/caller_front/tests/connection_fixture.cpp
+++ b/libs/caller_front/tests/connection_fixture.cpp
@@ -41,8 +41,9 @@
 
 void connection_fixture::run_ready()
 {
-    lane.restart();
-    lane.poll();
+    do {
+        lane.restart();
+    } while (lane.poll() > 0);
 }
 
 void connection_fixture::run_one()
