A call outlives the read-ahead limit of its caller's connection

Only the pending read owned a caller's connection. At the limit no further read is issued, so that the connection was destroyed while its call ran, and the engine worked on. The same happened to a half-closed connection with unread bytes, whose reset could overtake its last answer.

Before the fix 'a request is answered while more is pipelined behind it than the daemon reads ahead' got neither answer. A wait for an error of the socket owns the connection now while it does not read.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -129,6 +129,9 @@
     else if (reader_.buffer().size() < max_read_ahead_bytes) {
         read();
     }
+    else {
+        stay_open();
+    }
 }
 
 void caller_connection::parse()
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -44,8 +44,26 @@
                        [self = shared_from_this()](const error_code& error) {
                            error_code failed;
                            const bool unread = !error && self->socket_.available(failed) > 0;
-                           if (self->phase_ != phase::closed && !unread) {
-                               self->close();
+                           if (self->phase_ == phase::closed) {
+                               return;
+                           }
+                           if (unread) {
+                               // Closing beside unread bytes resets the connection, and the caller
+                               // might lose its last answer.
+                               self->stay_open();
+                               return;
+                           }
+                           self->close();
+                       });
+}
+
+/// Owns the connection while it does not read; without a pending operation it would be destroyed.
+void caller_connection::stay_open()
+{
+    socket_.async_wait(tcp::socket::wait_error,
+                       [self = shared_from_this()](const error_code& error) {
+                           if (!error && self->phase_ != phase::closed) {
+                               self->disconnect(connection_end::read_failed);
                            }
                        });
 }
--- a/tests/forward/connection_end_test.cpp
+++ b/tests/forward/connection_end_test.cpp
@@ -118,6 +118,21 @@
     left.get();
 }
 
+TEST_CASE("a request is answered while more is pipelined behind it than the daemon reads ahead")
+{
+    daemon_fixture fixture;
+    const endpoint_stand_in app(serve_past_end);
+    fixture.add("i-1", "app", app);
+    fixture.configure_and_start(1);
+    const std::string body(90'000, 'b');
+    caller kept(fixture.listen_address());
+    kept.send(request("POST", "/act/x", "c", "d"));
+    REQUIRE(daemon_fixture::wait_until([&] { return app.requests().size() == 1; }));
+    kept.send(request("POST", "/act/x", "e", body));
+    CHECK(kept.read_answer().starts_with("HTTP/1.1 200"));
+    CHECK(kept.read_answer().starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a signal that interrupts the shutdown does not abort it")
 {
     const interrupting_signal installed;
