A leaving daemon refuses further requests before it stops its listener

Found by a review. A request that completed between the close of the listener and the store of the last schedule was admitted, and the wait for the listener had no bound: on a starved lane the final answers of all lanes waited for it.

The schedule is stored first and the wait ends with the time for the last answers. The pause between two looks is a timer's, which goes on after a signal. 'a signal that interrupts the shutdown does not abort it' and 'a request that is complete as the last call of a leaving daemon ends is answered' pass as before; the latter could fail when its thread was late, by reading.

--- a/libs/caller_front/src/caller_listener.cpp
+++ b/libs/caller_front/src/caller_listener.cpp
@@ -50,14 +50,14 @@
     asio::post(lanes_.front()->loop(), [this] { accept(); });
 }
 
-void caller_listener::stop()
+void caller_listener::stop(core::instant latest)
 {
     asio::post(lanes_.front()->loop(), [this] {
         error_code ignored; // The process is about to end.
         acceptor_.close(ignored);
         pause_.cancel();
     });
-    end_.wait();
+    end_.wait_until(latest);
 }
 
 void caller_listener::accept()
--- a/libs/caller_front/src/caller_listener.h
+++ b/libs/caller_front/src/caller_listener.h
@@ -4,6 +4,7 @@
 #include "net.h"
 
 #include <core/address.h>
+#include <core/instant.h>
 
 #include <absl/status/status.h>
 
@@ -25,9 +26,9 @@
     /// Starts to accept.
     void start();
 
-    /// Stops accepting and waits until the lanes have every accepted connection. Called from any
-    /// other thread than the first lane's, after `start`.
-    void stop();
+    /// Stops accepting and waits until the lanes have every accepted connection, at most until
+    /// `latest`. Called from any other thread than the first lane's, after `start`.
+    void stop(core::instant latest);
 
     /// The bound address.
     [[nodiscard]] core::address local() const { return local_; }
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -154,17 +154,26 @@
     const auto earliest = began + balancer_notice_time;
     context.schedule.store(shutdown_schedule{earliest, last});
     context.leaving = true;
-    const auto wait_until = [](core::instant end, const auto& done) {
+    asio::io_context waiting;
+    asio::steady_timer timer(waiting);
+    // Unlike a blocking wait of the timer, `run` goes on after a signal.
+    const auto pause = [&] {
+        timer.expires_after(leave_interval);
+        timer.async_wait([](const error_code&) {});
+        waiting.restart();
+        waiting.run();
+    };
+    const auto wait_until = [&](core::instant end, const auto& done) {
         while (now() < end && !done()) {
-            std::this_thread::sleep_for(leave_interval);
+            pause();
         }
     };
     wait_until(earliest, [] { return false; });
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
     wait_until(last - answer_margin, [&] { return context.calls_open == 0; });
-    parts_->listener->stop();
     // A call that begins now would outlast the process, so every further request is refused.
     context.schedule.store(shutdown_schedule{core::instant::min(), now()});
+    parts_->listener->stop(last - answer_margin);
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
     const auto all_answered = [&] { return context.callers_active == 0; };
     wait_until(last - answer_margin, all_answered);
@@ -175,7 +184,7 @@
                   {"callers_open", std::to_string(context.callers_open)},
                   {"callers_active", std::to_string(context.callers_active)}});
     // Allows time for sending the last answers.
-    std::this_thread::sleep_for(leave_interval);
+    pause();
 }
 
 core::address front_daemon::caller_address() const
