An endpoint that ends its connections in an orderly way counts as dead

Found by a review. Engines that begin an answer with neither a length nor chunks and close the connection as they crash went on being crashed by the same part.

Such an attempt ends as spoiled, and a death was checked for only behind a broken or a silent one, so that no evidence came up. The check opens a connection, so that an engine that lives is not counted.

--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -168,7 +168,11 @@
     progress_.may_have_run = progress_.may_have_run || ran;
     progress_.runs += ran ? 1 : 0;
     context.metrics.count("attempts_ended_total", {{"end", std::string(to_string(end))}});
-    if (attempt.sent() && (end == attempt_end::broken || end == attempt_end::silent)) {
+    // An endpoint that ends may close its connection in an orderly way, so that its answer only
+    // looks spoiled.
+    const bool may_have_died =
+        end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::spoiled;
+    if (attempt.sent() && may_have_died) {
         // A poison request crashes its endpoint before the first output.
         const auto suspect =
             progress_.had_output ? std::nullopt : std::optional(suspect_request{digest_, parts_});
--- a/stand_ins/fleet/include/fleet/endpoint_stand_in.h
+++ b/stand_ins/fleet/include/fleet/endpoint_stand_in.h
@@ -71,6 +71,7 @@
     bool run_steps(const accepted& connection, const std::vector<step>& steps);
     [[nodiscard]] bool wait(const accepted& connection, std::chrono::milliseconds time);
     [[nodiscard]] bool hold(const accepted& connection);
+    void end_with(int socket, const std::string& text) const;
     [[nodiscard]] bool lost(const accepted& connection) const;
 
     script answer_;
--- a/stand_ins/fleet/src/endpoint_stand_in.cpp
+++ b/stand_ins/fleet/src/endpoint_stand_in.cpp
@@ -200,6 +200,19 @@
     return true;
 }
 
+/// Sends `text`, closes the sending half and waits until the caller has closed the connection.
+void endpoint_stand_in::end_with(int socket, const std::string& text) const
+{
+    ::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
+    ::shutdown(socket, SHUT_WR);
+    bool open = true;
+    while (open && !stopping_) {
+        pollfd descriptor{socket, POLLIN, 0};
+        char byte = 0;
+        open = ::poll(&descriptor, 1, poll_ms) <= 0 || ::recv(socket, &byte, 1, 0) > 0;
+    }
+}
+
 bool endpoint_stand_in::run_steps(const accepted& connection, const std::vector<step>& steps)
 {
     for (const step& current : steps) {
@@ -235,6 +248,9 @@
             return false;
         case step_kind::crash:
             crash(current.time);
+            if (!current.text.empty()) {
+                end_with(connection.socket, current.text);
+            }
             return false;
         }
     }
--- a/tests/forward/crashing_part_test.cpp
+++ b/tests/forward/crashing_part_test.cpp
@@ -124,6 +124,20 @@
     CHECK(last.refused());
 }
 
+TEST_CASE("a part is held back on which engines end their connections in an orderly way")
+{
+    daemon_fixture fixture;
+    engine_group engines(fixture, {crashing});
+    engines.send_heads_before_crashes();
+    fixture.configure_and_start(engine_group::count);
+    prompt_outcome last;
+    for (int number = 0; number < requests_sent; ++number) {
+        last = ask_when_back(engines, {&fixture}, fixture, {shared, crashing});
+    }
+    CHECK(engines.arrivals_with_part(crashing) <= most_arrivals);
+    CHECK(last.refused());
+}
+
 TEST_CASE("sound requests that share their caller and other parts with crashing ones are served at "
           "the first attempt")
 {
--- a/tests/forward/engine_group.cpp
+++ b/tests/forward/engine_group.cpp
@@ -15,6 +15,14 @@
 constexpr int events = 3;
 const std::array<std::string, 3> domains{"z1", "z2", "z3"};
 
+/// The head of a stream that ends with its connection.
+std::string unframed_head(const std::string& request)
+{
+    const std::string framing = "Transfer-Encoding: chunked\r\n";
+    auto head = fleet::stream_head(request);
+    return head.erase(head.find(framing), framing.size());
+}
+
 } // namespace
 
 engine_group::engine_group(daemon_fixture& fixture, std::set<std::string> crashing_parts,
@@ -65,7 +73,8 @@
     }
     run_.push_back(request);
     if (crashes_on(request)) {
-        return {{step_kind::wait, "", read_time_}, {step_kind::crash, "", down_time}};
+        const auto head = heads_before_crashes_ ? unframed_head(request) : std::string();
+        return {{step_kind::wait, "", read_time_}, {step_kind::crash, head, down_time}};
     }
     const auto last_event_id = fleet::header_value(request, "Last-Event-Id");
     std::vector<step> steps{{step_kind::wait, "", read_time_},
--- a/tests/forward/engine_group.h
+++ b/tests/forward/engine_group.h
@@ -5,6 +5,7 @@
 #include <fleet/endpoint_stand_in.h>
 #include <fleet/step.h>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <mutex>
@@ -26,6 +27,9 @@
     explicit engine_group(daemon_fixture& fixture, std::set<std::string> crashing_parts = {},
                           std::chrono::milliseconds read_time = std::chrono::milliseconds(20));
 
+    /// From now on, engines that crash send the head of an answer without a length first.
+    void send_heads_before_crashes() { heads_before_crashes_ = true; }
+
     /// The events that answer a request.
     [[nodiscard]] static std::string whole_stream();
 
@@ -59,6 +63,7 @@
     daemon_fixture& fixture_;
     std::set<std::string> crashing_parts_;
     std::chrono::milliseconds read_time_;
+    std::atomic<bool> heads_before_crashes_{false};
     mutable std::mutex mutex_;
     std::vector<std::string> run_;
     std::vector<engine> engines_;
