Newer deaths replace older ones in the evidence against a part

A part remembers 16 deaths without output. If those came in one burst, which is no proof, newer ones were dropped and the part was never held back: 'a part is held back whose first deaths were more than are remembered and in one burst' failed before. A part whose evidence an output has cleared meanwhile is no longer held either.

--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -81,11 +81,14 @@
             if (place != known.unanswered.end() && *place == reported.death) {
                 return;
             }
-            ++known.total;
             known.last_death = now;
-            if (known.unanswered.size() < max_deaths) {
-                known.unanswered.insert(place, reported.death);
+            if (known.unanswered.size() == max_deaths) {
+                // Gives way to newer evidence: deaths of one burst would fill the list for good.
+                known.unanswered.erase(known.unanswered.begin() + known.total % max_deaths);
             }
+            ++known.total;
+            known.unanswered.insert(std::ranges::lower_bound(known.unanswered, reported.death),
+                                    reported.death);
         });
     }
     return added.empty() ? part_death{reported.death, reported.domain, {}} : merged;
@@ -241,7 +244,10 @@
     const bool ambiguous = is_ambiguous(part);
     histories_.with(part, [&](auto& histories) {
         part_history& known = use_history(histories, part, now);
-        known.hold = part_hold{0, ambiguous ? now : now + trial_pause(0), ambiguous};
+        // An output may have come since the evidence was looked at.
+        if (!known.unanswered.empty()) {
+            known.hold = part_hold{0, ambiguous ? now : now + trial_pause(0), ambiguous};
+        }
     });
 }
 
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -116,6 +116,22 @@
     CHECK(table->held(now).size() == 1);
 }
 
+TEST_CASE("a part is held back whose first deaths were more than are remembered and in one burst")
+{
+    auto parts = make_table();
+    constexpr int deaths_at_once = 20;
+    for (int number = 0; number < deaths_at_once; ++number) {
+        parts->record_death(death(number, "d" + std::to_string(number % 2), {deadly}), start);
+    }
+    CHECK(parts->review(start + 1s).empty());
+    for (int number = 0; number < deaths_at_once; ++number) {
+        parts->record_death(death(100 + number, "d" + std::to_string(number % 2), {deadly}),
+                            start + (2 + number) * 1s);
+    }
+    parts->review(start + 30s);
+    CHECK(verdict_of(*parts, {deadly}, start + 30s) == verdict::refuse);
+}
+
 TEST_CASE("two deadly parts at once are both held back")
 {
     auto table = make_table();
