Two counts of the held parts do not overtake each other

Found by a review, by reading. A lane that counted none could store that after the control loop had held a part: until the next change, requests with the part would have been sent. Count and store are under one lock now.

--- a/libs/caller_front/src/part_guard.cpp
+++ b/libs/caller_front/src/part_guard.cpp
@@ -216,9 +216,13 @@
 
 void part_guard::update_gauge()
 {
-    const auto count = table_.held(now()).size();
-    any_held_ = count > 0;
-    metrics_.set("suspects_held", {{"kind", "part"}}, double(count));
+    {
+        // An older count must not replace a newer one.
+        const std::scoped_lock lock(count_mutex_);
+        const auto count = table_.held(now()).size();
+        any_held_ = count > 0;
+        metrics_.set("suspects_held", {{"kind", "part"}}, double(count));
+    }
     held_changed();
 }
 
--- a/libs/caller_front/src/part_guard.h
+++ b/libs/caller_front/src/part_guard.h
@@ -16,6 +16,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -86,6 +87,7 @@
     const core::vm_id& own_;
     metrics::registry& metrics_;
     suspects::part_table table_;
+    std::mutex count_mutex_;
     std::atomic<bool> any_held_{false};
     core::instant next_expiry_{};
 };
