--- a/libs/caller_front/src/shared_parts.cpp
+++ b/libs/caller_front/src/shared_parts.cpp
@@ -3,6 +3,7 @@
 #include "prompt_parts.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ej::front {
 
@@ -14,9 +15,9 @@
         all.pop_back();
     }
     std::vector<suspects::part_digest> shared;
-    for (const forwarding::prompt_part& one : all) {
-        shared.emplace_back(one.id.value());
-    }
+    std::ranges::transform(all, std::back_inserter(shared), [](const forwarding::prompt_part& one) {
+        return suspects::part_digest(one.id.value());
+    });
     std::ranges::sort(shared);
     const auto repeats = std::ranges::unique(shared);
     shared.erase(repeats.begin(), repeats.end());
