--- /dev/null
+++ b/libs/caller_front/src/stream_call_output.cpp
@@ -0,0 +1,147 @@
+#include "clock.h"
+#include "stream_call.h"
+
+#include "answer_limits.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <chrono>
+#include <utility>
+
+namespace ej::front {
+
+namespace {
+
+using forwarding::attempt_end;
+
+constexpr unsigned status_ok = 200;
+
+// Time per output token of an engine at nominal speed, in ms (the platform specifies 5.05 ms or
+// more per step).
+constexpr double nominal_ms_per_token = 5.1;
+
+} // namespace
+
+void stream_call::on_head(upstream_attempt& attempt)
+{
+    if (&attempt != current_.get()) {
+        return;
+    }
+    note_load(attempt);
+    accepted_ = attempt.answer().status() == status_ok && trusted(attempt.answer());
+    // Nothing in the body could change the outcome, and it may have no end.
+    if (!accepted_ && end_of(attempt) == attempt_end::spoiled) {
+        abandon_attempt(attempt_end::spoiled, absl::StrCat("status ", attempt.answer().status()));
+        return;
+    }
+    if (accepted_ && head_.headers.empty()) {
+        head_ = {status_ok, answer_fields(attempt.answer().headers()), {}};
+    }
+}
+
+void stream_call::on_body(upstream_attempt& attempt, std::string part)
+{
+    if (&attempt != current_.get()) {
+        return;
+    }
+    const auto gap = now() - silence_->last_output();
+    if (!accepted_) {
+        failure_body_ += part;
+        if (failure_body_.size() > max_answer_bytes) {
+            abandon_attempt(attempt_end::spoiled, "answer exceeds the size limit");
+        }
+        return;
+    }
+    const auto events = framer_.feed(part);
+    // Several events that arrive together were delayed on the way and do not show the engine's
+    // pace.
+    if (flowing_ && events.size() == 1) {
+        record_pace(attempt, gap);
+    }
+    deliver(attempt, events);
+    if (over() || &attempt != current_.get()) {
+        return;
+    }
+    // Bytes that complete no event are no output, and may have no end.
+    if (!events.empty()) {
+        silence_->note_output(bounds());
+        silence_noted_ = false;
+    }
+    if (framer_.overflowed()) {
+        abandon_attempt(attempt_end::spoiled, "event exceeds the size limit");
+    }
+}
+
+void stream_call::record_pace(const upstream_attempt& attempt, core::duration gap) const
+{
+    const auto* const service = environment_.rules->find_service(service_);
+    if (service == nullptr || !service->engine) {
+        return;
+    }
+    const double nominal_ms = nominal_ms_per_token * service->engine->tokens_per_event;
+    const double actual_ms = std::chrono::duration<double, std::milli>(gap).count();
+    environment_.context.stats.record_slowness(attempt.endpoint().where, actual_ms / nominal_ms);
+}
+
+void stream_call::deliver(upstream_attempt& attempt, const std::vector<framed_event>& events)
+{
+    std::string out;
+    for (const framed_event& event : events) {
+        // An engine that reads the prompt again may repeat events that the caller has already
+        // received.
+        if (event.id && last_event_ && *event.id <= *last_event_) {
+            continue;
+        }
+        last_event_ = event.id ? event.id : last_event_;
+        out += event.text;
+    }
+    if (out.empty()) {
+        return;
+    }
+    if (!std::exchange(progress_.had_output, true)) {
+        environment_.context.parts.record_output(parts_);
+    }
+    if (!std::exchange(flowing_, true)) {
+        environment_.context.stats.first_output(attempt.endpoint().name,
+                                                std::exchange(tokens_unread_, 0));
+        report_load_change(attempt.endpoint().name);
+        environment_.context.stats.succeeded(attempt.endpoint().name);
+        pauses_ = 0;
+    }
+    const auto to = sink();
+    if (to == nullptr) {
+        return;
+    }
+    if (!std::exchange(progress_.delivering, true)) {
+        to->start_stream(head_);
+    }
+    to->write(out);
+}
+
+void stream_call::on_complete(upstream_attempt& attempt)
+{
+    if (over() || &attempt != current_.get()) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (!accepted_) {
+        const auto end = end_of(attempt);
+        abandon_attempt(end, absl::StrCat("status ", attempt.answer().status()));
+        return;
+    }
+    // Only the end of its connection ends an unframed answer; without an event it may have been
+    // cut.
+    const bool cut_short = attempt.unframed() && !flowing_;
+    if (framer_.within_event() || !progress_.delivering || cut_short) {
+        abandon_attempt(attempt_end::spoiled, "stream ended before its last event was complete");
+        return;
+    }
+    release_load(attempt);
+    cancel_attempts();
+    if (const auto to = sink()) {
+        to->finish();
+    }
+    finish("served", status_ok);
+}
+
+} // namespace ej::front
