Findings of the linter in new tests

The test of the CBOR reader compares with a function for the library's result, and the caller's connection is read in the fixture, without blocking. The checks are the same.

--- a/libs/caller_front/tests/caller_connection_test.cpp
+++ b/libs/caller_front/tests/caller_connection_test.cpp
@@ -89,10 +89,7 @@
     connection_fixture fixture(never);
     fixture.connection->close_if_idle();
     fixture.run_ready();
-    char byte = 0;
-    error_code error;
-    fixture.caller.read_some(asio::buffer(&byte, 1), error);
-    CHECK(error == asio::error::eof);
+    CHECK(fixture.next_read() == asio::error::eof);
     CHECK(counts(fixture, ended("leaving", "no")));
 }
 
--- a/libs/caller_front/tests/connection_fixture.cpp
+++ b/libs/caller_front/tests/connection_fixture.cpp
@@ -72,6 +72,15 @@
     return text;
 }
 
+error_code connection_fixture::next_read()
+{
+    char byte = 0;
+    error_code error;
+    caller.non_blocking(true);
+    caller.read_some(asio::buffer(&byte, 1), error);
+    return error;
+}
+
 std::string plain_request()
 {
     return "GET /x HTTP/1.1\r\nHost: h.example\r\n\r\n";
--- a/libs/caller_front/tests/connection_fixture.h
+++ b/libs/caller_front/tests/connection_fixture.h
@@ -36,6 +36,9 @@
     /// Reads what the daemon has sent, until it closes the connection or has nothing more to do.
     [[nodiscard]] std::string received();
 
+    /// Reads one byte at the caller. Returns the error, `would_block` if nothing has arrived.
+    [[nodiscard]] error_code next_read();
+
     front_context context;
     asio::io_context lane{1};
     upstream_pool pool{lane};
--- a/libs/cbor/tests/parse_test.cpp
+++ b/libs/cbor/tests/parse_test.cpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ej::cbor {
@@ -41,6 +42,17 @@
     return parse(message.data(), message.size());
 }
 
+/// The result of the library's own parser, which throws for an announced count that is too large.
+json library_result(const std::string& bytes)
+{
+    try {
+        return json::from_cbor(bytes, true, false);
+    }
+    catch (const json::exception&) {
+        return json(json::value_t::discarded);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a value is unchanged after encoding and parsing")
@@ -56,7 +68,8 @@
 {
     CHECK(parse(bytes_of(nested(max_depth))) == nested(max_depth));
     CHECK(parse(bytes_of(nested(max_depth + 1))).is_discarded());
-    CHECK(parse(std::string(10'000'000, '\x81')).is_discarded());
+    constexpr std::size_t many = 10'000'000;
+    CHECK(parse(std::string_view(std::vector<char>(many, '\x81').data(), many)).is_discarded());
 }
 
 TEST_CASE("arbitrary bytes are parsed or discarded as the library's own parser does")
@@ -70,12 +83,7 @@
         const std::span octets(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
         RC_PRE(!has_indefinite_string(octets));
         const auto value = parse(bytes);
-        json expected(json::value_t::discarded);
-        try {
-            expected = json::from_cbor(bytes, true, false);
-        }
-        catch (const json::exception&) { // An announced count that is too large.
-        }
+        const json expected = library_result(bytes);
         RC_ASSERT(value.is_discarded() == expected.is_discarded());
         // Compared as bytes, since a number that is not finite is unequal to itself.
         if (!value.is_discarded()) {
