--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -34,9 +34,8 @@
 void evict(std::unordered_map<part_digest, part_history>& histories)
 {
     std::vector<core::instant> used;
-    for (const auto& [part, known] : histories) {
-        used.push_back(known.used);
-    }
+    std::ranges::transform(histories, std::back_inserter(used),
+                           [](const auto& entry) { return entry.second.used; });
     const auto middle = used.begin() + static_cast<std::ptrdiff_t>(used.size() / 2);
     std::ranges::nth_element(used, middle);
     std::erase_if(histories, [limit = *middle](const auto& entry) {
