--- a/tests/forward/odd_entry_test.cpp
+++ b/tests/forward/odd_entry_test.cpp
@@ -66,6 +66,15 @@
                                   "\n") != std::string::npos;
 }
 
+/// Writes `values` among the registrations and among the daemons' own entries.
+void put_all(daemon_fixture& fixture, const std::vector<std::string>& values)
+{
+    for (std::size_t number = 0; number < values.size(); ++number) {
+        fixture.store.put("servers/odd-" + std::to_string(number), values[number]);
+        fixture.store.put("endivejunction/odd-" + std::to_string(number), values[number]);
+    }
+}
+
 } // namespace
 
 TEST_CASE("odd entries among the registrations leave the others in use and are counted once")
@@ -76,18 +85,12 @@
     fixture.add("i-1", "app", first);
     const bool before_start = GENERATE(true, false);
     const auto odd = odd_values();
-    const auto put_odd = [&] {
-        for (std::size_t number = 0; number < odd.size(); ++number) {
-            fixture.store.put("servers/odd-" + std::to_string(number), odd[number]);
-            fixture.store.put("endivejunction/odd-" + std::to_string(number), odd[number]);
-        }
-    };
     if (before_start) {
-        put_odd();
+        put_all(fixture, odd);
     }
     fixture.configure_and_start(1);
     if (!before_start) {
-        put_odd();
+        put_all(fixture, odd);
     }
     CHECK(daemon_fixture::wait_until(
         [&] { return counts(fixture, "endpoint_faults_total", odd.size()); }));
