Clean lint results hold for every checkout with the same contents

Paths within the tree now count relative to its root; contents, command, configuration and tool stay in the key. The new test fails with the old keys (two digests for two checkouts of the same files).

--- a/tests/tools/lint_cache_test.py
+++ b/tests/tools/lint_cache_test.py
@@ -1,5 +1,6 @@
 """Tests of the cache of clean lint results."""
 
+import shutil
 import sys
 import tempfile
 import unittest
@@ -25,10 +26,10 @@
         return str(path)
 
     def digest(self, common: str = "v1", command: str = "c++ a.cpp") -> str:
-        return LintCache(self.root / "cache", common).digest(self.source, command, [self.header])
+        return LintCache(self.root / "cache", common, str(self.root)).digest(self.source, command, [self.header])
 
     def test_clean_result_is_kept_while_inputs_are_unchanged(self):
-        cache = LintCache(self.root / "cache", "v1")
+        cache = LintCache(self.root / "cache", "v1", str(self.root))
         self.assertFalse(cache.is_clean(self.digest()))
         cache.keep_clean(self.digest())
         self.write("b.h", "int another();")
@@ -46,6 +47,16 @@
         self.write("a.cpp", "int main() {}")
         self.assertNotEqual(before, self.digest())
 
+    def test_result_holds_for_another_checkout_with_the_same_contents(self):
+        digests = set()
+        for name in ["one", "another"]:
+            root = self.root / name
+            root.mkdir()
+            files = [shutil.copy(path, root) for path in [self.source, self.header]]
+            cache = LintCache(self.root / "cache", "v1", str(root))
+            digests.add(cache.digest(files[0], f"c++ -I{root}/include {files[0]}", [files[1]]))
+        self.assertEqual(len(digests), 1)
+
     def test_parse_deps_reads_valid_entries_only(self):
         text = "x/a.o: #deps 2, deps mtime 1 (VALID)\n    ../a.cpp\n    ../a.h\n\ny.o: #deps 1, deps mtime 1 (STALE)\n    ../b.h\n"
         self.assertEqual(parse_deps(text), {"x/a.o": ["../a.cpp", "../a.h"]})
