The soak plays endpoints that leave by their answers and ask for pauses

Endpoints record what reached them when; a daemon may send nothing later than 2 s after a caller had an answer that said so, and two requests at most within a pause, half a second after the refusal.

--other PROGRAM runs another build's daemon at every second start, so that messages and stored entries of two builds meet.

--- a/stand_ins/fleet/include/fleet/endpoint_stand_in.h
+++ b/stand_ins/fleet/include/fleet/endpoint_stand_in.h
@@ -96,8 +96,8 @@
 [[nodiscard]] std::string signed_answer(const std::string& request, int status,
                                         const std::string& body, const std::string& more = {});
 
-/// The head of a signed, chunked event stream response.
-[[nodiscard]] std::string stream_head(const std::string& request);
+/// The head of a signed, chunked event stream response, with the extra header lines `more`.
+[[nodiscard]] std::string stream_head(const std::string& request, const std::string& more = {});
 
 /// Event `id` of an event stream, as an HTTP chunk.
 [[nodiscard]] std::string event_chunk(int id);
--- a/stand_ins/fleet/src/endpoint_stand_in.cpp
+++ b/stand_ins/fleet/src/endpoint_stand_in.cpp
@@ -321,11 +321,12 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string stream_head(const std::string& request)
+std::string stream_head(const std::string& request, const std::string& more)
 {
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nEndivejunction-Attempt-Id: " +
            header_value(request, "Endivejunction-Attempt-Id") +
-           "\r\nEndivejunction-Response-Signature: signed\r\nTransfer-Encoding: chunked\r\n\r\n";
+           "\r\nEndivejunction-Response-Signature: signed\r\n" + more +
+           "Transfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string event_chunk(int id)
--- a/tests/soak/src/fault.h
+++ b/tests/soak/src/fault.h
@@ -23,6 +23,9 @@
 /// True if callers send requests with a prompt part on which engines crash during `seed`.
 [[nodiscard]] bool has_crashing_part(std::uint64_t seed);
 
+/// True if endpoints leave by their answers alone and ask for pauses during `seed`.
+[[nodiscard]] bool has_endpoint_signals(std::uint64_t seed);
+
 /// The faults for `seed`, ordered by start time within `length`. Faults may overlap.
 [[nodiscard]] std::vector<fault> make_plan(std::uint64_t seed, std::chrono::milliseconds length);
 
--- a/tests/soak/src/fault_kind.h
+++ b/tests/soak/src/fault_kind.h
@@ -24,9 +24,11 @@
     slow_endpoint,
     one_way_endpoint,
     change_configuration,
-    reload_settings ///< SIGHUP, which reloads the settings.
+    reload_settings,  ///< SIGHUP, which reloads the settings.
+    leave_in_answers, ///< An endpoint says in its answers alone that it leaves.
+    ask_for_pause     ///< An endpoint refuses requests and asks for a pause.
 };
 
-inline constexpr std::size_t fault_kind_count = 19;
+inline constexpr std::size_t fault_kind_count = 21;
 
 } // namespace ej::soak
--- a/tests/soak/src/fault_runner.cpp
+++ b/tests/soak/src/fault_runner.cpp
@@ -1,6 +1,7 @@
 #include "fault_runner.h"
 
 #include "crashing_part.h"
+#include "endpoint_signals.h"
 
 #include <signal.h>
 
@@ -17,6 +18,8 @@
 constexpr milliseconds poll_interval{10};
 // A daemon ends within its grace of 4 s after SIGTERM; the rest is margin for a busy machine.
 constexpr milliseconds end_of_grace{4'500};
+// Longer than requests may still reach an endpoint that has said that it leaves.
+constexpr milliseconds leave_time{4'000};
 // From an engine's crash to its restart.
 constexpr milliseconds crash_time{1'000};
 
@@ -32,9 +35,11 @@
 
 } // namespace
 
-fault_runner::fault_runner(soak_fleet& system, call_log& calls, crash_log& crashes)
-    : system_(system), calls_(calls), crashes_(crashes), start_(std::chrono::steady_clock::now()),
-      daemon_busy_(soak_fleet::daemon_count), endpoint_busy_(soak_fleet::endpoint_count)
+fault_runner::fault_runner(soak_fleet& system, call_log& calls, crash_log& crashes,
+                           notice_log& notices)
+    : system_(system), calls_(calls), crashes_(crashes), notices_(notices),
+      start_(std::chrono::steady_clock::now()), daemon_busy_(soak_fleet::daemon_count),
+      endpoint_busy_(soak_fleet::endpoint_count)
 {
 }
 
@@ -50,7 +55,8 @@
         &fault_runner::cut_endpoint,     &fault_runner::mute_endpoint,
         &fault_runner::reset_endpoint,   &fault_runner::slow_endpoint,
         &fault_runner::one_way_endpoint, &fault_runner::change_configuration,
-        &fault_runner::reload_settings};
+        &fault_runner::reload_settings,  &fault_runner::leave_in_answers,
+        &fault_runner::ask_for_pause};
     return actions.at(static_cast<std::size_t>(kind));
 }
 
@@ -166,7 +172,7 @@
         [&] {
             const auto now = std::chrono::steady_clock::now();
             calls_.add(kill_record{daemon, now, now + injected.length});
-            crashes_.add(daemon_outage{daemon, now, now + injected.length});
+            add_outage({daemon, now, now + injected.length});
             system_.signal_daemon(daemon, SIGKILL);
         },
         [this, daemon] { restart(daemon); });
@@ -181,7 +187,7 @@
         daemon_busy_, daemon, stop,
         [&] {
             const auto now = std::chrono::steady_clock::now();
-            crashes_.add(daemon_outage{daemon, now, now + stop.length});
+            add_outage({daemon, now, now + stop.length});
             system_.signal_daemon(daemon, SIGTERM);
         },
         [this, daemon] { restart(daemon); });
@@ -292,4 +298,31 @@
     }
 }
 
+void fault_runner::leave_in_answers(const fault& injected)
+{
+    const auto endpoint = endpoint_of(injected);
+    fault leave = injected;
+    leave.length = leave_time;
+    hold_process(
+        endpoint_busy_, endpoint, leave, [&] { system_.signal_endpoint(endpoint, leave_signal); },
+        [this, endpoint] {
+            system_.signal_endpoint(endpoint, SIGKILL);
+            system_.replace_endpoint(endpoint);
+        });
+}
+
+void fault_runner::ask_for_pause(const fault& injected)
+{
+    const auto endpoint = endpoint_of(injected);
+    if (!endpoint_busy_[endpoint]) {
+        system_.signal_endpoint(endpoint, pause_signal);
+    }
+}
+
+void fault_runner::add_outage(const daemon_outage& outage)
+{
+    crashes_.add(outage);
+    notices_.add(outage);
+}
+
 } // namespace ej::soak
--- a/tests/soak/src/fault_runner.h
+++ b/tests/soak/src/fault_runner.h
@@ -4,6 +4,7 @@
 #include "crash_log.h"
 #include "fault.h"
 #include "loopback_proxy.h"
+#include "notice_log.h"
 #include "proxy_mode.h"
 #include "soak_fleet.h"
 
@@ -19,8 +20,8 @@
 /// Injects the faults of a plan. Not thread-safe.
 class fault_runner {
 public:
-    /// `system`, `calls` and `crashes` must outlive the runner.
-    fault_runner(soak_fleet& system, call_log& calls, crash_log& crashes);
+    /// All arguments must outlive the runner.
+    fault_runner(soak_fleet& system, call_log& calls, crash_log& crashes, notice_log& notices);
 
     /// Injects the faults of `plan`; returns when all of them have ended.
     void play(const std::vector<fault>& plan);
@@ -62,6 +63,10 @@
     void one_way_endpoint(const fault& injected);
     void change_configuration(const fault& injected);
     void reload_settings(const fault& injected);
+    void leave_in_answers(const fault& injected);
+    void ask_for_pause(const fault& injected);
+
+    void add_outage(const daemon_outage& outage);
 
     /// Schedules `end` for the end of the fault.
     void schedule_end(const fault& injected, std::function<void()> end);
@@ -79,6 +84,7 @@
     soak_fleet& system_;
     call_log& calls_;
     crash_log& crashes_;
+    notice_log& notices_;
     instant start_;
     std::multimap<instant, std::function<void()>> due_;
     std::vector<bool> daemon_busy_;
--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -6,6 +6,7 @@
 #include "crash_log.h"
 #include "fault.h"
 #include "fault_runner.h"
+#include "notice_log.h"
 #include "soak_fleet.h"
 #include "soak_settings.h"
 
@@ -41,6 +42,8 @@
     options.add_options()("seeds", po::value(&seeds), "seeds, separated by commas")(
         "fresh", po::value(&fresh), "number of seeds that are drawn now")(
         "seconds", po::value(&seconds), "time with faults per seed")(
+        "other", po::value(&settings.other_program),
+        "another build's program, run by every second start of a daemon")(
         "keep", po::value(&settings.failed_logs_folder), "folder for logs of seeds that failed");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -85,16 +88,18 @@
     std::filesystem::remove_all(folder);
     call_log calls;
     crash_log crashes;
+    notice_log notices;
     std::vector<std::string> faults;
     std::size_t injected = 0;
     {
-        soak_fleet system(settings.programs, folder, has_crashing_part(seed));
+        soak_fleet system(settings.programs, folder, has_crashing_part(seed),
+                          settings.other_program);
         if (!system.wait_until_ready()) {
             faults.emplace_back("daemons are not ready");
         }
         const auto plan = make_plan(seed, settings.length);
         injected = plan.size();
-        fault_runner runner(system, calls, crashes);
+        fault_runner runner(system, calls, crashes, notices);
         {
             caller_pool callers(system, calls, seed);
             runner.play(plan);
@@ -107,6 +112,8 @@
         const auto runs = system.runs();
         std::ranges::copy(calls.faults(runs), std::back_inserter(faults));
         std::ranges::copy(crashes.faults(calls.calls(), runs), std::back_inserter(faults));
+        std::ranges::copy(notices.faults(calls.calls(), system.notices()),
+                          std::back_inserter(faults));
     }
     std::cout << "seed " << seed << ": " << injected << " faults, " << calls.summary() << ", "
               << crashes.crashes() << " crashes, " << faults.size() << " promises broken\n";
--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -73,9 +73,10 @@
     std::unique_ptr<harness::child_process> process;
 };
 
-soak_fleet::soak_fleet(std::string programs, std::string folder, bool engines_crash)
+soak_fleet::soak_fleet(std::string programs, std::string folder, bool engines_crash,
+                       std::string other_program)
     : programs_(std::move(programs)), folder_(std::move(folder)), engines_crash_(engines_crash),
-      work_(boost::asio::make_work_guard(loop_))
+      other_program_(std::move(other_program)), work_(boost::asio::make_work_guard(loop_))
 {
     std::filesystem::create_directories(folder_);
     for (std::size_t number = 0; number < endpoint_count; ++number) {
@@ -138,17 +139,21 @@
                                              "--lanes",
                                              "2"};
     slot.end_requested = false;
-    slot.process = value_or_throw(
-        harness::child_process::start_logging(programs_ + "/endivejunction", arguments,
-                                              folder_ + "/vm-" + std::to_string(number) + ".log"));
+    const bool other = ++started_daemons_ % 2 == 0 && !other_program_.empty();
+    slot.process = value_or_throw(harness::child_process::start_logging(
+        other ? other_program_ : programs_ + "/endivejunction", arguments,
+        folder_ + "/vm-" + std::to_string(number) + ".log"));
 }
 
 void soak_fleet::start_endpoint(std::size_t number)
 {
     endpoint_slot& slot = *endpoints_.at(number);
     slot.name = "i-" + std::to_string(++started_endpoints_);
-    std::vector<std::string> arguments{"--name",         slot.name, "--runs",    folder_ + "/runs",
-                                       "--lost-answers", "0.02",    "--surplus", "0.02",
+    std::vector<std::string> arguments{"--name",         slot.name,
+                                       "--runs",         folder_ + "/runs",
+                                       "--notices",      folder_ + "/notices",
+                                       "--lost-answers", "0.02",
+                                       "--surplus",      "0.02",
                                        "--shed",         "0.02"};
     if (slot.engine) {
         arguments.emplace_back("--engine");
@@ -289,6 +294,18 @@
     }
 }
 
+std::vector<endpoint_notice> soak_fleet::notices() const
+{
+    std::vector<endpoint_notice> found;
+    std::ifstream file(folder_ + "/notices");
+    for (std::string line; std::getline(file, line);) {
+        if (auto notice = parse_notice(line)) {
+            found.push_back(*std::move(notice));
+        }
+    }
+    return found;
+}
+
 std::map<std::string, int> soak_fleet::runs() const
 {
     std::map<std::string, int> counts;
--- a/tests/soak/src/soak_fleet.h
+++ b/tests/soak/src/soak_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endpoint_notice.h"
 #include "loopback_proxy.h"
 
 #include <core/address.h>
@@ -35,7 +36,9 @@
     /// Starts the programs in the folder `programs`; their logs are written to `folder`. With
     /// `engines_crash`, engines crash on a prompt part, and no proxy is in front of them: it would
     /// accept connections for an engine that is down. Throws std::runtime_error.
-    soak_fleet(std::string programs, std::string folder, bool engines_crash);
+    /// With `other_program`, every second start of a daemon runs that program.
+    soak_fleet(std::string programs, std::string folder, bool engines_crash,
+               std::string other_program = {});
     ~soak_fleet();
     soak_fleet(const soak_fleet&) = delete;
     soak_fleet& operator=(const soak_fleet&) = delete;
@@ -80,6 +83,9 @@
     /// Ends all faults of the proxies and the outage of the store.
     void end_all_faults();
 
+    /// What the endpoints recorded so far; lines that are not notices are skipped.
+    [[nodiscard]] std::vector<endpoint_notice> notices() const;
+
     /// The number of runs of each request, by its id.
     [[nodiscard]] std::map<std::string, int> runs() const;
 
@@ -94,6 +100,7 @@
     std::string programs_;
     std::string folder_;
     bool engines_crash_;
+    std::string other_program_;
     boost::asio::io_context loop_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     fleet::store_stand_in store_;
@@ -101,6 +108,7 @@
     std::vector<std::unique_ptr<endpoint_slot>> endpoints_;
     int version_ = 0;
     std::uint64_t started_endpoints_ = 0;
+    std::uint64_t started_daemons_ = 0;
     std::thread thread_;
 };
 
