A held part is tried three times in all

A part that crashes each engine went on taking one engine an hour for as long as its requests came: after the trials at 10, 100 and 1,000 s the next came each 3,600 s, and each trial renewed the hold.

A hold now lets three requests through. A hold that no request has come to try still ends after two hours.

--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -19,6 +19,16 @@
 // with the part no longer come.
 constexpr std::chrono::hours hold_retention{2};
 
+// A part whose trials all failed almost certainly crashes endpoints. If its hold ended, requests
+// with it would crash several again.
+constexpr std::chrono::hours proven_hold_retention{24};
+
+/// Time from the latest evidence to the end of a hold.
+core::duration retention_after(std::uint32_t trials)
+{
+    return trials < max_trials ? hold_retention : proven_hold_retention;
+}
+
 // A request with a part that has had no output yet is not sent again after this many independent
 // deaths with the part.
 constexpr std::uint32_t deaths_until_single_sends = 2;
@@ -192,7 +202,7 @@
 bool part_table::apply_held(const held_part& reported, core::instant now)
 {
     const core::instant evidence_at = now - reported.since_evidence;
-    if (reported.since_evidence >= hold_retention) {
+    if (reported.since_evidence >= retention_after(reported.trials)) {
         return true;
     }
     return histories_.with(reported.part, [&](auto& histories) {
@@ -223,7 +233,8 @@
     const auto latest = now - (may_try ? delay(held.front()) : core::duration::zero());
     const bool tries = histories_.with(held.front(), [&](auto& histories) {
         part_history& known = use_history(histories, held.front(), now);
-        if (!may_try || !known.hold || latest < known.hold->next_trial) {
+        if (!may_try || !known.hold || known.hold->trials >= max_trials ||
+            latest < known.hold->next_trial) {
             return false;
         }
         const bool ambiguous = known.hold->ambiguous;
@@ -256,7 +267,6 @@
 void part_table::expire(core::instant now)
 {
     const core::instant limit = now - retention;
-    const core::instant hold_limit = now - hold_retention;
     deaths_.for_each_shard([&](auto& deaths) {
         std::erase_if(deaths, [&](const auto& entry) { return entry.second.at <= limit; });
     });
@@ -264,7 +274,9 @@
         std::erase_if(histories, [&](const auto& entry) {
             // Every daemon dates a hold by its evidence, so that reports of it do not prolong it.
             const part_history& known = entry.second;
-            return known.hold ? known.last_death.value_or(known.used) <= hold_limit
+            return known.hold ? known.last_death.value_or(known.used) +
+                                        retention_after(known.hold->trials) <=
+                                    now
                               : known.used <= limit;
         });
     });
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <string>
@@ -306,6 +307,58 @@
     CHECK(trials == 3);
 }
 
+TEST_CASE("a deadly part takes at most three endpoints in a day that it is held back in a fleet")
+{
+    std::vector<std::unique_ptr<part_table>> tables;
+    std::generate_n(std::back_inserter(tables), 3, make_table);
+    core::instant now = start;
+    for (const auto& table : tables) {
+        now = crash(*table, 3, {deadly});
+    }
+    const auto end = now + 24h - 1min;
+    int trials = 0;
+    for (; now < end; now += 5s) {
+        for (std::size_t daemon = 0; daemon < tables.size(); ++daemon) {
+            const auto in_turn = [daemon](part_digest /*part*/) -> core::duration {
+                return 2s * static_cast<int>(daemon);
+            };
+            if (verdict_of(*tables[daemon], {deadly}, now, in_turn) != verdict::refuse) {
+                ++trials;
+            }
+            for (const auto& peer : tables) {
+                for (const held_part& one : tables[daemon]->held(now)) {
+                    peer->apply_held(one, now);
+                }
+            }
+            tables[daemon]->expire(now);
+        }
+    }
+    CHECK(trials == 3);
+}
+
+TEST_CASE("a hold whose trials all failed ends a day after the last one")
+{
+    auto table = make_table();
+    auto now = crash(*table, 3, {deadly});
+    for (const auto end = now + 1h; now < end; now += 10s) {
+        verdict_of(*table, {deadly}, now, owns_all);
+    }
+    table->expire(now + 22h);
+    CHECK(table->held(now + 22h).size() == 1);
+    table->expire(now + 24h);
+    CHECK(table->held(now + 24h).empty());
+}
+
+TEST_CASE("a hold that no request has come to try ends after two hours")
+{
+    auto table = make_table();
+    const auto now = crash(*table, 3, {deadly});
+    table->expire(now + 119min);
+    CHECK(table->held(now + 119min).size() == 1);
+    table->expire(now + 2h);
+    CHECK(table->held(now + 2h).empty());
+}
+
 TEST_CASE("a restarted daemon holds back a part that a peer reports")
 {
     auto table = make_table();
