A trial of a held part counts once its request is sent to an engine

Callers of a sound part that was held by mistake stayed refused after an outage: a trial counted when it was admitted, so one that found no engine used up the first of the pauses (10, 100, 1,000 s), and now also one of the three trials.

Admission now only keeps other trials of the part back at this daemon. The trial counts, and is told to the other daemons, when an attempt sends its request; if the call ends without that, the trial is taken back and the next request with the part is tried at once. A trial that has reached no engine yet ends when another daemon's trial is told. A request that an engine turned away has reached it and counts.

Before: "a trial that reaches no engine does not keep a sound part refused" failed (not served with engines back). The table's tests of it need the new functions.

--- a/libs/caller_front/src/attempt_listener.h
+++ b/libs/caller_front/src/attempt_listener.h
@@ -18,6 +18,9 @@
     attempt_listener(attempt_listener&&) = delete;
     attempt_listener& operator=(attempt_listener&&) = delete;
 
+    /// The request is sent now; also called from within `upstream_attempt::start`.
+    virtual void on_sent(upstream_attempt& attempt) = 0;
+
     /// The answer's header was read.
     virtual void on_head(upstream_attempt& attempt) = 0;
 
--- a/libs/caller_front/src/call_admission.cpp
+++ b/libs/caller_front/src/call_admission.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace ej::front {
 
@@ -84,12 +85,12 @@
             return nullptr;
         }
         const auto parts = shared_parts_of(request_, context_.headers);
-        const auto by_parts = context_.parts.evaluate(parts).how;
-        if (by_parts == suspects::verdict::refuse) {
+        auto by_parts = context_.parts.evaluate(parts);
+        if (by_parts.how == suspects::verdict::refuse) {
             send_rejection({status_unavailable, "suspect"});
             return nullptr;
         }
-        return make_call(pool, *matched_route, workspace, by_parts == suspects::verdict::isolate);
+        return make_call(pool, *matched_route, workspace, std::move(by_parts.held));
     }
 
 private:
@@ -118,10 +119,11 @@
 
     std::shared_ptr<forwarded_call> make_call(upstream_pool& pool,
                                               const forwarding::route& matched_route,
-                                              core::workspace_id workspace, bool trial)
+                                              core::workspace_id workspace,
+                                              std::vector<suspects::part_digest> trial_of)
     {
-        call_environment environment{context_, pool, rules_, matched_route, std::move(workspace),
-                                     trial};
+        call_environment environment{
+            context_, pool, rules_, matched_route, std::move(workspace), std::move(trial_of)};
         if (matched_route.kind == core::work_kind::generation) {
             return std::make_shared<stream_call>(std::move(environment), std::move(request_),
                                                  sink_);
--- a/libs/caller_front/src/call_environment.h
+++ b/libs/caller_front/src/call_environment.h
@@ -5,10 +5,12 @@
 
 #include <forwarding/indexed_ruleset.h>
 #include <forwarding/route.h>
+#include <suspects/part_digest.h>
 
 #include <core/workspace_id.h>
 
 #include <memory>
+#include <vector>
 
 namespace ej::front {
 
@@ -18,8 +20,8 @@
     upstream_pool& pool;
     std::shared_ptr<const forwarding::indexed_ruleset> rules; ///< Keeps `matched_route` alive.
     const forwarding::route& matched_route;
-    core::workspace_id workspace; ///< Empty for a caller without a key.
-    bool trial = false;           ///< Sent although a part of its prompt is held back.
+    core::workspace_id workspace;                ///< Empty for a caller without a key.
+    std::vector<suspects::part_digest> trial_of; ///< Held parts, in spite of which it is sent.
 };
 
 } // namespace ej::front
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -190,9 +190,7 @@
     auto& context = environment_.context;
     const bool further =
         step == forwarding::next_step::send_again || step == forwarding::next_step::wait;
-    // The trial of a held part goes on to another endpoint only if it has not begun.
-    const bool trial_goes_on = environment_.trial && !forwarding::may_have_run(end);
-    if (further && !trial_goes_on && held_back()) {
+    if (further && !trial_goes_on() && held_back()) {
         context.metrics.count("sends_denied_total", {{"reason", "suspect"}});
         return progress_.may_have_run ? forwarding::next_step::fail : forwarding::next_step::refuse;
     }
@@ -227,6 +225,20 @@
            (!progress_.had_output && !context.parts.allows_resend(parts_));
 }
 
+bool forwarded_call::trial_goes_on() const
+{
+    // Only if it has not begun to run, and no other daemon has tried the parts meanwhile.
+    return !environment_.trial_of.empty() && !progress_.may_have_run &&
+           (trial_counted_ || environment_.context.parts.is_admitted(environment_.trial_of));
+}
+
+void forwarded_call::on_sent(upstream_attempt& /*attempt*/)
+{
+    if (!environment_.trial_of.empty() && !std::exchange(trial_counted_, true)) {
+        environment_.context.parts.begin_trial(environment_.trial_of);
+    }
+}
+
 bool forwarded_call::trusted(const answer_parser& answer) const
 {
     const auto& names = environment_.context.headers;
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -53,6 +53,8 @@
     /// The caller has closed its connection: running attempts are cancelled.
     void caller_gone();
 
+    void on_sent(upstream_attempt& attempt) override;
+
     /// Ends the call with its final answer now, for `reason`: its deadline has passed or the daemon
     /// shuts down.
     void end_now(std::string_view reason);
@@ -114,6 +116,9 @@
     /// Records the load reported by an answer.
     void note_load(const upstream_attempt& attempt);
 
+    /// True if this is a trial of held parts that may be sent to another endpoint.
+    [[nodiscard]] bool trial_goes_on() const;
+
     /// Sends an endpoint's complete answer to the caller.
     void pass_on(const answer_parser& answer, std::string body);
 
@@ -160,6 +165,7 @@
     std::set<const upstream_attempt*> counted_; // Attempts whose load is included in `standing`.
     std::optional<core::endpoint> last_endpoint_;
     std::string last_failure_; // Detail of the last failed attempt.
+    bool trial_counted_ = false;
     bool over_ = false;
 };
 
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -70,6 +70,9 @@
         return;
     }
     deadline_timer_->stop();
+    if (!environment_.trial_of.empty() && !trial_counted_) {
+        environment_.context.parts.return_trial(environment_.trial_of);
+    }
     if (outcome == "served" && environment_.context.suspects.clear(digest_)) {
         environment_.context.suspect_cleared({digest_});
     }
--- a/libs/caller_front/src/part_guard.cpp
+++ b/libs/caller_front/src/part_guard.cpp
@@ -70,14 +70,27 @@
         return lead_time * static_cast<int>(suspects::owner_rank(
                                suspects::request_digest(part.value()), own_, *known));
     };
-    const auto found = table_.evaluate(parts, delay, now());
-    if (found.how == suspects::verdict::isolate) {
-        logging::log(logging::level::info, "request sent as trial of a held part",
-                     {{"part", text_of(*found.held)}});
-        metrics_.count("suspect_trials_total", {});
-        broadcast(suspects::held_parts{held()});
-    }
-    return found;
+    return table_.evaluate(parts, delay, now());
+}
+
+void part_guard::begin_trial(std::span<const part_digest> held_parts)
+{
+    table_.begin_trial(held_parts, now());
+    logging::log(logging::level::info, "request sent as trial of a held part",
+                 {{"part", text_of(held_parts)}});
+    metrics_.count("suspect_trials_total", {});
+    broadcast(suspects::held_parts{held()});
+}
+
+void part_guard::return_trial(std::span<const part_digest> held_parts)
+{
+    table_.return_trial(held_parts, now());
+    metrics_.count("suspect_trials_returned_total", {});
+}
+
+bool part_guard::is_admitted(std::span<const part_digest> held_parts)
+{
+    return table_.is_admitted(held_parts);
 }
 
 bool part_guard::holds_any(std::span<const part_digest> parts)
--- a/libs/caller_front/src/part_guard.h
+++ b/libs/caller_front/src/part_guard.h
@@ -43,9 +43,19 @@
     /// The VMs of all daemons, this one included.
     concurrency::snapshot<std::vector<core::vm_id>> members{std::vector<core::vm_id>()};
 
-    /// Returns how a request with `parts` may run. If it is a trial, records it.
+    /// Returns how a request with `parts` may run. If it is a trial, no other one is admitted here
+    /// until `begin_trial` or `return_trial` is called for the same parts.
     [[nodiscard]] suspects::part_verdict evaluate(std::span<const suspects::part_digest> parts);
 
+    /// Counts a trial of `held`, whose request is sent to an endpoint now.
+    void begin_trial(std::span<const suspects::part_digest> held);
+
+    /// Takes back a trial of `held` whose request has reached no endpoint.
+    void return_trial(std::span<const suspects::part_digest> held);
+
+    /// True if an admitted trial of `held` may still begin.
+    [[nodiscard]] bool is_admitted(std::span<const suspects::part_digest> held);
+
     /// True if a part of `parts` is held back.
     [[nodiscard]] bool holds_any(std::span<const suspects::part_digest> parts);
 
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -77,7 +77,7 @@
 {
     tried_.clear();
     resend_timer_ = make_timer([this] {
-        if (held_back() && !environment_.trial) {
+        if (held_back() && !trial_goes_on()) {
             give_up("suspect", status_bad_gateway);
         }
         else {
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -95,6 +95,9 @@
 void upstream_attempt::send()
 {
     sent_ = true;
+    if (const auto listener = listener_.lock()) {
+        listener->on_sent(*this);
+    }
     reused_ = std::exchange(connection_->used, true);
     asio::async_write(connection_->socket, asio::buffer(message_),
                       [self = shared_from_this()](const error_code& error, std::size_t) {
--- a/libs/suspects/include/suspects/held_part.h
+++ b/libs/suspects/include/suspects/held_part.h
@@ -13,7 +13,7 @@
 /// daemons differ.
 struct held_part {
     part_digest part;
-    std::uint32_t trials = 0;        ///< Requests let through since, one after another.
+    std::uint32_t trials = 0;        ///< Requests that reached endpoints since.
     core::duration until_trial{};    ///< Until the next one; not negative.
     core::duration since_evidence{}; ///< Since the latest death or trial; not negative.
 
--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -55,10 +55,20 @@
     /// output since the evidence, which is to be told to peers.
     bool apply_held(const held_part& reported, core::instant now);
 
-    /// Returns how a request with `parts` may run. If it is a trial, records it.
+    /// Returns how a request with `parts` may run. If it is a trial, no other one is admitted here
+    /// until `begin_trial` or `return_trial` is called for the same parts.
     [[nodiscard]] part_verdict evaluate(std::span<const part_digest> parts,
                                         const trial_delay& delay, core::instant now);
 
+    /// Counts a trial of `held`, whose request is sent to an endpoint now.
+    void begin_trial(std::span<const part_digest> held, core::instant now);
+
+    /// Takes back a trial of `held` whose request has reached no endpoint.
+    void return_trial(std::span<const part_digest> held, core::instant now);
+
+    /// True if an admitted trial of `held` may still begin: no other daemon has tried the parts.
+    [[nodiscard]] bool is_admitted(std::span<const part_digest> held);
+
     /// True if a request with `parts` may be sent to another endpoint after one has died: none of
     /// them is held back, or has two independent deaths and no output so far.
     [[nodiscard]] bool allows_resend(std::span<const part_digest> parts);
--- a/libs/suspects/include/suspects/part_verdict.h
+++ b/libs/suspects/include/suspects/part_verdict.h
@@ -4,14 +4,14 @@
 #include <suspects/verdict.h>
 
 #include <compare>
-#include <optional>
+#include <vector>
 
 namespace ej::suspects {
 
 /// How a request with certain parts may run.
 struct part_verdict {
     verdict how = verdict::run;
-    std::optional<part_digest> held; ///< The part that keeps it from running normally.
+    std::vector<part_digest> held; ///< The parts that keep it from running normally.
 
     friend auto operator<=>(const part_verdict&, const part_verdict&) = default;
 };
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -29,6 +29,9 @@
     return trials < max_trials ? hold_retention : proven_hold_retention;
 }
 
+// Longer than a request takes to reach an endpoint; its end comes before in nearly all cases.
+constexpr std::chrono::minutes admission_time{1};
+
 // A request with a part that has had no output yet is not sent again after this many independent
 // deaths with the part.
 constexpr std::uint32_t deaths_until_single_sends = 2;
@@ -212,7 +215,7 @@
         }
         // An equal report is not merged: its delay would prolong the hold with each repetition.
         if (!known.hold || known.hold->trials < reported.trials) {
-            known.hold = part_hold{reported.trials, now + reported.until_trial, false};
+            known.hold = part_hold{reported.trials, now + reported.until_trial, false, false};
             known.last_death = std::max(known.last_death.value_or(evidence_at), evidence_at);
         }
         return true;
@@ -237,14 +240,50 @@
             latest < known.hold->next_trial) {
             return false;
         }
-        const bool ambiguous = known.hold->ambiguous;
-        const auto trials = known.hold->trials + 1;
-        known.hold =
-            part_hold{trials, now + trial_pause(ambiguous ? trials - 1 : trials), ambiguous};
-        known.last_death = now;
+        known.hold->next_trial = now + admission_time;
+        known.hold->admitted = true;
         return true;
     });
-    return {tries ? verdict::isolate : verdict::refuse, held.front()};
+    return {tries ? verdict::isolate : verdict::refuse, std::move(held)};
+}
+
+void part_table::begin_trial(std::span<const part_digest> held, core::instant now)
+{
+    for (const part_digest part : held) {
+        histories_.with(part, [&](auto& histories) {
+            const auto found = histories.find(part);
+            if (found == histories.end() || !found->second.hold) {
+                return; // An output has released it meanwhile.
+            }
+            part_hold& hold = *found->second.hold;
+            ++hold.trials;
+            hold.next_trial = now + trial_pause(hold.ambiguous ? hold.trials - 1 : hold.trials);
+            hold.admitted = false;
+            found->second.last_death = now;
+        });
+    }
+}
+
+void part_table::return_trial(std::span<const part_digest> held, core::instant now)
+{
+    for (const part_digest part : held) {
+        histories_.with(part, [&](auto& histories) {
+            const auto found = histories.find(part);
+            // Another daemon may have tried the part meanwhile.
+            if (found != histories.end() && found->second.hold && found->second.hold->admitted) {
+                found->second.hold->admitted = false;
+                found->second.hold->next_trial = now;
+            }
+        });
+    }
+}
+
+bool part_table::is_admitted(std::span<const part_digest> held)
+{
+    return std::ranges::all_of(held, [this](part_digest part) {
+        const auto known = history_of(part).hold;
+        return !known || known->admitted;
+    });
 }
 
 std::vector<held_part> part_table::held(core::instant now)
--- a/libs/suspects/src/part_table_review.cpp
+++ b/libs/suspects/src/part_table_review.cpp
@@ -66,7 +66,8 @@
         // An output may have come since the evidence was looked at.
         if (found != histories.end() && !found->second.unanswered.empty()) {
             found->second.used = std::max(found->second.used, now);
-            found->second.hold = part_hold{0, ambiguous ? now : now + trial_pause(0), ambiguous};
+            found->second.hold =
+                part_hold{0, ambiguous ? now : now + trial_pause(0), ambiguous, false};
         }
     });
 }
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -61,6 +61,17 @@
     return table.evaluate(parts, owns, now).how;
 }
 
+/// Evaluates a request; if it is a trial, its request reaches an endpoint.
+verdict try_part(part_table& table, const std::vector<part_digest>& parts, core::instant now,
+                 const part_table::trial_delay& owns = owns_all)
+{
+    const auto found = table.evaluate(parts, owns, now);
+    if (found.how == verdict::isolate) {
+        table.begin_trial(found.held, now);
+    }
+    return found.how;
+}
+
 /// Records deaths of `parts` two seconds apart, then reviews. Returns the time of the review.
 core::instant crash(part_table& table, int deaths, const std::vector<part_digest>& parts,
                     core::instant from = start)
@@ -279,7 +290,7 @@
     auto peer = make_table();
     const auto held_at = crash(*table, 3, {shared});
     crash(*peer, 3, {shared});
-    CHECK(verdict_of(*peer, {shared}, held_at + 10s, owns_all) == verdict::isolate);
+    CHECK(try_part(*peer, {shared}, held_at + 10s) == verdict::isolate);
     CHECK(table->apply_held(peer->held(held_at + 10s).front(), held_at + 10s));
     CHECK(verdict_of(*table, {shared}, held_at + 100s, owns_all) == verdict::refuse);
 }
@@ -299,7 +310,7 @@
     const auto end = now + 30min;
     int trials = 0;
     for (; now < end; now += 1s) {
-        if (verdict_of(*table, {deadly}, now, owns_all) == verdict::isolate) {
+        if (try_part(*table, {deadly}, now) == verdict::isolate) {
             ++trials;
             table->record_death(death(100 + trials, "d0", {deadly}), now);
         }
@@ -322,7 +333,7 @@
             const auto in_turn = [daemon](part_digest /*part*/) -> core::duration {
                 return 2s * static_cast<int>(daemon);
             };
-            if (verdict_of(*tables[daemon], {deadly}, now, in_turn) != verdict::refuse) {
+            if (try_part(*tables[daemon], {deadly}, now, in_turn) != verdict::refuse) {
                 ++trials;
             }
             for (const auto& peer : tables) {
@@ -341,7 +352,7 @@
     auto table = make_table();
     auto now = crash(*table, 3, {deadly});
     for (const auto end = now + 1h; now < end; now += 10s) {
-        verdict_of(*table, {deadly}, now, owns_all);
+        try_part(*table, {deadly}, now);
     }
     table->expire(now + 22h);
     CHECK(table->held(now + 22h).size() == 1);
@@ -359,6 +370,37 @@
     CHECK(table->held(now + 2h).empty());
 }
 
+TEST_CASE(
+    "a trial whose request reaches no endpoint is not counted and the next one follows at once")
+{
+    auto table = make_table();
+    auto now = crash(*table, 3, {shared}) + 11s;
+    for (int number = 0; number < 10; ++number) {
+        const auto found = table->evaluate(std::vector{shared}, owns_all, now);
+        CHECK(found.how == verdict::isolate);
+        CHECK(verdict_of(*table, {shared}, now + 1s, owns_all) == verdict::refuse);
+        now += 2s;
+        table->return_trial(found.held, now);
+    }
+    CHECK(table->held(now).front().trials == 0);
+    CHECK(try_part(*table, {shared}, now) == verdict::isolate);
+    CHECK(table->held(now).front().trials == 1);
+    CHECK(verdict_of(*table, {shared}, now + 99s, owns_all) == verdict::refuse);
+}
+
+TEST_CASE("a trial that is taken back does not hide one of another daemon")
+{
+    auto table = make_table();
+    const auto now = crash(*table, 3, {shared}) + 11s;
+    const auto found = table->evaluate(std::vector{shared}, owns_all, now);
+    CHECK(found.how == verdict::isolate);
+    CHECK(table->apply_held({shared, 1, 100s, 0s}, now + 1s));
+    CHECK_FALSE(table->is_admitted(found.held));
+    table->return_trial(found.held, now + 2s);
+    CHECK(verdict_of(*table, {shared}, now + 2s, owns_all) == verdict::refuse);
+    CHECK(table->held(now + 2s).front().trials == 1);
+}
+
 TEST_CASE("a restarted daemon holds back a part that a peer reports")
 {
     auto table = make_table();
--- a/measure/suspects/prompt_fleet.cpp
+++ b/measure/suspects/prompt_fleet.cpp
@@ -203,11 +203,7 @@
         figures_.sound_refused += one.deadly == 0 ? 1 : 0;
         return;
     }
-    const bool trial = verdict.how == suspects::verdict::isolate;
-    if (trial) {
-        report_held(one.daemon);
-    }
-    send(std::move(one), trial);
+    send(std::move(one), verdict.held);
 }
 
 bool prompt_fleet::waits_for_isolation(const request& one, std::size_t place)
@@ -234,7 +230,7 @@
     });
 }
 
-void prompt_fleet::send(request one, bool trial)
+void prompt_fleet::send(request one, const std::vector<part_digest>& trial_of)
 {
     std::vector<std::size_t> up;
     for (std::size_t place = 0; place < endpoints; ++place) {
@@ -243,10 +239,11 @@
         }
     }
     if (up.empty()) {
+        tables_[one.daemon]->return_trial(trial_of, now_);
         return;
     }
     const auto place = up[random_() % up.size()];
-    if (!trial && waits_for_isolation(one, place)) {
+    if (trial_of.empty() && waits_for_isolation(one, place)) {
         figures_.sound_refused += one.deadly == 0 ? 1 : 0;
         return;
     }
@@ -256,6 +253,10 @@
             deaths.size() >= unsafe_deaths && now_ > deaths[unsafe_deaths - 1] + contact;
         figures_.late_sends += late ? 1 : 0;
     }
+    if (!trial_of.empty()) {
+        tables_[one.daemon]->begin_trial(trial_of, now_);
+        report_held(one.daemon);
+    }
     ++one.attempts;
     const int number = ++requests_;
     const int incarnation = engines_[place].incarnation;
@@ -308,7 +309,7 @@
                                                                one = std::move(lost)]() mutable {
             observe_death(place, incarnation, one);
             if (one.attempts < max_attempts && tables_[one.daemon]->allows_resend(one.parts)) {
-                send(std::move(one), false);
+                send(std::move(one), {});
             }
         });
     }
--- a/measure/suspects/prompt_fleet.h
+++ b/measure/suspects/prompt_fleet.h
@@ -54,7 +54,7 @@
     void schedule_kills();
     void schedule_reports();
     void arrive(bool deadly_time);
-    void send(request one, bool trial);
+    void send(request one, const std::vector<suspects::part_digest>& trial_of);
     void begin_output(std::size_t place, int incarnation, int number);
     void crash(std::size_t place, bool by_part);
     void observe_death(std::size_t place, int incarnation, const request& lost);
--- a/tests/forward/crashing_part_test.cpp
+++ b/tests/forward/crashing_part_test.cpp
@@ -171,6 +171,21 @@
     CHECK(engines.arrivals_with_part(crashing) <= most_arrivals);
 }
 
+TEST_CASE("a trial that reaches no engine does not keep a sound part refused")
+{
+    daemon_fixture fixture;
+    engine_group engines(fixture, {crashing});
+    fixture.configure_and_start(engine_group::count);
+    CHECK(ask_until_refused(engines, {&fixture}, fixture));
+    wait_until_back(engines, {&fixture});
+    engines.unregister();
+    REQUIRE(fixture.wait_for_endpoints(0));
+    CHECK(ask(fixture, {shared}).refused());
+    engines.register_again();
+    REQUIRE(fixture.wait_for_endpoints(engine_group::count));
+    CHECK(ask(fixture, {shared}).served());
+}
+
 TEST_CASE("requests with a crashing part leave a steady flow of sound ones served")
 {
     daemon_fixture fixture;
--- a/tests/forward/engine_group.cpp
+++ b/tests/forward/engine_group.cpp
@@ -56,6 +56,24 @@
                  one.incarnation);
 }
 
+void engine_group::unregister()
+{
+    const std::scoped_lock lock(mutex_);
+    for (std::size_t number = 0; number < engines_.size(); ++number) {
+        fixture_.store.remove("servers/" + name_of(number, engines_[number].incarnation));
+    }
+}
+
+void engine_group::register_again()
+{
+    const std::scoped_lock lock(mutex_);
+    for (std::size_t number = 0; number < engines_.size(); ++number) {
+        const engine& one = engines_[number];
+        fixture_.add(name_of(number, one.incarnation), "llm", *one.endpoint, one.domain, "ready",
+                     one.incarnation);
+    }
+}
+
 bool engine_group::crashes_on(const std::string& request) const
 {
     return std::ranges::any_of(
--- a/tests/forward/engine_group.h
+++ b/tests/forward/engine_group.h
@@ -36,6 +36,12 @@
     /// Crashes the engines of `domain`, whatever they run.
     void crash_domain(const std::string& domain);
 
+    /// Removes the engines from the store; they go on running.
+    void unregister();
+
+    /// Registers the engines again under the same names.
+    void register_again();
+
     /// Waits until every engine is back and registered; false after 20 s.
     [[nodiscard]] bool wait_until_back() const;
 
