A request that certainly has not run is sent on until its part is held

Callers got 503 although their request had reached no engine: with two independent deaths of one of its parts known and no output, a request that a full engine turned away, or that found its engine out of reach, was not sent to another. After an outage this hits sound requests.

A request that certainly has not run has caused no death. Sending it on is as safe as admitting it, and admission lets requests run until a part is held. So the stricter question (two deaths) is only put once an engine may have begun to run the request, and for an attempt that is given up as silent.

--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -190,7 +190,7 @@
     auto& context = environment_.context;
     const bool further =
         step == forwarding::next_step::send_again || step == forwarding::next_step::wait;
-    if (further && !trial_goes_on() && held_back()) {
+    if (further && !trial_goes_on() && held_back(progress_.may_have_run)) {
         context.metrics.count("sends_denied_total", {{"reason", "suspect"}});
         return progress_.may_have_run ? forwarding::next_step::fail : forwarding::next_step::refuse;
     }
@@ -215,14 +215,21 @@
     });
     return forwarding::step_after_silence(progress_, environment_.matched_route, other_engine) ==
                forwarding::silence_step::move &&
-           !held_back() && context.budget.take(service_, context.daemons, at);
+           !held_back(true) && context.budget.take(service_, context.daemons, at);
 }
 
-bool forwarded_call::held_back() const
+bool forwarded_call::held_back(bool may_have_run) const
 {
     auto& context = environment_.context;
-    return context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse ||
-           (!progress_.had_output && !context.parts.allows_resend(parts_));
+    if (context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse) {
+        return true;
+    }
+    if (progress_.had_output) {
+        return false;
+    }
+    // A request that certainly has not run has caused no death: sending it on is as safe as
+    // admitting it now.
+    return may_have_run ? !context.parts.allows_resend(parts_) : context.parts.holds_any(parts_);
 }
 
 bool forwarded_call::trial_goes_on() const
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -102,8 +102,8 @@
     [[nodiscard]] bool may_move_from(const core::endpoint& endpoint);
 
     /// True if the request may not be sent again, since it or a part of its prompt crashes
-    /// endpoints.
-    [[nodiscard]] bool held_back() const;
+    /// endpoints. `may_have_run`: an endpoint may have begun to run it.
+    [[nodiscard]] bool held_back(bool may_have_run) const;
 
     /// True if `answer` has a signature header, whose value is not checked, and echoes the
     /// identifier of this request.
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -77,7 +77,7 @@
 {
     tried_.clear();
     resend_timer_ = make_timer([this] {
-        if (held_back() && !trial_goes_on()) {
+        if (held_back(progress_.may_have_run) && !trial_goes_on()) {
             give_up("suspect", status_bad_gateway);
         }
         else {
