--- a/libs/suspects/include/suspects/part_evidence.h
+++ b/libs/suspects/include/suspects/part_evidence.h
@@ -11,7 +11,7 @@
 struct part_evidence {
     std::uint32_t total = 0;       ///< All deaths, also those before an output.
     std::uint32_t unanswered = 0;  ///< Deaths since the latest output.
-    std::uint32_t independent = 0; ///< Of these, see `independent_deaths`.
+    std::uint32_t independent = 0; ///< Of these, see `death_index`.
     std::uint32_t bursts = 0;      ///< Of these, those of one burst in any domain count once.
     bool proven = false;           ///< A request with the part has had output.
 
--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <suspects/death_id_hash.h>
+#include <suspects/death_index.h>
 #include <suspects/held_part.h>
 #include <suspects/known_part_death.h>
 #include <suspects/part_death.h>
@@ -18,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -91,8 +93,8 @@
 private:
     [[nodiscard]] bool is_held(part_digest part);
     [[nodiscard]] std::vector<known_part_death> settled_deaths(core::instant now);
-    [[nodiscard]] part_evidence evidence_among(std::vector<known_part_death> all, part_digest part);
-    [[nodiscard]] std::vector<part_digest> suspected();
+    [[nodiscard]] std::vector<part_digest> strongest_suspects(const death_index& counted);
+    [[nodiscard]] std::set<part_digest> all_held();
     [[nodiscard]] part_history history_of(part_digest part);
     [[nodiscard]] std::vector<known_part_death> deaths_with(std::span<const death_id> ids);
     [[nodiscard]] bool is_ambiguous(part_digest part);
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -1,6 +1,5 @@
 #include <suspects/part_table.h>
 
-#include <suspects/independent_deaths.h>
 #include <suspects/trial_pause.h>
 
 #include <algorithm>
@@ -152,8 +151,9 @@
         if (known.last_output || known.unanswered.size() < deaths_until_single_sends) {
             return known.hold.has_value();
         }
-        const auto deaths = deaths_with(known.unanswered);
-        return known.hold || independent_deaths(deaths, deaths) >= deaths_until_single_sends;
+        const death_index deaths(deaths_with(known.unanswered));
+        return known.hold ||
+               deaths.independent(deaths.find(known.unanswered)) >= deaths_until_single_sends;
     });
 }
 
--- a/libs/suspects/src/part_table_review.cpp
+++ b/libs/suspects/src/part_table_review.cpp
@@ -1,6 +1,5 @@
 #include <suspects/part_table.h>
 
-#include <suspects/independent_deaths.h>
 #include <suspects/trial_pause.h>
 
 #include <algorithm>
@@ -9,6 +8,26 @@
 
 namespace ej::suspects {
 
+namespace {
+
+part_evidence evidence_among(const death_index& counted, const part_history& history)
+{
+    const auto own = counted.find(history.unanswered);
+    return {history.total, static_cast<std::uint32_t>(own.size()), counted.independent(own),
+            bursts_of(own), history.last_output.has_value()};
+}
+
+/// Removes the deaths that a part of `held` explains.
+void remove_explained(std::vector<known_part_death>& deaths, const std::set<part_digest>& held)
+{
+    std::erase_if(deaths, [&](const known_part_death& one) {
+        return std::ranges::any_of(one.what.parts,
+                                   [&](part_digest part) { return held.contains(part); });
+    });
+}
+
+} // namespace
+
 std::vector<known_part_death> part_table::settled_deaths(core::instant now)
 {
     std::vector<known_part_death> found;
@@ -22,38 +41,51 @@
     return found;
 }
 
-part_evidence part_table::evidence_of(part_digest part, core::instant now)
+std::set<part_digest> part_table::all_held()
 {
-    return evidence_among(settled_deaths(now), part);
+    std::set<part_digest> found;
+    histories_.for_each_shard([&](const auto& histories) {
+        for (const auto& [part, known] : histories) {
+            if (known.hold) {
+                found.insert(part);
+            }
+        }
+    });
+    return found;
 }
 
-part_evidence part_table::evidence_among(std::vector<known_part_death> all, part_digest part)
+part_evidence part_table::evidence_of(part_digest part, core::instant now)
 {
-    const auto history = history_of(part);
-    std::erase_if(all, [&](const known_part_death& one) {
-        return std::ranges::any_of(
-            one.what.parts, [&](part_digest other) { return other != part && is_held(other); });
-    });
-    std::vector<known_part_death> own;
-    std::ranges::copy_if(all, std::back_inserter(own), [&](const known_part_death& one) {
-        return std::ranges::binary_search(history.unanswered, one.what.death);
-    });
-    return {history.total, static_cast<std::uint32_t>(own.size()), independent_deaths(own, all),
-            bursts_of(own), history.last_output.has_value()};
+    auto others = all_held();
+    others.erase(part);
+    auto deaths = settled_deaths(now);
+    remove_explained(deaths, others);
+    return evidence_among(death_index(deaths), history_of(part));
 }
 
-std::vector<part_digest> part_table::suspected()
+/// The parts to be held back that have most deaths; sorted.
+std::vector<part_digest> part_table::strongest_suspects(const death_index& counted)
 {
-    std::vector<part_digest> found;
+    std::vector<part_digest> strongest;
+    std::uint32_t most = 0;
     histories_.for_each_shard([&](const auto& histories) {
         for (const auto& [part, known] : histories) {
-            if (!known.hold && known.total > 0 && !known.unanswered.empty()) {
-                found.push_back(part);
+            if (known.hold || known.unanswered.empty()) {
+                continue;
+            }
+            const auto evidence = evidence_among(counted, known);
+            if (!policy_->holds(evidence) || evidence.unanswered < most) {
+                continue;
+            }
+            if (evidence.unanswered > most) {
+                strongest.clear();
+                most = evidence.unanswered;
             }
+            strongest.push_back(part);
         }
     });
-    std::ranges::sort(found);
-    return found;
+    std::ranges::sort(strongest);
+    return strongest;
 }
 
 void part_table::hold(part_digest part, core::instant now)
@@ -75,23 +107,12 @@
 std::vector<part_digest> part_table::review(core::instant now)
 {
     std::vector<part_digest> newly_held;
-    const auto deaths = settled_deaths(now);
+    auto deaths = settled_deaths(now);
     for (;;) {
         // Parts that occur together share deaths. The ones with the most are held first, since
         // these then explain the deaths for the others.
-        std::vector<part_digest> strongest;
-        std::uint32_t most = 0;
-        for (const part_digest part : suspected()) {
-            const auto known = evidence_among(deaths, part);
-            if (!policy_->holds(known) || known.unanswered < most) {
-                continue;
-            }
-            if (known.unanswered > most) {
-                strongest.clear();
-                most = known.unanswered;
-            }
-            strongest.push_back(part);
-        }
+        remove_explained(deaths, all_held());
+        const auto strongest = strongest_suspects(death_index(deaths));
         if (strongest.empty()) {
             return newly_held;
         }
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -1,6 +1,5 @@
 #include <suspects/digest_of.h>
 #include <suspects/independent_bursts_policy.h>
-#include <suspects/independent_deaths.h>
 #include <suspects/independent_deaths_policy.h>
 #include <suspects/isolate_then_refuse_policy.h>
 #include <suspects/part_table.h>
