Guard the parts that can be read of a list of prompt parts

A list of more than 64 parts, or with one entry that cannot be read, took its request out of the guard, without a log line or a count: a part that crashes engines was never held back in such requests (48 arrivals of 12 requests; all attempts of each ran).

The first 64 readable parts are now guarded. The other entries are counted (prompt_parts_unread_total) and logged with the request; empty elements are ignored as RFC 9110, 5.6.1 asks. The last part, the request's own, is left out only if it is the last entry. The list is read once, at admission.

Before: "a crashing part is held back in requests whose list of parts cannot be read as a whole" failed (48 <= 8, not refused, no metric), for both lists.

--- a/libs/caller_front/src/call_admission.cpp
+++ b/libs/caller_front/src/call_admission.cpp
@@ -8,6 +8,7 @@
 #include "buffered_call.h"
 #include "call_log.h"
 #include "local_reply.h"
+#include "prompt_parts.h"
 #include "request_head.h"
 #include "shared_parts.h"
 #include "stream_call.h"
@@ -84,13 +85,14 @@
             send_rejection({status_unavailable, "suspect"});
             return nullptr;
         }
-        const auto parts = shared_parts_of(request_, context_.headers);
+        auto parts = read_parts();
         auto by_parts = context_.parts.evaluate(parts);
         if (by_parts.how == suspects::verdict::refuse) {
             send_rejection({status_unavailable, "suspect"});
             return nullptr;
         }
-        return make_call(pool, *matched_route, workspace, std::move(by_parts.held));
+        return make_call(pool, *matched_route, workspace, std::move(parts),
+                         std::move(by_parts.held));
     }
 
 private:
@@ -106,6 +108,18 @@
                request_.arrived + matched_route.timeout > schedule->end;
     }
 
+    std::vector<suspects::part_digest> read_parts()
+    {
+        const auto listed = prompt_parts_of(request_, context_.headers);
+        if (listed.unread > 0) {
+            context_.metrics.count("prompt_parts_unread_total", {}, double(listed.unread));
+            log_unread_parts(
+                request_.message.header_value(context_.headers.request_id).value_or(""),
+                listed.parts.size(), listed.unread);
+        }
+        return shared_parts_of(listed);
+    }
+
     void send_rejection(const rejection& why)
     {
         const auto id = request_.message.header_value(context_.headers.request_id).value_or("");
@@ -120,10 +134,12 @@
     std::shared_ptr<forwarded_call> make_call(upstream_pool& pool,
                                               const forwarding::route& matched_route,
                                               core::workspace_id workspace,
+                                              std::vector<suspects::part_digest> parts,
                                               std::vector<suspects::part_digest> trial_of)
     {
         call_environment environment{
-            context_, pool, rules_, matched_route, std::move(workspace), std::move(trial_of)};
+            context_,           pool, rules_, matched_route, std::move(workspace), std::move(parts),
+            std::move(trial_of)};
         if (matched_route.kind == core::work_kind::generation) {
             return std::make_shared<stream_call>(std::move(environment), std::move(request_),
                                                  sink_);
--- a/libs/caller_front/src/call_environment.h
+++ b/libs/caller_front/src/call_environment.h
@@ -21,6 +21,7 @@
     std::shared_ptr<const forwarding::indexed_ruleset> rules; ///< Keeps `matched_route` alive.
     const forwarding::route& matched_route;
     core::workspace_id workspace;                ///< Empty for a caller without a key.
+    std::vector<suspects::part_digest> parts;    ///< Of the prompt, shared with other requests.
     std::vector<suspects::part_digest> trial_of; ///< Held parts, in spite of which it is sent.
 };
 
--- a/libs/caller_front/src/call_log.cpp
+++ b/libs/caller_front/src/call_log.cpp
@@ -106,6 +106,13 @@
                   {"time_left_ms", in_ms(end.time_left)}});
 }
 
+void log_unread_parts(const std::string& request, std::size_t read, std::size_t unread)
+{
+    logging::log(
+        logging::level::info, "parts of a prompt not read",
+        {{"request", request}, {"read", std::to_string(read)}, {"unread", std::to_string(unread)}});
+}
+
 void log_rejection(const std::string& request, std::string_view target, std::string_view reason,
                    unsigned status, core::revision rules_version)
 {
--- a/libs/caller_front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -14,6 +14,7 @@
 #include <core/instant.h>
 #include <core/revision.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,9 @@
                   const std::string& endpoint, const forwarding::call_progress& progress,
                   const call_end& end);
 
+/// Logs that parts of a request's prompt were not read, so that they are not guarded against.
+void log_unread_parts(const std::string& request, std::size_t read, std::size_t unread);
+
 /// Logs a request that was rejected without being forwarded.
 void log_rejection(const std::string& request, std::string_view target, std::string_view reason,
                    unsigned status, core::revision rules_version);
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -5,7 +5,6 @@
 #include "call_log.h"
 #include "death_check.h"
 #include "local_reply.h"
-#include "shared_parts.h"
 
 #include <forwarding/draw_service.h>
 #include <forwarding/retry_policy.h>
@@ -46,7 +45,6 @@
       // Hashing the identifier spreads requests by weight without a random source.
       service_(draw_service(environment_.matched_route, std::hash<std::string>{}(request_id_))),
       digest_(request_digest_of(environment_.workspace, request_)),
-      parts_(shared_parts_of(request_, environment_.context.headers)),
       deadline_(deadline_for(request_, environment_.context.headers, environment_.matched_route)),
       sink_(std::move(sink))
 {
@@ -174,8 +172,9 @@
         end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::spoiled;
     if (attempt.sent() && may_have_died) {
         // A poison request crashes its endpoint before the first output.
-        const auto suspect =
-            progress_.had_output ? std::nullopt : std::optional(suspect_request{digest_, parts_});
+        const auto suspect = progress_.had_output
+                                 ? std::nullopt
+                                 : std::optional(suspect_request{digest_, environment_.parts});
         check_death(context, environment_.pool, endpoint, suspect, request_id_);
     }
     log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
@@ -229,7 +228,8 @@
     }
     // A request that certainly has not run has caused no death: sending it on is as safe as
     // admitting it now.
-    return may_have_run ? !context.parts.allows_resend(parts_) : context.parts.holds_any(parts_);
+    return may_have_run ? !context.parts.allows_resend(environment_.parts)
+                        : context.parts.holds_any(environment_.parts);
 }
 
 bool forwarded_call::trial_goes_on() const
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -17,7 +17,6 @@
 #include <forwarding/next_step.h>
 #include <forwarding/route.h>
 
-#include <suspects/part_digest.h>
 #include <suspects/request_digest.h>
 
 #include <core/endpoint.h>
@@ -153,8 +152,7 @@
     forwarding::call_size size_;
     forwarding::call_progress progress_;
     core::service_id service_;
-    suspects::request_digest digest_;          // Equal for repeated sends of the same request.
-    std::vector<suspects::part_digest> parts_; // Of the prompt, shared with other requests.
+    suspects::request_digest digest_; // Equal for repeated sends of the same request.
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -77,7 +77,7 @@
         environment_.context.suspect_cleared({digest_});
     }
     if (outcome == "served" && !progress_.had_output) {
-        environment_.context.parts.record_output(parts_);
+        environment_.context.parts.record_output(environment_.parts);
     }
     const auto took = now() - request_.arrived;
     environment_.context.metrics.observe("call_seconds",
--- a/libs/caller_front/src/prompt_parts.cpp
+++ b/libs/caller_front/src/prompt_parts.cpp
@@ -30,23 +30,31 @@
 
 } // namespace
 
-std::vector<prompt_part> prompt_parts_of(const caller_request& incoming, const header_names& names)
+prompt_part_list prompt_parts_of(const caller_request& incoming, const header_names& names)
 {
-    std::vector<prompt_part> parts;
+    prompt_part_list list;
     for (const http::header& field : incoming.message.headers) {
         if (!core::equal_ignoring_case(field.name, names.prompt_parts)) {
             continue;
         }
         // Several fields of one name are equal to one with their values joined (RFC 9110, 5.3).
-        for (const std::string_view entry : core::split(field.value, ',')) {
-            const auto part = parse_part(core::trimmed(entry));
-            if (!part || parts.size() == max_prompt_parts) {
-                return {};
+        for (const std::string_view text : core::split(field.value, ',')) {
+            const auto entry = core::trimmed(text);
+            if (entry.empty()) {
+                continue; // Empty elements are ignored (RFC 9110, 5.6.1).
+            }
+            const bool full = list.parts.size() == max_prompt_parts;
+            const auto part = full ? std::nullopt : parse_part(entry);
+            list.last_unread = !part;
+            if (part) {
+                list.parts.push_back(*part);
+            }
+            else {
+                ++list.unread;
             }
-            parts.push_back(*part);
         }
     }
-    return parts;
+    return list;
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/shared_parts.h
+++ b/libs/caller_front/src/shared_parts.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "caller_request.h"
-
-#include <caller_front/header_names.h>
+#include "prompt_part_list.h"
 
 #include <suspects/part_digest.h>
 
@@ -10,9 +8,8 @@
 
 namespace ej::front {
 
-/// The parts of the request's prompt that other requests may share: all but the last, sorted and
-/// without duplicates.
-[[nodiscard]] std::vector<suspects::part_digest> shared_parts_of(const caller_request& incoming,
-                                                                 const header_names& names);
+/// The parts of a prompt that other requests may share: all but its last one, sorted and without
+/// duplicates.
+[[nodiscard]] std::vector<suspects::part_digest> shared_parts_of(const prompt_part_list& listed);
 
 } // namespace ej::front
--- a/libs/caller_front/src/stream_call_output.cpp
+++ b/libs/caller_front/src/stream_call_output.cpp
@@ -99,7 +99,7 @@
         return;
     }
     if (!std::exchange(progress_.had_output, true)) {
-        environment_.context.parts.record_output(parts_);
+        environment_.context.parts.record_output(environment_.parts);
     }
     if (!std::exchange(flowing_, true)) {
         environment_.context.stats.first_output(attempt.endpoint().name,
--- a/tests/forward/crashing_part_test.cpp
+++ b/tests/forward/crashing_part_test.cpp
@@ -138,6 +138,29 @@
     CHECK(last.refused());
 }
 
+TEST_CASE("a crashing part is held back in requests whose list of parts cannot be read as a whole")
+{
+    constexpr int many = 80;
+    const bool long_list = GENERATE(false, true);
+    std::vector<std::string> parts{shared, crashing, "no digest"};
+    if (long_list) {
+        parts.assign({shared, crashing});
+        for (int number = 0; number < many; ++number) {
+            parts.push_back("b" + std::to_string(number));
+        }
+    }
+    daemon_fixture fixture;
+    const engine_group engines(fixture, {crashing});
+    fixture.configure_and_start(engine_group::count);
+    prompt_outcome last;
+    for (int number = 0; number < requests_sent; ++number) {
+        last = ask_when_back(engines, {&fixture}, fixture, parts);
+    }
+    CHECK(engines.arrivals_with_part(crashing) <= most_arrivals);
+    CHECK(last.refused());
+    CHECK(fixture.metrics().find("endivejunction_prompt_parts_unread_total ") != std::string::npos);
+}
+
 TEST_CASE("sound requests that share their caller and other parts with crashing ones are served at "
           "the first attempt")
 {
