Held parts that always come together are tried together

Callers whose requests carry two parts that were held back by mistake were refused until the hold ended, two hours later: a request with two held parts is no trial of either, since its failure would not tell which one is to blame, and no request with one of them came.

Its output releases all of them; its failure counts for each, so that three trials stay the limit. At most two are made in this way, and the last trial is left to a request with a single held part: a sound part beside a deadly one can still prove itself.

Before: "sound parts that always come together ... are released by an output of both" failed (refused for good), "trials of two parts that come together leave the last one ..." with 0 == 2.

"a request with two held parts is no trial of either" asserted the fault at one hour. In its place, such a request is refused as long as one with a single part may come: at 9 s, and at 28 s after a trial.

--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -98,6 +98,9 @@
     [[nodiscard]] part_history history_of(part_digest part);
     [[nodiscard]] std::vector<known_part_death> deaths_with(std::span<const death_id> ids);
     [[nodiscard]] bool is_ambiguous(part_digest part);
+    [[nodiscard]] bool may_try(std::span<const part_digest> held, const trial_delay& delay,
+                               core::instant now);
+    bool admit(part_digest part, core::instant now);
     void hold(part_digest part, core::instant now);
     void postpone_trials(std::span<const death_id> deaths, core::instant now);
 
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -231,20 +231,48 @@
     if (held.empty()) {
         return {};
     }
-    // The failure of a trial with two such parts would not tell which one is to blame.
-    const bool may_try = held.size() == 1;
-    const auto latest = now - (may_try ? delay(held.front()) : core::duration::zero());
-    const bool tries = histories_.with(held.front(), [&](auto& histories) {
-        part_history& known = use_history(histories, held.front(), now);
-        if (!may_try || !known.hold || known.hold->trials >= max_trials ||
-            latest < known.hold->next_trial) {
+    if (!may_try(held, delay, now)) {
+        return {verdict::refuse, std::move(held)};
+    }
+    // Another request may have been admitted since.
+    const auto failed =
+        std::ranges::find_if(held, [&](part_digest part) { return !admit(part, now); });
+    if (failed != held.end()) {
+        return_trial({held.begin(), failed}, now);
+        return {verdict::refuse, std::move(held)};
+    }
+    return {verdict::isolate, std::move(held)};
+}
+
+bool part_table::may_try(std::span<const part_digest> held, const trial_delay& delay,
+                         core::instant now)
+{
+    // The failure of a trial with several held parts does not tell which one is to blame: requests
+    // with one of them go first, and the last trial is left to them.
+    const bool together = held.size() > 1;
+    const auto latest = now - delay(held.front());
+    return std::ranges::all_of(held, [&](part_digest part) {
+        const auto known = history_of(part).hold;
+        if (!known) {
+            return false;
+        }
+        return together ? known->trials + 1 < max_trials &&
+                              latest >= known->next_trial + trial_pause(known->trials)
+                        : known->trials < max_trials && latest >= known->next_trial;
+    });
+}
+
+bool part_table::admit(part_digest part, core::instant now)
+{
+    return histories_.with(part, [&](auto& histories) {
+        part_history& known = use_history(histories, part, now);
+        if (!known.hold || now < known.hold->next_trial) {
             return false;
         }
         known.hold->next_trial = now + admission_time;
         known.hold->admitted = true;
         return true;
     });
-    return {tries ? verdict::isolate : verdict::refuse, std::move(held)};
 }
 
 void part_table::begin_trial(std::span<const part_digest> held, core::instant now)
