--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -5,7 +5,6 @@
 #include "call_log.h"
 #include "death_check.h"
 #include "local_reply.h"
-#include "shared_parts.h"
 
 #include <forwarding/draw_service.h>
 #include <forwarding/retry_policy.h>
@@ -46,7 +45,6 @@
       // Hashing the identifier spreads requests by weight without a random source.
       service_(draw_service(environment_.matched_route, std::hash<std::string>{}(request_id_))),
       digest_(request_digest_of(environment_.workspace, request_)),
-      parts_(shared_parts_of(request_, environment_.context.headers)),
       deadline_(deadline_for(request_, environment_.context.headers, environment_.matched_route)),
       sink_(std::move(sink))
 {
@@ -174,8 +172,9 @@
         end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::spoiled;
     if (attempt.sent() && may_have_died) {
         // A poison request crashes its endpoint before the first output.
-        const auto suspect =
-            progress_.had_output ? std::nullopt : std::optional(suspect_request{digest_, parts_});
+        const auto suspect = progress_.had_output
+                                 ? std::nullopt
+                                 : std::optional(suspect_request{digest_, environment_.parts});
         check_death(context, environment_.pool, endpoint, suspect, request_id_);
     }
     log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
@@ -190,9 +189,7 @@
     auto& context = environment_.context;
     const bool further =
         step == forwarding::next_step::send_again || step == forwarding::next_step::wait;
-    // The trial of a held part goes on to another endpoint only if it has not begun.
-    const bool trial_goes_on = environment_.trial && !forwarding::may_have_run(end);
-    if (further && !trial_goes_on && held_back()) {
+    if (further && !trial_goes_on() && held_back(progress_.may_have_run)) {
         context.metrics.count("sends_denied_total", {{"reason", "suspect"}});
         return progress_.may_have_run ? forwarding::next_step::fail : forwarding::next_step::refuse;
     }
@@ -217,14 +214,36 @@
     });
     return forwarding::step_after_silence(progress_, environment_.matched_route, other_engine) ==
                forwarding::silence_step::move &&
-           !held_back() && context.budget.take(service_, context.daemons, at);
+           !held_back(true) && context.budget.take(service_, context.daemons, at);
 }
 
-bool forwarded_call::held_back() const
+bool forwarded_call::held_back(bool may_have_run) const
 {
     auto& context = environment_.context;
-    return context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse ||
-           (!progress_.had_output && !context.parts.allows_resend(parts_));
+    if (context.suspects.evaluate(digest_, now()) == suspects::verdict::refuse) {
+        return true;
+    }
+    if (progress_.had_output) {
+        return false;
+    }
+    // A request that certainly has not run has caused no death: sending it on is as safe as
+    // admitting it now.
+    return may_have_run ? !context.parts.allows_resend(environment_.parts)
+                        : context.parts.holds_any(environment_.parts);
+}
+
+bool forwarded_call::trial_goes_on() const
+{
+    // Only if it has not begun to run, and no other daemon has tried the parts meanwhile.
+    return !environment_.trial_of.empty() && !progress_.may_have_run &&
+           (trial_counted_ || environment_.context.parts.is_admitted(environment_.trial_of));
+}
+
+void forwarded_call::on_sent(upstream_attempt& /*attempt*/)
+{
+    if (!environment_.trial_of.empty() && !std::exchange(trial_counted_, true)) {
+        environment_.context.parts.begin_trial(environment_.trial_of);
+    }
 }
 
 bool forwarded_call::trusted(const answer_parser& answer) const
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -17,7 +17,6 @@
 #include <forwarding/next_step.h>
 #include <forwarding/route.h>
 
-#include <suspects/part_digest.h>
 #include <suspects/request_digest.h>
 
 #include <core/endpoint.h>
@@ -53,6 +52,8 @@
     /// The caller has closed its connection: running attempts are cancelled.
     void caller_gone();
 
+    void on_sent(upstream_attempt& attempt) override;
+
     /// Ends the call with its final answer now, for `reason`: its deadline has passed or the daemon
     /// shuts down.
     void end_now(std::string_view reason);
@@ -100,8 +101,8 @@
     [[nodiscard]] bool may_move_from(const core::endpoint& endpoint);
 
     /// True if the request may not be sent again, since it or a part of its prompt crashes
-    /// endpoints.
-    [[nodiscard]] bool held_back() const;
+    /// endpoints. `may_have_run`: an endpoint may have begun to run it.
+    [[nodiscard]] bool held_back(bool may_have_run) const;
 
     /// True if `answer` has a signature header, whose value is not checked, and echoes the
     /// identifier of this request.
@@ -114,6 +115,9 @@
     /// Records the load reported by an answer.
     void note_load(const upstream_attempt& attempt);
 
+    /// True if this is a trial of held parts that may be sent to another endpoint.
+    [[nodiscard]] bool trial_goes_on() const;
+
     /// Sends an endpoint's complete answer to the caller.
     void pass_on(const answer_parser& answer, std::string body);
 
@@ -148,8 +152,7 @@
     forwarding::call_size size_;
     forwarding::call_progress progress_;
     core::service_id service_;
-    suspects::request_digest digest_;          // Equal for repeated sends of the same request.
-    std::vector<suspects::part_digest> parts_; // Of the prompt, shared with other requests.
+    suspects::request_digest digest_; // Equal for repeated sends of the same request.
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
@@ -160,6 +163,7 @@
     std::set<const upstream_attempt*> counted_; // Attempts whose load is included in `standing`.
     std::optional<core::endpoint> last_endpoint_;
     std::string last_failure_; // Detail of the last failed attempt.
+    bool trial_counted_ = false;
     bool over_ = false;
 };
 
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -70,11 +70,14 @@
         return;
     }
     deadline_timer_->stop();
+    if (!environment_.trial_of.empty() && !trial_counted_) {
+        environment_.context.parts.return_trial(environment_.trial_of);
+    }
     if (outcome == "served" && environment_.context.suspects.clear(digest_)) {
         environment_.context.suspect_cleared({digest_});
     }
     if (outcome == "served" && !progress_.had_output) {
-        environment_.context.parts.record_output(parts_);
+        environment_.context.parts.record_output(environment_.parts);
     }
     const auto took = now() - request_.arrived;
     environment_.context.metrics.observe("call_seconds",
--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <suspects/death_id_hash.h>
+#include <suspects/death_index.h>
 #include <suspects/held_part.h>
 #include <suspects/known_part_death.h>
 #include <suspects/part_death.h>
@@ -18,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -55,10 +57,20 @@
     /// output since the evidence, which is to be told to peers.
     bool apply_held(const held_part& reported, core::instant now);
 
-    /// Returns how a request with `parts` may run. If it is a trial, records it.
+    /// Returns how a request with `parts` may run. If it is a trial, no other one is admitted here
+    /// until `begin_trial` or `return_trial` is called for the same parts.
     [[nodiscard]] part_verdict evaluate(std::span<const part_digest> parts,
                                         const trial_delay& delay, core::instant now);
 
+    /// Counts a trial of `held`, whose request is sent to an endpoint now.
+    void begin_trial(std::span<const part_digest> held, core::instant now);
+
+    /// Takes back a trial of `held` whose request has reached no endpoint.
+    void return_trial(std::span<const part_digest> held, core::instant now);
+
+    /// True if an admitted trial of `held` may still begin: no other daemon has tried the parts.
+    [[nodiscard]] bool is_admitted(std::span<const part_digest> held);
+
     /// True if a request with `parts` may be sent to another endpoint after one has died: none of
     /// them is held back, or has two independent deaths and no output so far.
     [[nodiscard]] bool allows_resend(std::span<const part_digest> parts);
@@ -81,11 +93,14 @@
 private:
     [[nodiscard]] bool is_held(part_digest part);
     [[nodiscard]] std::vector<known_part_death> settled_deaths(core::instant now);
-    [[nodiscard]] part_evidence evidence_among(std::vector<known_part_death> all, part_digest part);
-    [[nodiscard]] std::vector<part_digest> suspected();
+    [[nodiscard]] std::vector<part_digest> strongest_suspects(const death_index& counted);
+    [[nodiscard]] std::set<part_digest> all_held();
     [[nodiscard]] part_history history_of(part_digest part);
     [[nodiscard]] std::vector<known_part_death> deaths_with(std::span<const death_id> ids);
     [[nodiscard]] bool is_ambiguous(part_digest part);
+    [[nodiscard]] bool may_try(std::span<const part_digest> held, const trial_delay& delay,
+                               core::instant now);
+    bool admit(part_digest part, core::instant now);
     void hold(part_digest part, core::instant now);
     void postpone_trials(std::span<const death_id> deaths, core::instant now);
 
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -1,6 +1,5 @@
 #include <suspects/part_table.h>
 
-#include <suspects/independent_deaths.h>
 #include <suspects/trial_pause.h>
 
 #include <algorithm>
@@ -19,6 +18,19 @@
 // with the part no longer come.
 constexpr std::chrono::hours hold_retention{2};
 
+// A part whose trials all failed almost certainly crashes endpoints. If its hold ended, requests
+// with it would crash several again.
+constexpr std::chrono::hours proven_hold_retention{24};
+
+/// Time from the latest evidence to the end of a hold.
+core::duration retention_after(std::uint32_t trials)
+{
+    return trials < max_trials ? hold_retention : proven_hold_retention;
+}
+
+// Longer than a request takes to reach an endpoint; its end comes before in nearly all cases.
+constexpr std::chrono::minutes admission_time{1};
+
 // A request with a part that has had no output yet is not sent again after this many independent
 // deaths with the part.
 constexpr std::uint32_t deaths_until_single_sends = 2;
@@ -139,8 +151,9 @@
         if (known.last_output || known.unanswered.size() < deaths_until_single_sends) {
             return known.hold.has_value();
         }
-        const auto deaths = deaths_with(known.unanswered);
-        return known.hold || independent_deaths(deaths, deaths) >= deaths_until_single_sends;
+        const death_index deaths(deaths_with(known.unanswered));
+        return known.hold ||
+               deaths.independent(deaths.find(known.unanswered)) >= deaths_until_single_sends;
     });
 }
 
@@ -192,7 +205,7 @@
 bool part_table::apply_held(const held_part& reported, core::instant now)
 {
     const core::instant evidence_at = now - reported.since_evidence;
-    if (reported.since_evidence >= hold_retention) {
+    if (reported.since_evidence >= retention_after(reported.trials)) {
         return true;
     }
     return histories_.with(reported.part, [&](auto& histories) {
@@ -202,7 +215,7 @@
         }
         // An equal report is not merged: its delay would prolong the hold with each repetition.
         if (!known.hold || known.hold->trials < reported.trials) {
-            known.hold = part_hold{reported.trials, now + reported.until_trial, false};
+            known.hold = part_hold{reported.trials, now + reported.until_trial, false, false};
             known.last_death = std::max(known.last_death.value_or(evidence_at), evidence_at);
         }
         return true;
@@ -218,22 +231,87 @@
     if (held.empty()) {
         return {};
     }
-    // The failure of a trial with two such parts would not tell which one is to blame.
-    const bool may_try = held.size() == 1;
-    const auto latest = now - (may_try ? delay(held.front()) : core::duration::zero());
-    const bool tries = histories_.with(held.front(), [&](auto& histories) {
-        part_history& known = use_history(histories, held.front(), now);
-        if (!may_try || !known.hold || latest < known.hold->next_trial) {
+    if (!may_try(held, delay, now)) {
+        return {verdict::refuse, std::move(held)};
+    }
+    // Another request may have been admitted since.
+    const auto failed =
+        std::ranges::find_if(held, [&](part_digest part) { return !admit(part, now); });
+    if (failed != held.end()) {
+        return_trial({held.begin(), failed}, now);
+        return {verdict::refuse, std::move(held)};
+    }
+    return {verdict::isolate, std::move(held)};
+}
+
+bool part_table::may_try(std::span<const part_digest> held, const trial_delay& delay,
+                         core::instant now)
+{
+    // The failure of a trial with several held parts does not tell which one is to blame: requests
+    // with one of them go first, and the last trial is left to them.
+    const bool together = held.size() > 1;
+    const auto latest = now - delay(held.front());
+    return std::ranges::all_of(held, [&](part_digest part) {
+        const auto known = history_of(part).hold;
+        if (!known) {
             return false;
         }
-        const bool ambiguous = known.hold->ambiguous;
-        const auto trials = known.hold->trials + 1;
-        known.hold =
-            part_hold{trials, now + trial_pause(ambiguous ? trials - 1 : trials), ambiguous};
-        known.last_death = now;
+        return together ? known->trials + 1 < max_trials &&
+                              latest >= known->next_trial + trial_pause(known->trials)
+                        : known->trials < max_trials && latest >= known->next_trial;
+    });
+}
+
+bool part_table::admit(part_digest part, core::instant now)
+{
+    return histories_.with(part, [&](auto& histories) {
+        part_history& known = use_history(histories, part, now);
+        if (!known.hold || now < known.hold->next_trial) {
+            return false;
+        }
+        known.hold->next_trial = now + admission_time;
+        known.hold->admitted = true;
         return true;
     });
-    return {tries ? verdict::isolate : verdict::refuse, held.front()};
+}
+
+void part_table::begin_trial(std::span<const part_digest> held, core::instant now)
+{
+    for (const part_digest part : held) {
+        histories_.with(part, [&](auto& histories) {
+            const auto found = histories.find(part);
+            if (found == histories.end() || !found->second.hold) {
+                return; // An output has released it meanwhile.
+            }
+            part_hold& hold = *found->second.hold;
+            ++hold.trials;
+            hold.next_trial = now + trial_pause(hold.ambiguous ? hold.trials - 1 : hold.trials);
+            hold.admitted = false;
+            found->second.last_death = now;
+        });
+    }
+}
+
+void part_table::return_trial(std::span<const part_digest> held, core::instant now)
+{
+    for (const part_digest part : held) {
+        histories_.with(part, [&](auto& histories) {
+            const auto found = histories.find(part);
+            // Another daemon may have tried the part meanwhile.
+            if (found != histories.end() && found->second.hold && found->second.hold->admitted) {
+                found->second.hold->admitted = false;
+                found->second.hold->next_trial = now;
+            }
+        });
+    }
+}
+
+bool part_table::is_admitted(std::span<const part_digest> held)
+{
+    return std::ranges::all_of(held, [this](part_digest part) {
+        const auto known = history_of(part).hold;
+        return !known || known->admitted;
+    });
 }
 
 std::vector<held_part> part_table::held(core::instant now)
@@ -256,7 +334,6 @@
 void part_table::expire(core::instant now)
 {
     const core::instant limit = now - retention;
-    const core::instant hold_limit = now - hold_retention;
     deaths_.for_each_shard([&](auto& deaths) {
         std::erase_if(deaths, [&](const auto& entry) { return entry.second.at <= limit; });
     });
@@ -264,7 +341,9 @@
         std::erase_if(histories, [&](const auto& entry) {
             // Every daemon dates a hold by its evidence, so that reports of it do not prolong it.
             const part_history& known = entry.second;
-            return known.hold ? known.last_death.value_or(known.used) <= hold_limit
+            return known.hold ? known.last_death.value_or(known.used) +
+                                        retention_after(known.hold->trials) <=
+                                    now
                               : known.used <= limit;
         });
     });
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -1,6 +1,5 @@
 #include <suspects/digest_of.h>
 #include <suspects/independent_bursts_policy.h>
-#include <suspects/independent_deaths.h>
 #include <suspects/independent_deaths_policy.h>
 #include <suspects/isolate_then_refuse_policy.h>
 #include <suspects/part_table.h>
@@ -14,6 +13,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <string>
@@ -60,6 +60,17 @@
     return table.evaluate(parts, owns, now).how;
 }
 
+/// Evaluates a request; if it is a trial, its request reaches an endpoint.
+verdict try_part(part_table& table, const std::vector<part_digest>& parts, core::instant now,
+                 const part_table::trial_delay& owns = owns_all)
+{
+    const auto found = table.evaluate(parts, owns, now);
+    if (found.how == verdict::isolate) {
+        table.begin_trial(found.held, now);
+    }
+    return found.how;
+}
+
 /// Records deaths of `parts` two seconds apart, then reviews. Returns the time of the review.
 core::instant crash(part_table& table, int deaths, const std::vector<part_digest>& parts,
                     core::instant from = start)
@@ -278,17 +289,46 @@
     auto peer = make_table();
     const auto held_at = crash(*table, 3, {shared});
     crash(*peer, 3, {shared});
-    CHECK(verdict_of(*peer, {shared}, held_at + 10s, owns_all) == verdict::isolate);
+    CHECK(try_part(*peer, {shared}, held_at + 10s) == verdict::isolate);
     CHECK(table->apply_held(peer->held(held_at + 10s).front(), held_at + 10s));
     CHECK(verdict_of(*table, {shared}, held_at + 100s, owns_all) == verdict::refuse);
 }
 
-TEST_CASE("a request with two held parts is no trial of either")
+TEST_CASE("a request with two held parts is no trial while one with a single one may come")
+{
+    auto table = make_table();
+    const auto held_at = crash(*table, 3, {deadly, shared});
+    CHECK(verdict_of(*table, {deadly, shared}, held_at + 9s, owns_all) == verdict::refuse);
+    CHECK(try_part(*table, {shared, rare}, held_at + 9s) == verdict::isolate);
+    table->record_death(death(9, "d0", {rare, shared}), held_at + 10s);
+    CHECK(verdict_of(*table, {deadly, shared}, held_at + 28s, owns_all) == verdict::refuse);
+    CHECK(try_part(*table, {shared, rare}, held_at + 28s) == verdict::isolate);
+}
+
+TEST_CASE("sound parts that always come together and are held back by mistake are released by an "
+          "output of both")
+{
+    auto table = make_table();
+    const auto held_at = crash(*table, 3, {shared, rare});
+    CHECK(try_part(*table, {shared, rare}, held_at + 11s) == verdict::isolate);
+    CHECK(verdict_of(*table, {shared, rare}, held_at + 11s, owns_all) == verdict::refuse);
+    table->record_output(std::vector{shared, rare}, held_at + 12s);
+    CHECK(verdict_of(*table, {shared, rare}, held_at + 12s) == verdict::run);
+    CHECK(table->held(held_at + 12s).empty());
+}
+
+TEST_CASE("trials of two parts that come together leave the last one to a request with one of them")
 {
     auto table = make_table();
-    const auto now = crash(*table, 3, {deadly, shared}) + 1h;
-    CHECK(verdict_of(*table, {deadly, shared}, now, owns_all) == verdict::refuse);
-    CHECK(verdict_of(*table, {shared, rare}, now, owns_all) == verdict::isolate);
+    auto now = crash(*table, 3, {deadly, shared});
+    int together = 0;
+    for (const auto end = now + 90min; now < end; now += 1s) {
+        together += try_part(*table, {deadly, shared}, now) == verdict::isolate ? 1 : 0;
+    }
+    CHECK(together == 2);
+    CHECK(try_part(*table, {shared, rare}, now) == verdict::isolate);
+    CHECK(try_part(*table, {deadly, rare}, now) == verdict::isolate);
+    CHECK(try_part(*table, {deadly, rare}, now + 1h) == verdict::refuse);
 }
 
 TEST_CASE("at most three trials of a deadly part run in the first half hour")
@@ -298,7 +338,7 @@
     const auto end = now + 30min;
     int trials = 0;
     for (; now < end; now += 1s) {
-        if (verdict_of(*table, {deadly}, now, owns_all) == verdict::isolate) {
+        if (try_part(*table, {deadly}, now) == verdict::isolate) {
             ++trials;
             table->record_death(death(100 + trials, "d0", {deadly}), now);
         }
@@ -306,6 +346,89 @@
     CHECK(trials == 3);
 }
 
+TEST_CASE("a deadly part takes at most three endpoints in a day that it is held back in a fleet")
+{
+    std::vector<std::unique_ptr<part_table>> tables;
+    std::generate_n(std::back_inserter(tables), 3, make_table);
+    core::instant now = start;
+    for (const auto& table : tables) {
+        now = crash(*table, 3, {deadly});
+    }
+    const auto end = now + 24h - 1min;
+    int trials = 0;
+    for (; now < end; now += 5s) {
+        for (std::size_t daemon = 0; daemon < tables.size(); ++daemon) {
+            const auto in_turn = [daemon](part_digest /*part*/) -> core::duration {
+                return 2s * static_cast<int>(daemon);
+            };
+            if (try_part(*tables[daemon], {deadly}, now, in_turn) != verdict::refuse) {
+                ++trials;
+            }
+            for (const auto& peer : tables) {
+                for (const held_part& one : tables[daemon]->held(now)) {
+                    peer->apply_held(one, now);
+                }
+            }
+            tables[daemon]->expire(now);
+        }
+    }
+    CHECK(trials == 3);
+}
+
+TEST_CASE("a hold whose trials all failed ends a day after the last one")
+{
+    auto table = make_table();
+    auto now = crash(*table, 3, {deadly});
+    for (const auto end = now + 1h; now < end; now += 10s) {
+        try_part(*table, {deadly}, now);
+    }
+    table->expire(now + 22h);
+    CHECK(table->held(now + 22h).size() == 1);
+    table->expire(now + 24h);
+    CHECK(table->held(now + 24h).empty());
+}
+
+TEST_CASE("a hold that no request has come to try ends after two hours")
+{
+    auto table = make_table();
+    const auto now = crash(*table, 3, {deadly});
+    table->expire(now + 119min);
+    CHECK(table->held(now + 119min).size() == 1);
+    table->expire(now + 2h);
+    CHECK(table->held(now + 2h).empty());
+}
+
+TEST_CASE(
+    "a trial whose request reaches no endpoint is not counted and the next one follows at once")
+{
+    auto table = make_table();
+    auto now = crash(*table, 3, {shared}) + 11s;
+    for (int number = 0; number < 10; ++number) {
+        const auto found = table->evaluate(std::vector{shared}, owns_all, now);
+        CHECK(found.how == verdict::isolate);
+        CHECK(verdict_of(*table, {shared}, now + 1s, owns_all) == verdict::refuse);
+        now += 2s;
+        table->return_trial(found.held, now);
+    }
+    CHECK(table->held(now).front().trials == 0);
+    CHECK(try_part(*table, {shared}, now) == verdict::isolate);
+    CHECK(table->held(now).front().trials == 1);
+    CHECK(verdict_of(*table, {shared}, now + 99s, owns_all) == verdict::refuse);
+}
+
+TEST_CASE("a trial that is taken back does not hide one of another daemon")
+{
+    auto table = make_table();
+    const auto now = crash(*table, 3, {shared}) + 11s;
+    const auto found = table->evaluate(std::vector{shared}, owns_all, now);
+    CHECK(found.how == verdict::isolate);
+    CHECK(table->apply_held({shared, 1, 100s, 0s}, now + 1s));
+    CHECK_FALSE(table->is_admitted(found.held));
+    table->return_trial(found.held, now + 2s);
+    CHECK(verdict_of(*table, {shared}, now + 2s, owns_all) == verdict::refuse);
+    CHECK(table->held(now + 2s).front().trials == 1);
+}
+
 TEST_CASE("a restarted daemon holds back a part that a peer reports")
 {
     auto table = make_table();
