A cut stream ends behind its events, and never looks complete

What callers saw: a stream that was broken off towards a caller without chunked encoding (HTTP/1.0) ended in an orderly close, which is the mark of a complete answer there. A caller that had sent more than the daemon had read got a reset that overtook events already written for it.

Cause: `abort` closed the socket at once. Without unread bytes the kernel sends the rest and an orderly end; beside unread bytes it resets the connection and drops the rest. Text that waited in `caller_output` was dropped as well.

Now `abort` first sends what was accepted of the answer (phase `aborting`). A chunked answer then ends as after a last answer: sending half closed, input discarded, so that no reset occurs; the missing last chunk shows the cut. For an answer that its connection's end delimits, SO_LINGER 0 is set with its head and taken back when all of it has been sent, so that every early end is a reset: also that by the limit of unsent bytes, by the write timeout, or of a killed process. The reset waits until the caller's kernel has acknowledged what was sent, at most 3 s, since it discards the rest.

The end with a killed process is by reading, not by a test.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -38,6 +38,8 @@
 caller_connection::~caller_connection()
 {
     stop_serving();
+    error_code ignored; // The destructor of a socket would drop `reset_on_close`.
+    socket_.close(ignored);
     --context_.callers_open;
 }
 
@@ -110,7 +112,7 @@
                                              : connection_end::read_failed);
         return;
     }
-    if (phase_ == phase::lingering) {
+    if (phase_ == phase::lingering || phase_ == phase::aborting) {
         lingered_ += count;
         if (lingered_ > max_lingered_bytes) {
             close();
@@ -205,6 +207,14 @@
     case phase::lingering:
         close();
         break;
+    case phase::aborting:
+        if (output_.busy()) {
+            close();
+        }
+        else {
+            reset_when_received();
+        }
+        break;
     case phase::answering:
         disconnect(connection_end::write_timeout);
         break;
@@ -230,7 +240,15 @@
 
 void caller_connection::abort()
 {
-    end(connection_end::call_aborted);
+    if (phase_ != phase::answering) {
+        return;
+    }
+    record_end(connection_end::call_aborted);
+    phase_ = phase::aborting;
+    call_.reset();
+    if (!output_.busy()) {
+        end_aborted();
+    }
 }
 
 void caller_connection::send(const std::string& text, bool last)
@@ -253,6 +271,9 @@
     if (error) {
         disconnect(connection_end::write_failed);
     }
+    else if (phase_ == phase::aborting) {
+        end_aborted();
+    }
     else if (phase_ == phase::reading) {
         timer_->set(now() + limits().idle_timeout);
     }
@@ -267,6 +288,7 @@
     ++answered_;
     if (!keep_alive_) {
         phase_ = phase::idle;
+        reset_on_close(false);
         record_end(connection_end::answer_sent);
         linger();
         return;
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -71,6 +71,9 @@
     [[nodiscard]] bool accepts_requests() const;
     void stop_serving();
     void begin_linger();
+    void end_aborted();
+    void reset_when_received();
+    void reset_on_close(bool enabled);
     void linger();
     void disconnect(connection_end why);
     void end(connection_end why);
@@ -88,12 +91,14 @@
     core::instant idle_since_{};
     bool keep_alive_ = true;
     bool chunked_ = true;    // The caller supports chunked answers.
+    bool unframed_ = false;  // The end of the connection marks the end of the answer.
     bool head_only_ = false; // The request was HEAD.
     bool reading_ = false;
     bool serving_ = true; // Included in `callers_active`.
     caller_output output_;
     bool last_written_ = false; // The last part of the answer has been queued.
     std::size_t lingered_ = 0;
+    core::instant reset_by_{};                                  // Of an aborted answer.
     connection_end end_of_wait_ = connection_end::idle_timeout; // Cause of a stopped wait.
     std::string request_id_;                                    // Of the latest whole request.
     std::uint64_t answered_ = 0;
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -3,6 +3,10 @@
 
 #include "connection_log.h"
 
+#include <sys/ioctl.h>
+
+#include <linux/sockios.h>
+
 #include <chrono>
 #include <utility>
 
@@ -12,6 +16,14 @@
 
 // Time for the caller to read its last answer and to close the connection.
 constexpr std::chrono::seconds linger_timeout{3};
+constexpr std::chrono::milliseconds acknowledgement_interval{10};
+
+/// Bytes that were sent on `socket` and that its peer has not acknowledged; 0 if it has failed.
+int unacknowledged_bytes(tcp::socket& socket)
+{
+    int count = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 ? count : 0;
+}
 
 } // namespace
 
@@ -103,6 +115,38 @@
     read();
 }
 
+/// Ends a connection whose answer was broken off, behind what was sent of it. Without its last
+/// chunk an answer is seen to be incomplete, so an orderly close does; else only a reset shows it.
+void caller_connection::end_aborted()
+{
+    if (!unframed_) {
+        linger();
+        return;
+    }
+    reset_by_ = now() + linger_timeout;
+    reset_when_received();
+}
+
+/// Resets the connection, which discards what is still on its way, once the caller has received
+/// everything.
+void caller_connection::reset_when_received()
+{
+    if (unacknowledged_bytes(socket_) > 0 && now() < reset_by_) {
+        timer_->set(now() + acknowledgement_interval);
+        return;
+    }
+    close();
+}
+
+/// A connection that ends early, also with the process, is reset.
+void caller_connection::reset_on_close(bool enabled)
+{
+    if (unframed_) {
+        error_code ignored; // A socket that failed sends nothing more.
+        socket_.set_option(tcp::socket::linger(enabled, 0), ignored);
+    }
+}
+
 void caller_connection::disconnect(connection_end why)
 {
     const auto call = std::exchange(call_, nullptr);
@@ -128,8 +172,8 @@
 
 void caller_connection::end(connection_end why)
 {
-    // The end of a lingering or closed connection has been recorded already.
-    if (phase_ != phase::lingering && phase_ != phase::closed) {
+    // The end of other connections has been recorded already.
+    if (phase_ == phase::idle || phase_ == phase::reading || phase_ == phase::answering) {
         record_end(why);
     }
     close();
--- a/libs/caller_front/src/caller_connection_reply.cpp
+++ b/libs/caller_front/src/caller_connection_reply.cpp
@@ -41,6 +41,8 @@
     }
     auto text = head_text(head);
     keep_alive_ = chunked_ && !announces_close();
+    unframed_ = !chunked_;
+    reset_on_close(true);
     absl::StrAppend(&text, chunked_ ? "Transfer-Encoding: chunked\r\n" : "",
                     keep_alive_ ? "" : "Connection: close\r\n", "\r\n");
     send(text, false);
--- a/libs/caller_front/src/connection_phase.cpp
+++ b/libs/caller_front/src/connection_phase.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, connection_phase_count> names{"idle", "reading", "answering",
-                                                                     "lingering", "closed"};
+constexpr std::array<std::string_view, connection_phase_count> names{
+    "idle", "reading", "answering", "aborting", "lingering", "closed"};
 
 } // namespace
 
--- a/tests/forward/caller.cpp
+++ b/tests/forward/caller.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
 #include <vector>
 
@@ -19,8 +20,12 @@
 
 } // namespace
 
-caller::caller(const core::address& where) : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+caller::caller(const core::address& where, int receive_bytes)
+    : socket_(::socket(AF_INET, SOCK_STREAM, 0))
 {
+    if (receive_bytes > 0) {
+        ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
+    }
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -64,6 +69,7 @@
     constexpr std::size_t read_bytes = 16'384;
     std::vector<char> part(read_bytes);
     const auto count = ::recv(socket_, part.data(), part.size(), 0);
+    was_reset_ = count < 0 && errno == ECONNRESET;
     bytes_.append(part.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
     return count > 0;
 }
@@ -75,6 +81,13 @@
     return bytes_;
 }
 
+std::string caller::read_to_end()
+{
+    while (read_more()) {
+    }
+    return bytes_;
+}
+
 std::string caller::read_answer()
 {
     const std::string length_field = "Content-Length: ";
--- a/tests/forward/caller.h
+++ b/tests/forward/caller.h
@@ -10,7 +10,8 @@
 /// A blocking HTTP client with one connection.
 class caller {
 public:
-    explicit caller(const core::address& where);
+    /// `receive_bytes`: size of the kernel's receive buffer; 0 leaves it to the kernel.
+    explicit caller(const core::address& where, int receive_bytes = 0);
     ~caller();
     caller(const caller&) = delete;
     caller& operator=(const caller&) = delete;
@@ -27,6 +28,12 @@
     /// bytes received.
     [[nodiscard]] std::string read_until(const std::string& text);
 
+    /// Reads until the connection ends or 20 s pass without data. Returns all bytes received.
+    [[nodiscard]] std::string read_to_end();
+
+    /// True if reading has shown that the daemon reset the connection.
+    [[nodiscard]] bool was_reset() const { return was_reset_; }
+
     /// True if the daemon closes the connection within `time` without sending anything.
     [[nodiscard]] bool closed_within(std::chrono::milliseconds time) const;
 
@@ -37,6 +44,7 @@
 
     int socket_ = -1;
     std::string bytes_;
+    bool was_reset_ = false;
 };
 
 /// The decoded body of a chunked answer.
