The write timeout counts since a caller's last progress

What callers saw: an answer that takes a slow but steady caller longer than 15 s to read was cut; the connection ended as `write_timeout`.

Cause: `send` set one deadline for all that was unsent, and nothing moved it while the caller read.

Now the connection checks five times within the timeout whether the caller's kernel has acknowledged more (bytes handed to the socket less SIOCOUTQ), and disconnects when there was none for the whole timeout. The socket's own progress would be too coarse: it takes more only when a third of its buffer is free. No system call is added while callers keep up. The timeout is a field of `front_settings` with the same default, for tests.

--- a/libs/caller_front/include/caller_front/front_settings.h
+++ b/libs/caller_front/include/caller_front/front_settings.h
@@ -30,9 +30,10 @@
     core::duration apply_within = std::chrono::milliseconds(2'000);
     core::duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end; > 0.
     core::duration lease = std::chrono::seconds(10); ///< Of this daemon's registration; > 0.
-    std::string choice = "first_output";             ///< Name of the load-balancing strategy.
-    bool backups = true;               ///< Asks engines to keep copies of running requests.
-    std::size_t lanes = default_lanes; ///< Threads that serve callers; from 1.
+    core::duration write_timeout = std::chrono::seconds(15); ///< Without progress; > 0.
+    std::string choice = "first_output"; ///< Name of the load-balancing strategy.
+    bool backups = true;                 ///< Asks engines to keep copies of running requests.
+    std::size_t lanes = default_lanes;   ///< Threads that serve callers; from 1.
     forwarding::retry_budget_settings budget;
 
     friend auto operator<=>(const front_settings&, const front_settings&) = default;
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -61,6 +61,7 @@
     void timed_out();
     void idle_limit_passed();
     void send(const std::string& text, bool last);
+    void check_progress();
     void written(const error_code& error);
     void on_answer_sent();
     [[nodiscard]] bool announces_close() const;
@@ -96,7 +97,9 @@
     bool reading_ = false;
     bool serving_ = true; // Included in `callers_active`.
     caller_output output_;
-    bool last_written_ = false; // The last part of the answer has been queued.
+    core::instant progress_at_{};    // Of the output.
+    std::uint64_t acknowledged_ = 0; // Bytes of the output, at the latest check.
+    bool last_written_ = false;      // The last part of the answer has been queued.
     std::size_t lingered_ = 0;
     core::instant reset_by_{};                                  // Of an aborted answer.
     connection_end end_of_wait_ = connection_end::idle_timeout; // Cause of a stopped wait.
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -3,10 +3,6 @@
 
 #include "connection_log.h"
 
-#include <sys/ioctl.h>
-
-#include <linux/sockios.h>
-
 #include <chrono>
 #include <utility>
 
@@ -18,13 +14,6 @@
 constexpr std::chrono::seconds linger_timeout{3};
 constexpr std::chrono::milliseconds acknowledgement_interval{10};
 
-/// Bytes that were sent on `socket` and that its peer has not acknowledged; 0 if it has failed.
-int unacknowledged_bytes(tcp::socket& socket)
-{
-    int count = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 ? count : 0;
-}
-
 } // namespace
 
 /// Ends the wait for a request. The read is cancelled rather than the connection closed, since it
@@ -131,7 +120,7 @@
 /// everything.
 void caller_connection::reset_when_received()
 {
-    if (unacknowledged_bytes(socket_) > 0 && now() < reset_by_) {
+    if (output_.unacknowledged() > 0 && now() < reset_by_) {
         timer_->set(now() + acknowledgement_interval);
         return;
     }
--- a/libs/caller_front/src/caller_output.cpp
+++ b/libs/caller_front/src/caller_output.cpp
@@ -1,5 +1,10 @@
 #include "caller_output.h"
 
+#include <sys/ioctl.h>
+
+#include <linux/sockios.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace ej::front {
@@ -17,12 +22,33 @@
     }
 }
 
+std::uint64_t caller_output::unacknowledged() const
+{
+    int count = 0;
+    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &count) == 0
+               ? static_cast<std::uint64_t>(count)
+               : 0;
+}
+
+std::uint64_t caller_output::acknowledged() const
+{
+    // A write whose handler has not run yet isn't in the count.
+    const auto written = written_before_ + written_now_;
+    return written - std::min(written, unacknowledged());
+}
+
 void caller_output::write(std::shared_ptr<void> owner)
 {
     writing_ = std::exchange(waiting_, {});
     const auto bytes = asio::buffer(writing_);
-    asio::async_write(socket_, bytes,
-                      [this, owner = std::move(owner)](const error_code& error, std::size_t) {
+    const auto note_progress = [this](const error_code& error, std::size_t count) {
+        written_now_ = count;
+        return asio::transfer_all()(error, count);
+    };
+    asio::async_write(socket_, bytes, note_progress,
+                      [this, owner = std::move(owner)](const error_code& error, std::size_t count) {
+                          written_before_ += count;
+                          written_now_ = 0;
                           writing_.clear();
                           if (error || waiting_.empty()) {
                               written_(error);
--- a/libs/caller_front/src/caller_output.h
+++ b/libs/caller_front/src/caller_output.h
@@ -3,6 +3,7 @@
 #include "net.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,12 @@
     /// True while something is being sent.
     [[nodiscard]] bool busy() const { return !writing_.empty(); }
 
+    /// Bytes sent that the caller's machine has acknowledged.
+    [[nodiscard]] std::uint64_t acknowledged() const;
+
+    /// Bytes sent that the caller's machine has not acknowledged; 0 if the socket has failed.
+    [[nodiscard]] std::uint64_t unacknowledged() const;
+
     /// Bytes buffered behind the write in progress.
     [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
 
@@ -33,6 +40,8 @@
     std::function<void(const error_code&)> written_;
     std::string waiting_;
     std::string writing_;
+    std::uint64_t written_before_ = 0; // By finished writes.
+    std::uint64_t written_now_ = 0;    // By the write in progress.
 };
 
 } // namespace ej::front
--- a/tests/forward/caller.cpp
+++ b/tests/forward/caller.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <stdexcept>
+#include <thread>
 #include <vector>
 
 namespace ej::forward_tests {
@@ -81,6 +82,15 @@
     return bytes_;
 }
 
+void caller::read_slowly(std::chrono::milliseconds time)
+{
+    constexpr std::chrono::milliseconds pause{50};
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end && read_more()) {
+        std::this_thread::sleep_for(pause);
+    }
+}
+
 std::string caller::read_to_end()
 {
     while (read_more()) {
--- a/tests/forward/caller.h
+++ b/tests/forward/caller.h
@@ -28,6 +28,9 @@
     /// bytes received.
     [[nodiscard]] std::string read_until(const std::string& text);
 
+    /// Reads a little at a time, with pauses, until `time` has passed or the connection ends.
+    void read_slowly(std::chrono::milliseconds time);
+
     /// Reads until the connection ends or 20 s pass without data. Returns all bytes received.
     [[nodiscard]] std::string read_to_end();
 
