Send nothing to an endpoint that answers 503 with Retry-After

An endpoint that turned a request away with 503 and Retry-After got the next requests within the second: the field was not read, and the refusal only ranked the endpoint last for 0.1 to 0.4 s.

endpoint_stats now holds the end of the backoff together with the incarnation that requested it, under the lock of the endpoint's shard. It is set at the head of the answer, so that all lanes observe it at once, and only for an answer that certainly belongs to the request. Choices of an endpoint, of a copy's holder and of its target skip such endpoints, also as a last resort; liveness checks of silent engines pause; a request whose connection is established after the answer is not sent any more. A later request extends the backoff and none shortens it; a new incarnation starts without one. The refusal no longer counts as a failure of the endpoint.

The check after a lost connection is still made: it sends no request, and without it a prompt that crashes engines under load would go unnoticed.

--- a/libs/caller_front/include/caller_front/header_names.h
+++ b/libs/caller_front/include/caller_front/header_names.h
@@ -24,6 +24,8 @@
     std::string signature = "EJ-Signature";  ///< On every answer that an endpoint itself produced.
     std::string not_executed = "EJ-Not-Run"; ///< The endpoint did not execute the request.
     std::string load = "EJ-Load";            ///< "RUNNING,WAITING,SLOTS".
+    // Set by endpoints and, in its own refusals, by the daemon.
+    std::string retry_after = "Retry-After"; ///< Seconds, which may have a fraction.
     /// Fields that only the daemon may set; those from callers are removed.
     std::vector<std::string> reserved;
 
--- a/libs/caller_front/src/attempt_listener.h
+++ b/libs/caller_front/src/attempt_listener.h
@@ -18,6 +18,10 @@
     attempt_listener(attempt_listener&&) = delete;
     attempt_listener& operator=(attempt_listener&&) = delete;
 
+    /// True if the request of `attempt` may be sent now, over a connection that was established for
+    /// it.
+    [[nodiscard]] virtual bool may_send(const upstream_attempt& attempt) const = 0;
+
     /// The answer's header was read.
     virtual void on_head(upstream_attempt& attempt) = 0;
 
--- a/libs/caller_front/src/call_log.cpp
+++ b/libs/caller_front/src/call_log.cpp
@@ -54,6 +54,17 @@
                   {"in_flight", std::to_string(stats.in_flight)}});
 }
 
+void log_backoff(const std::string& request, const core::endpoint& endpoint, core::duration delay)
+{
+    logging::log(logging::level::info, "endpoint requested backoff",
+                 {{"request", request},
+                  {"endpoint", endpoint.name.text()},
+                  {"incarnation", endpoint.incarnation.text()},
+                  {"address", core::to_string(endpoint.where)},
+                  {"domain", endpoint.domain.text()},
+                  {"delay_ms", in_ms(delay)}});
+}
+
 void log_death(const std::string& request, const core::endpoint& endpoint)
 {
     logging::log(logging::level::info, "endpoint died while serving request",
--- a/libs/caller_front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -28,6 +28,9 @@
                      forwarding::attempt_end end, const std::string& detail, core::duration took,
                      const forwarding::endpoint_stats& stats);
 
+/// Logs that an endpoint asked for no requests for `delay`, in its answer to `request`.
+void log_backoff(const std::string& request, const core::endpoint& endpoint, core::duration delay);
+
 /// Logs that an endpoint died while it served a request.
 void log_death(const std::string& request, const core::endpoint& endpoint);
 
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -93,12 +93,16 @@
 std::vector<forwarding::candidate> forwarded_call::candidates(bool include_tried) const
 {
     const auto available_endpoints = environment_.context.endpoints.load();
+    const auto at = now();
     // Copied, since the fleet may be replaced during the call.
     std::vector<forwarding::candidate> found;
     for (const core::endpoint& one : available_endpoints->of(service_)) {
-        if (include_tried || !tried_.contains(one.name)) {
-            found.push_back({one, environment_.context.stats.of(one),
-                             one.domain == environment_.context.settings.domain});
+        if (!include_tried && tried_.contains(one.name)) {
+            continue;
+        }
+        const auto stats = environment_.context.stats.of(one);
+        if (stats.accepts_requests(at)) {
+            found.push_back({one, stats, one.domain == environment_.context.settings.domain});
         }
     }
     return found;
@@ -159,7 +163,11 @@
     last_failure_ = detail;
     const auto& endpoint = attempt.endpoint();
     auto& context = environment_.context;
-    context.stats.failed(endpoint.name, end, now());
+    // A refusal with a requested backoff is no failure: the endpoint said when it will be back.
+    const bool refused = end == attempt_end::not_executed || end == attempt_end::not_sent;
+    if (!refused || may_send(attempt)) {
+        context.stats.failed(endpoint.name, end, now());
+    }
     if (end == attempt_end::misdirected || end == attempt_end::silent) {
         environment_.pool.drop(endpoint.where);
     }
@@ -172,7 +180,9 @@
     // looks spoiled.
     const bool may_have_died =
         end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::spoiled;
-    if (attempt.sent() && may_have_died) {
+    // An endpoint that asked for a backoff gets no new connection unless its own was lost.
+    const bool may_check = end == attempt_end::broken || may_send(attempt);
+    if (attempt.sent() && may_have_died && may_check) {
         // A poison request crashes its endpoint before the first output.
         const auto suspect =
             progress_.had_output ? std::nullopt : std::optional(suspect_request{digest_, parts_});
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -53,6 +53,8 @@
     /// The caller has closed its connection: running attempts are cancelled.
     void caller_gone();
 
+    [[nodiscard]] bool may_send(const upstream_attempt& attempt) const override;
+
     /// Ends the call with its final answer now, for `reason`: its deadline has passed or the daemon
     /// shuts down.
     void end_now(std::string_view reason);
@@ -69,8 +71,8 @@
     /// Cancels all running attempts.
     virtual void cancel_attempts() = 0;
 
-    /// The endpoints of the call's service that were not tried yet, or all of them if
-    /// `include_tried`.
+    /// The endpoints of the call's service that accept requests and were not tried yet, or all that
+    /// accept requests if `include_tried`.
     [[nodiscard]] std::vector<forwarding::candidate> candidates(bool include_tried) const;
 
     /// The endpoint chosen from `from`; empty if `from` is empty.
@@ -114,6 +116,9 @@
     /// Records the load reported by an answer.
     void note_load(const upstream_attempt& attempt);
 
+    /// Records the backoff requested by an answer, which applies to the requests of all lanes.
+    void note_backoff(const upstream_attempt& attempt);
+
     /// Sends an endpoint's complete answer to the caller.
     void pass_on(const answer_parser& answer, std::string body);
 
--- a/libs/caller_front/src/local_reply.cpp
+++ b/libs/caller_front/src/local_reply.cpp
@@ -34,7 +34,7 @@
                              const header_names& names)
 {
     auto made = local_reply(status_unavailable, reason, request_id, names);
-    made.headers.push_back({"Retry-After", std::string(retry_after_seconds)});
+    made.headers.push_back({names.retry_after, std::string(retry_after_seconds)});
     return made;
 }
 
--- a/libs/caller_front/src/silence_monitor.cpp
+++ b/libs/caller_front/src/silence_monitor.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-silence_monitor::silence_monitor(upstream_pool& pool, lost_callback on_lost)
-    : pool_(pool), on_lost_(std::move(on_lost))
+silence_monitor::silence_monitor(upstream_pool& pool, lost_callback on_lost,
+                                 check_condition may_check)
+    : pool_(pool), on_lost_(std::move(on_lost)), may_check_(std::move(may_check))
 {
 }
 
@@ -64,7 +65,12 @@
         return;
     }
     if (check_ != nullptr) {
-        check_->cancel();
+        std::exchange(check_, nullptr)->cancel();
+    }
+    const auto next = std::min(now() + bounds_.probe_after, last_output_ + bounds_.give_up_after);
+    if (!may_check_()) {
+        set_timer(next);
+        return;
     }
     check_ = std::make_shared<liveness_check>(
         pool_, where_, [weak = weak_from_this(), timer_late](bool alive) {
@@ -74,7 +80,7 @@
             }
         });
     // Before the check starts, since its result may stop the monitor.
-    set_timer(std::min(now() + bounds_.probe_after, last_output_ + bounds_.give_up_after));
+    set_timer(next);
     check_->start(check_timeout);
 }
 
--- a/libs/caller_front/src/silence_monitor.h
+++ b/libs/caller_front/src/silence_monitor.h
@@ -22,9 +22,14 @@
 public:
     using lost_callback = std::function<void(const silence_report&)>;
 
+    /// True if a liveness check of the engine may be made now.
+    using check_condition = std::function<bool()>;
+
     /// `pool` outlives the monitor. `on_lost` is called when the engine may be lost, again and
     /// again until it sends or the monitor is stopped.
-    silence_monitor(upstream_pool& pool, lost_callback on_lost);
+    silence_monitor(
+        upstream_pool& pool, lost_callback on_lost,
+        check_condition may_check = [] { return true; });
 
     /// Starts to monitor the engine at `where`.
     void begin(core::address where, const forwarding::silence_timeouts& bounds);
@@ -45,6 +50,7 @@
 
     upstream_pool& pool_;
     lost_callback on_lost_;
+    check_condition may_check_;
     core::address where_;
     forwarding::silence_timeouts bounds_;
     core::instant last_output_{};
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -33,8 +33,10 @@
 std::optional<core::endpoint> stream_call::copy_holder() const
 {
     // Used even if other requests failed there recently: reading the prompt again costs more.
-    return copy_at_ && environment_.context.endpoints.load()->lists(*copy_at_) ? copy_at_
-                                                                               : std::nullopt;
+    auto& context = environment_.context;
+    const bool usable = copy_at_ && context.endpoints.load()->lists(*copy_at_) &&
+                        context.stats.accepts_requests(*copy_at_, now());
+    return usable ? copy_at_ : std::nullopt;
 }
 
 std::optional<core::endpoint> stream_call::choose_copy(const core::endpoint& runner) const
@@ -137,11 +139,16 @@
     if (silence_ == nullptr) {
         const std::weak_ptr<forwarded_call> weak = weak_from_this();
         silence_ = std::make_shared<silence_monitor>(
-            environment_.pool, [this, weak](const silence_report& seen) {
+            environment_.pool,
+            [this, weak](const silence_report& seen) {
                 const auto self = weak.lock();
                 if (self != nullptr && !over() && current_ != nullptr) {
                     handle_silence(seen);
                 }
+            },
+            [this, weak] {
+                const auto self = weak.lock();
+                return self != nullptr && current_ != nullptr && may_send(*current_);
             });
     }
     silence_noted_ = false;
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -84,6 +84,11 @@
         ended(attempt_end::not_sent, "connect: " + error.message());
         return;
     }
+    const auto listener = listener_.lock();
+    if (listener != nullptr && !listener->may_send(*this)) {
+        ended(attempt_end::not_sent, "the endpoint no longer accepts requests");
+        return;
+    }
     error_code ignored; // The options only affect performance.
     connection_->socket.set_option(tcp::no_delay(true), ignored);
     using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
--- a/libs/forwarding/include/forwarding/endpoint_choice.h
+++ b/libs/forwarding/include/forwarding/endpoint_choice.h
@@ -25,7 +25,7 @@
     endpoint_choice(endpoint_choice&&) = delete;
     endpoint_choice& operator=(endpoint_choice&&) = delete;
 
-    /// Index of the chosen candidate; empty only if there are no candidates. `turn`
+    /// Index of the chosen candidate; empty only if no candidate accepts requests. `turn`
     /// rotates the choice among equally good candidates.
     [[nodiscard]] virtual std::optional<std::size_t> choose(std::span<const candidate> from,
                                                             const call_size& size,
--- a/libs/forwarding/include/forwarding/endpoint_stats.h
+++ b/libs/forwarding/include/forwarding/endpoint_stats.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <forwarding/requested_backoff.h>
+
 #include <core/instant.h>
 
 #include <compare>
@@ -21,6 +23,10 @@
     double slowness = 1; ///< Time between stream events relative to the service's usual time; > 0.
     std::uint32_t failures = 0;  ///< Consecutive failures.
     core::instant avoid_until{}; ///< Ejected until then, unless no other endpoint is available.
+    requested_backoff backoff;   ///< Gets no requests until its end, even if there is no other.
+
+    /// True unless the endpoint asked this daemon to send nothing at `now`.
+    [[nodiscard]] bool accepts_requests(core::instant now) const { return backoff.until <= now; }
 
     friend auto operator<=>(const endpoint_stats&, const endpoint_stats&) = default;
 };
--- a/libs/forwarding/src/backup_choice.cpp
+++ b/libs/forwarding/src/backup_choice.cpp
@@ -14,7 +14,7 @@
     for (std::size_t step = 0; step < from.size(); ++step) {
         const std::size_t index = (turn + step) % from.size();
         const candidate& one = from[index];
-        if (one.what.name == runner.name) {
+        if (one.what.name == runner.name || !one.stats.accepts_requests(now)) {
             continue;
         }
         const rank here{one.stats.avoid_until > now, one.what.domain == runner.domain,
--- a/libs/forwarding/src/endpoint_choices.cpp
+++ b/libs/forwarding/src/endpoint_choices.cpp
@@ -33,7 +33,8 @@
     return std::max(from_messages, double(known.reported) + since);
 }
 
-/// The candidate with the lowest score; ejected endpoints rank after all others.
+/// The candidate with the lowest score among those that accept requests; ejected endpoints rank
+/// after all others.
 template <class Score>
 std::optional<std::size_t> lowest(std::span<const candidate> from, std::uint64_t turn,
                                   core::instant now, Score score)
@@ -44,6 +45,9 @@
         // Starts at a different candidate each time, so that equal ones are chosen in rotation.
         const std::size_t index = (turn + step) % from.size();
         const candidate& one = from[index];
+        if (!one.stats.accepts_requests(now)) {
+            continue;
+        }
         const std::pair<bool, double> rank{one.stats.avoid_until > now, score(one)};
         if (!best || rank < best_rank) {
             best = index;
--- a/libs/forwarding/src/endpoint_stats_table.cpp
+++ b/libs/forwarding/src/endpoint_stats_table.cpp
@@ -91,6 +91,23 @@
     });
 }
 
+void endpoint_stats_table::back_off(const core::endpoint& endpoint, core::instant until)
+{
+    entries_.with(endpoint.name, [&](auto& entries) {
+        endpoint_stats& known = entries[endpoint.name];
+        known.backoff = known.backoff.extended_by({endpoint.incarnation, until});
+    });
+}
+
+bool endpoint_stats_table::accepts_requests(const core::endpoint& endpoint, core::instant now)
+{
+    return entries_.with(endpoint.name, [&](auto& entries) {
+        const auto found = entries.find(endpoint.name);
+        return found == entries.end() || found->second.accepts_requests(now) ||
+               found->second.backoff.incarnation != endpoint.incarnation;
+    });
+}
+
 void endpoint_stats_table::report(const core::endpoint_id& name, const load_report& load,
                                   core::instant now)
 {
@@ -144,6 +161,9 @@
         const auto found = entries.find(name);
         return found == entries.end() ? endpoint_stats{} : found->second;
     });
+    if (known.backoff.incarnation != endpoint.incarnation) {
+        known.backoff = {};
+    }
     const auto key = core::to_string(endpoint.where);
     known.slowness = slowness_.with(key, [&](auto& entries) {
         const auto found = entries.find(key);
