--- a/libs/caller_front/src/attempt_listener.h
+++ b/libs/caller_front/src/attempt_listener.h
@@ -21,6 +21,10 @@
     /// The request is sent now; also called from within `upstream_attempt::start`.
     virtual void on_sent(upstream_attempt& attempt) = 0;
 
+    /// True if the request of `attempt` may be sent now, over a connection that was established for
+    /// it.
+    [[nodiscard]] virtual bool may_send(const upstream_attempt& attempt) const = 0;
+
     /// The answer's header was read.
     virtual void on_head(upstream_attempt& attempt) = 0;
 
