The limit on the size of an answer applies to answers of the store

Callers saw nothing of it; a daemon could be made to hold an answer of any announced length.

Cause, by a run of the parser alone: Beast 1.74 sets the error of the limit when it has read an answer's header, and forgets it as soon as the first bytes of the body lie in the same buffer, as they nearly always do. Requests are not concerned: there the check comes before the parser's state moves on.

The client reads the header by itself, so that the error stands. Changes that exceed the limit would then never be read, so the follower asks for a listing instead, whose pages the store bounds. It does so at once, and an answer that is too large counts as an answer and not as an outage.

Before, the new test of the client failed: answers of 9 bytes and of 500 kB passed a limit of 8 bytes.

--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -28,6 +28,13 @@
 // was suspended, and is not shared with peers.
 constexpr milliseconds longest_delay{400};
 
+// The store has answered, but its changes can't be read in one answer: it has compacted this part
+// of its history, or they exceed the size limit. The pages of a listing are bounded.
+bool needs_listing(const absl::Status& status)
+{
+    return absl::IsOutOfRange(status) || absl::IsResourceExhausted(status);
+}
+
 } // namespace
 
 store_follower::store_follower(front_context& context, platform::store& store,
@@ -42,6 +49,7 @@
     core::duration pause = first_pause;
     for (;;) {
         absl::Status status;
+        const bool asked_for_changes = listed_;
         pace_.record_poll(now());
         if (listed_) {
             status = co_await poll_changes();
@@ -56,7 +64,7 @@
             pace_.record_up_to_date(now());
             co_await wait_until_due(core::duration::zero());
         }
-        else if (status.code() != absl::StatusCode::kOutOfRange) {
+        else if (!asked_for_changes || !needs_listing(status)) {
             co_await wait_until_due(pause);
             pause = std::min<core::duration>(2 * pause, longest_pause);
         }
@@ -107,8 +115,7 @@
     const auto wait = std::chrono::duration_cast<milliseconds>(pace_.interval());
     const auto changes = co_await store_.poll_changes(std::move(prefix), since, wait);
     if (!changes.ok()) {
-        // The store has compacted this part of its history: a full listing follows.
-        listed_ = changes.status().code() != absl::StatusCode::kOutOfRange;
+        listed_ = !needs_listing(changes.status());
         co_return changes.status();
     }
     log_.answered(now());
@@ -169,8 +176,7 @@
 
 void store_follower::note_result(const absl::Status& status)
 {
-    // A compacted history is an answer too.
-    const bool lost = !status.ok() && status.code() != absl::StatusCode::kOutOfRange;
+    const bool lost = !status.ok() && !needs_listing(status);
     if (lost) {
         log_.outage();
     }
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -97,7 +97,13 @@
     }
     wire::response_parser<wire::string_body> parser;
     parser.body_limit(max_body_bytes);
-    co_await wire::async_read(connection->stream, connection->buffer, parser, no_throw(error));
+    // The header by itself: Beast's parser forgets that the announced length exceeds the limit as
+    // soon as it reads on into the body.
+    co_await wire::async_read_header(connection->stream, connection->buffer, parser,
+                                     no_throw(error));
+    if (!error) {
+        co_await wire::async_read(connection->stream, connection->buffer, parser, no_throw(error));
+    }
     if (error) {
         co_return failure_status(error);
     }
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -125,6 +125,22 @@
     CHECK(answer->status == 413);
 }
 
+TEST_CASE("an answer above the size limit is an error although its header and body arrive together")
+{
+    loop io;
+    const auto service = start(io, echo);
+    client calls(io.executor());
+    call_options options;
+    options.max_body_bytes = 8;
+    const auto answer_of = [&](const std::string& body) {
+        return io.wait(calls.fetch(service->local(), {"POST", "/", {}, body}, options));
+    };
+    CHECK(answer_of("12345678").ok());
+    CHECK(absl::IsResourceExhausted(answer_of("123456789").status()));
+    CHECK(absl::IsResourceExhausted(answer_of(std::string(500'000, 'x')).status()));
+    CHECK(answer_of("12345678").ok());
+}
+
 TEST_CASE("lines that arrive in pieces are returned whole, then the end of the stream")
 {
     loop io;
