Endpoint that says in an answer that it leaves gets no new requests

Callers' requests went on to an endpoint that had said `Server-Leaving: 1` in its answers, for as long as its registration said ready: for the rest of a store outage, and without an end if the registration never changed. Such requests end broken when the endpoint exits, and break DRAIN. The cause: no code read the field, only a registration made an endpoint leave.

Three sources (registration, answer, daemon of the failure domain) now become a leaving_evidence and lead to one state per incarnation in forwarding::endpoint_directory. It replaces the immutable list that every choice reads (first sends, repeats, hedges, resumed streams, targets and holders of copies, moves of silent streams), so the evidence acts on all lanes at once and a choice pays nothing for it. New registrations are filtered under the same writers' lock. The first evidence from an answer is told to the failure domain in a datagram of layout 9, three times, at most 25 incarnations in one; it is not told on.

The field counts in the final answer of an attempt if that answer certainly belongs to the request, except in a 421, which another endpoint sent. Values: "1" or "true", also within a list or in one of several fields.

endpoint_registry::drained_, which never dropped an entry, is gone: an incarnation is forgotten ten minutes after its registration is gone. While 10,000 incarnations come and leave at one a second, at most 730 are remembered. Of several entries with one address, a drained latest one no longer brings an older one into use.

--- a/libs/caller_front/include/caller_front/header_names.h
+++ b/libs/caller_front/include/caller_front/header_names.h
@@ -24,6 +24,7 @@
     std::string signature = "EJ-Signature";  ///< On every answer that an endpoint itself produced.
     std::string not_executed = "EJ-Not-Run"; ///< The endpoint did not execute the request.
     std::string load = "EJ-Load";            ///< "RUNNING,WAITING,SLOTS".
+    std::string leaving = "EJ-Leaving";      ///< "1": the endpoint takes no further requests.
     /// Fields that only the daemon may set; those from callers are removed.
     std::vector<std::string> reserved;
 
--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -87,6 +87,7 @@
 void buffered_call::on_head(upstream_attempt& attempt)
 {
     note_load(attempt);
+    note_leaving(attempt);
     // Nothing in the body could change the outcome, and it may have no end.
     const bool served = attempt.answer().success() && trusted(attempt.answer());
     if (!served && end_of(attempt) == attempt_end::spoiled) {
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -4,6 +4,8 @@
 
 #include "call_log.h"
 #include "death_check.h"
+#include "leaving_field.h"
+#include "leaving_record.h"
 #include "local_reply.h"
 #include "shared_parts.h"
 
@@ -252,6 +254,18 @@
     }
 }
 
+void forwarded_call::note_leaving(const upstream_attempt& attempt)
+{
+    const auto& answer = attempt.answer();
+    // A misdirected request was answered by another endpoint than the expected one.
+    if (says_leaving(answer.headers(), environment_.context.headers.leaving) &&
+        attempt.answer_is_own() && answer.status() != status_misdirected) {
+        record_leaving(environment_.context,
+                       {forwarding::run_of(attempt.endpoint()), forwarding::leaving_source::answer},
+                       request_id_);
+    }
+}
+
 std::shared_ptr<lazy_timer> forwarded_call::make_timer(std::function<void()> action)
 {
     return std::make_shared<lazy_timer>(environment_.pool.lane(),
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -114,6 +114,9 @@
     /// Records the load reported by an answer.
     void note_load(const upstream_attempt& attempt);
 
+    /// Records if an answer says that the endpoint leaves.
+    void note_leaving(const upstream_attempt& attempt);
+
     /// Sends an endpoint's complete answer to the caller.
     void pass_on(const answer_parser& answer, std::string body);
 
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -8,8 +8,9 @@
 #include <caller_front/front_settings.h>
 #include <caller_front/header_names.h>
 
-#include <forwarding/available_endpoints.h>
 #include <forwarding/endpoint_choice.h>
+#include <forwarding/endpoint_directory.h>
+#include <forwarding/endpoint_run.h>
 #include <forwarding/endpoint_stats_table.h>
 #include <forwarding/indexed_ruleset.h>
 #include <forwarding/retry_budget.h>
@@ -52,8 +53,7 @@
     const std::unique_ptr<const forwarding::endpoint_choice> choice;
     /// Null until the first configuration has been read.
     concurrency::snapshot<std::shared_ptr<const forwarding::indexed_ruleset>> rules{nullptr};
-    concurrency::snapshot<forwarding::available_endpoints> endpoints{
-        forwarding::available_endpoints()};
+    forwarding::endpoint_directory endpoints;
     forwarding::endpoint_stats_table stats;
     forwarding::retry_budget budget;
     suspects::suspect_table suspects{
@@ -72,6 +72,10 @@
     /// run.
     std::function<void(const suspects::death_record&)> death_seen =
         [](const suspects::death_record&) {};
+    /// Called on any thread when an answer said first that an endpoint leaves; set before the lanes
+    /// run.
+    std::function<void(const forwarding::endpoint_run&)> leaving_seen =
+        [](const forwarding::endpoint_run&) {};
     /// Sends changes read from the store to `domain_peers`. Called on the control loop; set before
     /// it runs.
     std::function<void(const store_update&)> send_store_update = [](const store_update&) {};
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -63,6 +63,9 @@
         context.death_seen = [this](const suspects::death_record& one) {
             peers.broadcast_death(one);
         };
+        context.leaving_seen = [this](const forwarding::endpoint_run& one) {
+            peers.broadcast_leaving(one);
+        };
         context.suspect_cleared = [this](const suspects::cleared_request& one) {
             peers.broadcast_cleared(one);
         };
--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -20,11 +20,14 @@
 constexpr int load_layout = 4;
 constexpr int store_update_layout = 3;
 constexpr int cleared_layout = 5;
+constexpr int leaving_layout = 9;
 constexpr std::size_t load_fields = 7;
 constexpr std::size_t share_fields = 3;
 constexpr std::size_t store_update_fields = 5;
 constexpr std::size_t item_fields = 3;
 constexpr std::size_t cleared_fields = 2;
+constexpr std::size_t leaving_fields = 2;
+constexpr std::size_t run_fields = 2;
 
 bool is_count(const json& value)
 {
@@ -77,6 +80,19 @@
            is_count(value[1]);
 }
 
+bool is_run(const json& value)
+{
+    return value.is_array() && value.size() == run_fields && value[0].is_string() &&
+           value[1].is_string();
+}
+
+bool is_leaving_notice(const json& value)
+{
+    return value.is_array() && value.size() == leaving_fields && value[0] == leaving_layout &&
+           value[1].is_array() && value[1].size() <= forwarding::leaving_notice::max_runs &&
+           std::ranges::all_of(value[1], is_run);
+}
+
 json to_json(const forwarding::load_message& message)
 {
     json shares = json::array();
@@ -104,6 +120,15 @@
                         update.query_store, std::move(items)});
 }
 
+json to_json(const forwarding::leaving_notice& notice)
+{
+    json runs = json::array();
+    for (const forwarding::endpoint_run& one : notice.runs) {
+        runs.push_back({one.name.text(), one.incarnation.text()});
+    }
+    return json::array({leaving_layout, std::move(runs)});
+}
+
 forwarding::load_message load_of(const json& value)
 {
     forwarding::load_message message;
@@ -140,6 +165,16 @@
     return update;
 }
 
+forwarding::leaving_notice leaving_notice_of(const json& value)
+{
+    forwarding::leaving_notice notice;
+    for (const json& one : value[1]) {
+        notice.runs.push_back({core::endpoint_id(one[0].get<std::string>()),
+                               core::incarnation_id(one[1].get<std::string>())});
+    }
+    return notice;
+}
+
 std::vector<std::uint8_t> bytes_of(const forwarding::load_message& message)
 {
     return json::to_cbor(to_json(message));
@@ -150,6 +185,11 @@
     return json::to_cbor(to_json(update));
 }
 
+std::vector<std::uint8_t> bytes_of(const forwarding::leaving_notice& notice)
+{
+    return json::to_cbor(to_json(notice));
+}
+
 std::vector<std::uint8_t> bytes_of(const suspects::cleared_request& one)
 {
     return json::to_cbor(json::array({cleared_layout, one.request.value()}));
@@ -191,6 +231,9 @@
     if (is_store_update(value)) {
         return store_update_of(value);
     }
+    if (is_leaving_notice(value)) {
+        return leaving_notice_of(value);
+    }
     if (is_cleared(value)) {
         return suspects::cleared_request{suspects::request_digest(value[1].get<std::uint64_t>())};
     }
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "peer_link.h"
 #include "clock.h"
 
+#include "leaving_record.h"
 #include "peer_codec.h"
 
 #include <logging/log.h>
@@ -110,6 +111,25 @@
     send(update, *context_.domain_peers.load());
 }
 
+void peer_link::apply(const forwarding::leaving_notice& told)
+{
+    std::ranges::for_each(told.runs, [this](const forwarding::endpoint_run& run) {
+        record_leaving(context_, {run, forwarding::leaving_source::peer});
+    });
+}
+
+void peer_link::broadcast_leaving(const forwarding::endpoint_run& run)
+{
+    asio::post(loop_, [this, run] { send(leaving_.add(run), *context_.domain_peers.load()); });
+}
+
+void peer_link::send_leaving()
+{
+    std::ranges::for_each(leaving_.repeat(), [this](const forwarding::leaving_notice& one) {
+        send(one, *context_.domain_peers.load());
+    });
+}
+
 void peer_link::apply(const suspects::cleared_request& one)
 {
     context_.suspects.clear(one.request);
@@ -218,6 +238,7 @@
     context_.suspects.expire(now());
     context_.parts.expire(now());
     send_held_parts();
+    send_leaving();
     send_shares(context_.stats.own_shares(), true);
     full_load_timer_.expires_after(full_load_interval);
     full_load_timer_.async_wait([this](const error_code& error) {
--- a/libs/caller_front/src/peer_link.h
+++ b/libs/caller_front/src/peer_link.h
@@ -4,6 +4,8 @@
 #include "net.h"
 #include "peer_message.h"
 
+#include <forwarding/leaving_announcements.h>
+
 #include <core/address.h>
 #include <core/endpoint_id.h>
 #include <core/instant.h>
@@ -22,9 +24,9 @@
 /// Exchanges datagrams with the other daemons: load at engines, observed deaths of endpoints and
 /// changes read from the store. A lost load report is repaired by the next full report, a lost
 /// store update by a query to the store; a lost death report only weakens a suspicion; parts of
-/// prompts that are held back are reported again each second.
-/// `queue_load_change`, `broadcast`, `broadcast_death`, `broadcast_cleared` and
-/// `review_parts_later` are thread-safe, the other functions run on the loop.
+/// prompts that are held back are reported again each second, endpoints that leave a few times.
+/// `queue_load_change`, `broadcast`, `broadcast_death`, `broadcast_cleared`, `broadcast_leaving`
+/// and `review_parts_later` are thread-safe, the other functions run on the loop.
 class peer_link {
 public:
     /// Both outlive the link.
@@ -51,6 +53,9 @@
     /// Reports the death of an endpoint; `seen` holds information that was new to this daemon.
     void broadcast_death(const suspects::death_record& seen);
 
+    /// Tells the daemons of this failure domain that `run` has said that it leaves.
+    void broadcast_leaving(const forwarding::endpoint_run& run);
+
     /// Reports that a suspect request has completed.
     void broadcast_cleared(const suspects::cleared_request& one);
 
@@ -67,8 +72,10 @@
     void apply(const suspects::held_parts& told);
     void apply(const suspects::cleared_parts& told);
     void apply(const store_update& update);
+    void apply(const forwarding::leaving_notice& told);
     void await_review();
     void send_held_parts();
+    void send_leaving();
     void send_shares(std::vector<forwarding::load_share> shares, bool whole);
     void send(const peer_message& message, const std::vector<core::address>& to);
 
@@ -82,6 +89,7 @@
     asio::steady_timer review_timer_;
     core::instant review_due_{};
     bool review_armed_ = false;
+    forwarding::leaving_announcements leaving_; // Used on the loop.
     std::uint64_t start_ = 0;
     std::uint64_t number_ = 0;
     std::mutex mutex_;
--- a/libs/caller_front/src/peer_message.h
+++ b/libs/caller_front/src/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "store_update.h"
 
+#include <forwarding/leaving_notice.h>
 #include <forwarding/load_message.h>
 #include <suspects/cleared_parts.h>
 #include <suspects/cleared_request.h>
@@ -16,6 +17,7 @@
 /// Content of a datagram between daemons.
 using peer_message =
     std::variant<forwarding::load_message, suspects::death_record, suspects::cleared_request,
-                 suspects::part_death, suspects::held_parts, suspects::cleared_parts, store_update>;
+                 suspects::part_death, suspects::held_parts, suspects::cleared_parts, store_update,
+                 forwarding::leaving_notice>;
 
 } // namespace ej::front
--- a/libs/caller_front/src/ready_api.cpp
+++ b/libs/caller_front/src/ready_api.cpp
@@ -68,6 +68,8 @@
     auto& registry = context_.metrics;
     registry.set("calls_open", {}, double(context_.calls_open));
     registry.set("callers_open", {}, double(context_.callers_open));
+    registry.set("endpoints", {}, double(context_.endpoints.load()->size()));
+    registry.set("endpoints_leaving_known", {}, double(context_.endpoints.leaving()));
     registry.set("daemons", {}, double(context_.daemons));
     registry.set("log_lines_dropped", {}, double(logging::dropped_lines()));
     std::ranges::for_each(platform::all_call_kinds(), [&](platform::call_kind kind) {
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -33,7 +33,7 @@
 store_follower::store_follower(front_context& context, platform::store& store,
                                const store_layout& layout, asio::io_context& loop)
     : context_(context), store_(store), layout_(layout), due_timer_(loop),
-      pace_(context.settings.apply_within)
+      pace_(context.settings.apply_within), log_(context.endpoints)
 {
 }
 
@@ -212,12 +212,10 @@
         publish_daemons();
     }
     changed_ = log_.expire(now()) || changed_;
-    if (!std::exchange(changed_, false)) {
-        return;
+    if (std::exchange(changed_, false)) {
+        log_.publish();
     }
-    auto available_endpoints = log_.current();
-    context_.metrics.set("endpoints", {}, double(available_endpoints.size()));
-    context_.endpoints.store(std::move(available_endpoints));
+    log_.review(now());
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/store_follower_apply.cpp
+++ b/libs/caller_front/src/store_follower_apply.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include "clock.h"
+#include "leaving_record.h"
 #include "stored_hold.h"
 
 #include <logging/log.h>
@@ -117,8 +118,15 @@
         return accepted;
     }
     const bool leaving = record->leaving;
+    const forwarding::leaving_evidence seen{forwarding::run_of(record->what),
+                                            forwarding::leaving_source::registration};
+    const bool begins_to_leave = leaving && !context_.endpoints.is_leaving(seen.run);
     const auto address = core::to_string(record->what.where);
-    if (!log_.put(name, *std::move(record), item.revision)) {
+    const bool changed = log_.put(name, *std::move(record), item.revision);
+    if (begins_to_leave) {
+        report_leaving(context_, seen);
+    }
+    if (!changed) {
         return false;
     }
     changed_ = true;
--- a/libs/caller_front/src/stream_call_output.cpp
+++ b/libs/caller_front/src/stream_call_output.cpp
@@ -28,6 +28,7 @@
         return;
     }
     note_load(attempt);
+    note_leaving(attempt);
     accepted_ = attempt.answer().status() == status_ok && trusted(attempt.answer());
     // Nothing in the body could change the outcome, and it may have no end.
     if (!accepted_ && end_of(attempt) == attempt_end::spoiled) {
--- a/libs/caller_front/tests/parsers_test.cpp
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -230,7 +230,10 @@
                                           {suspects::part_digest(5), suspects::part_digest(9)}}),
         peer_message(suspects::held_parts{
             {{suspects::part_digest(5), 2, std::chrono::seconds(3), std::chrono::seconds(4)}}}),
-        peer_message(suspects::cleared_parts{{suspects::part_digest(5)}}));
+        peer_message(suspects::cleared_parts{{suspects::part_digest(5)}}),
+        peer_message(
+            forwarding::leaving_notice{{{core::endpoint_id("x"), core::incarnation_id("1")},
+                                        {core::endpoint_id("y"), core::incarnation_id("2")}}}));
     const auto bytes = encode(message);
     REQUIRE(decode_peer(bytes).ok());
     CHECK(*decode_peer(bytes) == message);
--- a/libs/forwarding/include/forwarding/available_endpoints.h
+++ b/libs/forwarding/include/forwarding/available_endpoints.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <forwarding/endpoint_record.h>
+#include <forwarding/endpoint_run.h>
 
 #include <core/endpoint_id.h>
 #include <core/service_id.h>
 
 #include <cstddef>
+#include <memory>
 #include <unordered_map>
 #include <vector>
 
@@ -28,8 +30,13 @@
     /// True if `endpoint` is still listed with the same incarnation and is not leaving.
     [[nodiscard]] bool lists(const core::endpoint& endpoint) const;
 
+    /// A copy without `run`. Lists of services that do not have it are shared.
+    [[nodiscard]] available_endpoints without(const endpoint_run& run) const;
+
 private:
-    std::unordered_map<core::service_id, std::vector<core::endpoint>> by_service_;
+    using shared_list = std::shared_ptr<const std::vector<core::endpoint>>;
+
+    std::unordered_map<core::service_id, shared_list> by_service_;
 };
 
 } // namespace ej::forwarding
--- a/libs/forwarding/include/forwarding/endpoint_registry.h
+++ b/libs/forwarding/include/forwarding/endpoint_registry.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <forwarding/available_endpoints.h>
+#include <forwarding/endpoint_directory.h>
 #include <forwarding/endpoint_record.h>
+#include <forwarding/endpoint_run.h>
 
 #include <core/endpoint_id.h>
 #include <core/instant.h>
@@ -13,15 +14,18 @@
 
 namespace ej::forwarding {
 
-/// Local copy of the endpoint registrations in the store. Applies entries in order of revision,
-/// keeps entries that expired during a store outage for a grace period, and treats an incarnation
-/// that was seen draining as draining for good. Not thread-safe.
+/// Local copy of the endpoint registrations in the store. Applies entries in order of revision and
+/// keeps entries that expired during a store outage for a grace period. A registration that says
+/// that its endpoint leaves is evidence for the directory. Not thread-safe.
 class endpoint_registry {
 public:
     /// Endpoints whose entries expired during an outage register again within this time after it
     /// (the platform's discovery page says about two seconds).
     static constexpr core::duration return_grace = std::chrono::milliseconds(2'000);
 
+    /// `directory` outlives the registry.
+    explicit endpoint_registry(endpoint_directory& directory) : directory_(directory) {}
+
     /// Applies an entry written at `revision`; ignored if a newer revision of it is already known.
     /// An entry without a readable record counts as removed. Returns true if anything but the
     /// revision changed, or if the entry was missing before.
@@ -49,8 +53,15 @@
     /// Drops missing entries once the grace period has ended. Returns true if any was dropped.
     bool expire(core::instant now);
 
-    /// The endpoints that may receive requests now.
-    [[nodiscard]] available_endpoints current() const;
+    /// True if `run` is registered.
+    [[nodiscard]] bool has(const endpoint_run& run) const;
+
+    /// Replaces the registrations in the directory.
+    void publish() const;
+
+    /// Lets the directory forget what it knows of incarnations that are gone. Cheap when called
+    /// often.
+    void review(core::instant now);
 
 private:
     struct entry {
@@ -61,8 +72,9 @@
 
     [[nodiscard]] bool in_grace(core::instant now) const;
 
+    endpoint_directory& directory_;
     std::map<core::endpoint_id, entry> entries_;
-    std::set<core::endpoint> drained_; // Compared by name, incarnation and address.
+    core::instant next_review_{};
     bool store_unavailable_ = false;
     std::optional<core::instant> store_returned_at_;
 };
--- a/libs/forwarding/src/endpoint_registry.cpp
+++ b/libs/forwarding/src/endpoint_registry.cpp
@@ -1,5 +1,6 @@
 #include <forwarding/endpoint_registry.h>
 
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -7,27 +8,22 @@
 
 namespace {
 
-/// Only the name and incarnation of an endpoint, the key of `drained_`.
-core::endpoint identity_of(const core::endpoint& what)
-{
-    core::endpoint run;
-    run.name = what.name;
-    run.incarnation = what.incarnation;
-    return run;
-}
+// Short compared with `leaving_endpoints::retention`.
+constexpr std::chrono::seconds review_interval{60};
 
 } // namespace
 
 bool endpoint_registry::put(const core::endpoint_id& name, std::optional<endpoint_record> record,
                             core::revision revision)
 {
+    // Holds whatever was written before or after.
+    if (record && record->leaving) {
+        directory_.leave({run_of(record->what), leaving_source::registration});
+    }
     entry& known = entries_[name];
     if (revision < known.revision) {
         return false;
     }
-    if (record && record->leaving) {
-        drained_.insert(identity_of(record->what));
-    }
     // An entry that returns after an outage counts as changed even if its record is the same.
     const bool changed = known.record != record || known.missing_since.has_value();
     known = entry{std::move(record), revision, std::nullopt};
@@ -96,15 +92,31 @@
                          [](const auto& one) { return one.second.missing_since.has_value(); }) > 0;
 }
 
-available_endpoints endpoint_registry::current() const
+bool endpoint_registry::has(const endpoint_run& run) const
+{
+    const auto found = entries_.find(run.name);
+    return found != entries_.end() && found->second.record &&
+           found->second.record->what.incarnation == run.incarnation;
+}
+
+void endpoint_registry::publish() const
 {
     std::vector<endpoint_record> records;
     for (const auto& [name, known] : entries_) {
-        if (known.record && !drained_.contains(identity_of(known.record->what))) {
+        if (known.record) {
             records.push_back(*known.record);
         }
     }
-    return available_endpoints(std::move(records));
+    directory_.publish(std::move(records));
+}
+
+void endpoint_registry::review(core::instant now)
+{
+    if (now < next_review_) {
+        return;
+    }
+    next_review_ = now + review_interval;
+    directory_.review([this](const endpoint_run& run) { return has(run); }, now);
 }
 
 } // namespace ej::forwarding
--- a/stand_ins/fleet/include/fleet/endpoint_stand_in.h
+++ b/stand_ins/fleet/include/fleet/endpoint_stand_in.h
@@ -45,6 +45,10 @@
     /// Ends the current and all further `hold` steps.
     void release() { released_ = true; }
 
+    /// From now on every answer has the header lines `fields`, by default those of an endpoint that
+    /// leaves. Without `fields` answers are sent as scripted again.
+    void add_to_answers(const std::string& fields = "Server-Leaving: 1\r\n");
+
     /// Stops accepting connections and sends nothing more on those that are open.
     void stop_responding();
 
@@ -69,6 +73,7 @@
     void restart();
     void serve(const accepted& connection);
     bool run_steps(const accepted& connection, const std::vector<step>& steps);
+    [[nodiscard]] std::string with_added_fields(const std::string& text) const;
     [[nodiscard]] bool wait(const accepted& connection, std::chrono::milliseconds time);
     [[nodiscard]] bool hold(const accepted& connection);
     void end_with(int socket, const std::string& text) const;
@@ -88,6 +93,7 @@
     std::atomic<int> connections_{0};
     mutable std::mutex mutex_;
     std::vector<std::string> requests_;
+    std::string added_fields_;
     std::vector<std::thread> threads_;
     std::thread acceptor_;
 };
--- a/stand_ins/fleet/src/endpoint_stand_in.cpp
+++ b/stand_ins/fleet/src/endpoint_stand_in.cpp
@@ -105,6 +105,23 @@
     return requests_;
 }
 
+void endpoint_stand_in::add_to_answers(const std::string& fields)
+{
+    const std::scoped_lock lock(mutex_);
+    added_fields_ = fields;
+}
+
+/// `text` with the added header lines if it begins an answer.
+std::string endpoint_stand_in::with_added_fields(const std::string& text) const
+{
+    const std::scoped_lock lock(mutex_);
+    if (added_fields_.empty() || !text.starts_with("HTTP/1.1 ")) {
+        return text;
+    }
+    const auto fields_begin = text.find("\r\n") + 2;
+    return text.substr(0, fields_begin) + added_fields_ + text.substr(fields_begin);
+}
+
 void endpoint_stand_in::crash(std::chrono::milliseconds down)
 {
     const std::scoped_lock lock(mutex_);
@@ -223,12 +240,13 @@
             return false;
         }
         switch (current.kind) {
-        case step_kind::send:
-            if (::send(connection.socket, current.text.data(), current.text.size(), MSG_NOSIGNAL) <
-                0) {
+        case step_kind::send: {
+            const auto text = with_added_fields(current.text);
+            if (::send(connection.socket, text.data(), text.size(), MSG_NOSIGNAL) < 0) {
                 return false;
             }
             break;
+        }
         case step_kind::wait:
             if (!wait(connection, current.time)) {
                 return false;
