--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -123,6 +123,9 @@
     /// Records the backoff requested by an answer, which applies to the requests of all lanes.
     void note_backoff(const upstream_attempt& attempt);
 
+    /// Records if an answer says that the endpoint leaves.
+    void note_leaving(const upstream_attempt& attempt);
+
     /// Sends an endpoint's complete answer to the caller.
     void pass_on(const answer_parser& answer, std::string body);
 
