Wait for endpoints in their backoff if the request can still be served

When every endpoint of a service had asked for a pause, each request was refused at once with the same Retry-After of 0.2 s, both for a pause of 0.3 s and for one of 30 s: callers came back together, too early, and several times. A test with a pause of 0.3 s was answered 503, one with 30 s got 0.2.

A request now waits if it can be served here within a third of its time and before its deadline by the route's target. Callers honour Retry-After for the same third, so that a longer wait would keep them from a daemon to which the endpoints have said nothing. Otherwise it is refused at once, or failed if it may have run, with a Retry-After behind the earliest end, spread by its id. Streams that have begun wait as they do without an endpoint.

A hard stop alone collapses: requests that waited fill the first endpoint that is open again, most are refused, and the next backoff begins.

Red on the code before: the short wait (503, 1 request in place of 2), the refusals (0.2 in place of over 20), the stream beside a refused one, and the requests that wait together; with the limit removed, 7 requests arrived in place of 2. The test of a request that may have run was green before.

--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -52,7 +52,7 @@
 {
     const auto endpoint = choose(candidates(false));
     if (!endpoint) {
-        give_up("no_endpoint", status_bad_gateway);
+        wait_or_give_up();
         return;
     }
     running_.push_back({attempt_at(*endpoint, {}, connect_timeout()), {}});
--- a/libs/caller_front/src/call_log.cpp
+++ b/libs/caller_front/src/call_log.cpp
@@ -65,6 +65,12 @@
                   {"delay_ms", in_ms(delay)}});
 }
 
+void log_backoff_wait(const std::string& request, core::duration delay, core::duration waited)
+{
+    logging::log(logging::level::info, "request waits for an endpoint",
+                 {{"request", request}, {"delay_ms", in_ms(delay)}, {"waited_ms", in_ms(waited)}});
+}
+
 void log_death(const std::string& request, const core::endpoint& endpoint)
 {
     logging::log(logging::level::info, "endpoint died while serving request",
--- a/libs/caller_front/src/call_log.h
+++ b/libs/caller_front/src/call_log.h
@@ -31,6 +31,9 @@
 /// Logs that an endpoint asked for no requests for `delay`, in its answer to `request`.
 void log_backoff(const std::string& request, const core::endpoint& endpoint, core::duration delay);
 
+/// Logs that a request waits for an endpoint for `delay`, and for `waited` in all.
+void log_backoff_wait(const std::string& request, core::duration delay, core::duration waited);
+
 /// Logs that an endpoint died while it served a request.
 void log_death(const std::string& request, const core::endpoint& endpoint);
 
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -4,6 +4,7 @@
 
 #include "call_log.h"
 #include "death_check.h"
+#include "draw_of.h"
 #include "local_reply.h"
 #include "shared_parts.h"
 
@@ -43,8 +44,7 @@
       request_id_(
           request_.message.header_value(environment_.context.headers.request_id).value_or("")),
       size_(size_of(request_, environment_.context.headers)),
-      // Hashing the identifier spreads requests by weight without a random source.
-      service_(draw_service(environment_.matched_route, std::hash<std::string>{}(request_id_))),
+      service_(draw_service(environment_.matched_route, draw_of(request_id_))),
       digest_(request_digest_of(environment_.workspace, request_)),
       parts_(shared_parts_of(request_, environment_.context.headers)),
       deadline_(deadline_for(request_, environment_.context.headers, environment_.matched_route)),
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -127,6 +127,17 @@
     void conclude(forwarding::next_step step, forwarding::attempt_end end,
                   const answer_parser& answer, std::string body);
 
+    /// When the first of the endpoints that accept no requests now may do so; empty if there is
+    /// none.
+    [[nodiscard]] std::optional<core::instant> earliest_acceptance() const;
+
+    /// Waits until an endpoint accepts requests again if the request can be served then; otherwise
+    /// ends the call.
+    void wait_or_give_up();
+
+    /// Calls `send` after `delay` unless the request is held back by then.
+    void send_after(core::duration delay);
+
     /// Ends the call with a refusal: the request was not executed.
     void refuse(std::string_view reason);
 
@@ -158,6 +169,7 @@
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
+    std::shared_ptr<lazy_timer> resend_timer_;
 
 private:
     std::weak_ptr<reply_sink> sink_;
@@ -165,6 +177,7 @@
     std::set<const upstream_attempt*> counted_; // Attempts whose load is included in `standing`.
     std::optional<core::endpoint> last_endpoint_;
     std::string last_failure_; // Detail of the last failed attempt.
+    core::duration waited_{};  // For endpoints that requested a backoff.
     bool over_ = false;
 };
 
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -3,8 +3,11 @@
 #include "clock.h"
 
 #include "call_log.h"
+#include "draw_of.h"
 #include "local_reply.h"
 
+#include <forwarding/step_in_backoff.h>
+
 #include <utility>
 
 namespace ej::front {
@@ -35,7 +38,11 @@
 void forwarded_call::refuse(std::string_view reason)
 {
     if (const auto to = sink()) {
-        to->reply(local_refusal(reason, request_id_, environment_.context.headers));
+        const auto earliest = candidates(true).empty() ? earliest_acceptance() : std::nullopt;
+        const auto delay = earliest
+                               ? forwarding::return_delay(*earliest, draw_of(request_id_), now())
+                               : core::duration(usual_return_delay);
+        to->reply(local_refusal(reason, request_id_, environment_.context.headers, delay));
     }
     environment_.context.metrics.count("refusals_total", {{"reason", std::string(reason)}});
     finish("refused:" + std::string(reason), status_unavailable);
@@ -70,6 +77,9 @@
         return;
     }
     deadline_timer_->stop();
+    if (resend_timer_ != nullptr) {
+        resend_timer_->stop();
+    }
     if (outcome == "served" && environment_.context.suspects.clear(digest_)) {
         environment_.context.suspect_cleared({digest_});
     }
--- a/libs/caller_front/src/local_reply.cpp
+++ b/libs/caller_front/src/local_reply.cpp
@@ -1,5 +1,7 @@
 #include "local_reply.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <array>
 
@@ -7,10 +9,6 @@
 
 namespace {
 
-// Seconds after which a refused caller may retry: endpoints that are full or restarting usually
-// have capacity by then, and the caller still has time for the request itself.
-constexpr std::string_view retry_after_seconds = "0.2";
-
 constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
 
 } // namespace
@@ -31,10 +29,14 @@
 }
 
 http::response local_refusal(std::string_view reason, const std::string& request_id,
-                             const header_names& names)
+                             const header_names& names, core::duration retry_after)
 {
+    using std::chrono::milliseconds;
+    constexpr double ms_per_second = 1'000;
+    const auto delay = std::chrono::ceil<milliseconds>(retry_after);
     auto made = local_reply(status_unavailable, reason, request_id, names);
-    made.headers.push_back({names.retry_after, std::string(retry_after_seconds)});
+    made.headers.push_back(
+        {names.retry_after, absl::StrCat(double(delay.count()) / ms_per_second)});
     return made;
 }
 
--- a/libs/caller_front/src/local_reply.h
+++ b/libs/caller_front/src/local_reply.h
@@ -4,6 +4,9 @@
 
 #include <http/response.h>
 
+#include <core/instant.h>
+
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -27,8 +30,13 @@
 [[nodiscard]] http::response local_reply(unsigned status, std::string_view reason,
                                          const std::string& request_id, const header_names& names);
 
+/// Time after which a refused caller may retry: endpoints that are full or restarting usually have
+/// capacity by then, and the caller still has time for the request itself.
+inline constexpr std::chrono::milliseconds usual_return_delay{200};
+
 /// 503 with Retry-After: the request was not executed and will not be.
 [[nodiscard]] http::response local_refusal(std::string_view reason, const std::string& request_id,
-                                           const header_names& names);
+                                           const header_names& names,
+                                           core::duration retry_after = usual_return_delay);
 
 } // namespace ej::front
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -35,7 +35,7 @@
     // Used even if other requests failed there recently: reading the prompt again costs more.
     auto& context = environment_.context;
     const bool usable = copy_at_ && context.endpoints.load()->lists(*copy_at_) &&
-                        context.stats.accepts_requests(*copy_at_, now());
+                        !context.stats.in_backoff(*copy_at_, now());
     return usable ? copy_at_ : std::nullopt;
 }
 
@@ -62,33 +62,20 @@
     const auto all = untried.empty() ? candidates(true) : untried;
     const auto endpoint = choose(all);
     if (endpoint && untried.empty()) {
-        send_later();
+        tried_.clear();
+        send_after(resend_pause);
     }
     else if (endpoint) {
         send_to(*endpoint, false);
     }
     else if (progress_.delivering) {
-        wait_to_resume("no_endpoint");
+        wait_to_resume(earliest_acceptance() ? "backoff" : "no_endpoint");
     }
     else {
-        give_up("no_endpoint", status_bad_gateway);
+        wait_or_give_up();
     }
 }
 
-void stream_call::send_later()
-{
-    tried_.clear();
-    resend_timer_ = make_timer([this] {
-        if (held_back() && !environment_.trial) {
-            give_up("suspect", status_bad_gateway);
-        }
-        else {
-            send();
-        }
-    });
-    resend_timer_->set(now() + resend_pause);
-}
-
 /// Pauses a stream that cannot go on at any engine now. It ends with its deadline.
 void stream_call::wait_to_resume(std::string_view reason)
 {
@@ -104,7 +91,7 @@
 {
     auto& context = environment_.context;
     if (!copy_holder() && candidates(true).empty()) {
-        wait_to_resume("no_endpoint");
+        wait_to_resume(earliest_acceptance() ? "backoff" : "no_endpoint");
     }
     else if (!send_allowed_ && !context.budget.take(service_, context.daemons, now())) {
         wait_to_resume("budget");
@@ -241,9 +228,6 @@
     if (silence_ != nullptr) {
         silence_->stop();
     }
-    if (resend_timer_ != nullptr) {
-        resend_timer_->stop();
-    }
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -34,7 +34,6 @@
     void cancel_attempts() override;
 
     void send_to(const core::endpoint& endpoint, bool from_copy);
-    void send_later();
     void wait_to_resume(std::string_view reason);
     void resume();
     [[nodiscard]] std::optional<core::endpoint> copy_holder() const;
@@ -58,9 +57,8 @@
     std::optional<core::endpoint> copy_at_; // Has a copy of the current attempt's memory.
     std::shared_ptr<silence_monitor> silence_;
     bool silence_noted_ = false; // The current silence was logged.
-    std::shared_ptr<lazy_timer> resend_timer_;
-    std::uint32_t pauses_ = 0;  // Of the stream since its last output.
-    bool send_allowed_ = false; // The next send has been decided on and charged to the budget.
+    std::uint32_t pauses_ = 0;   // Of the stream since its last output.
+    bool send_allowed_ = false;  // The next send has been decided on and charged to the budget.
 };
 
 } // namespace ej::front
--- a/libs/forwarding/include/forwarding/endpoint_stats.h
+++ b/libs/forwarding/include/forwarding/endpoint_stats.h
@@ -24,9 +24,17 @@
     std::uint32_t failures = 0;  ///< Consecutive failures.
     core::instant avoid_until{}; ///< Ejected until then, unless no other endpoint is available.
     requested_backoff backoff;   ///< Gets no requests until its end, even if there is no other.
+    std::uint32_t in_flight_before = 0; ///< Lowest `in_flight` since the backoff was requested.
 
-    /// True unless the endpoint asked this daemon to send nothing at `now`.
-    [[nodiscard]] bool accepts_requests(core::instant now) const { return backoff.until <= now; }
+    /// True if the endpoint asked this daemon to send nothing at `now`.
+    [[nodiscard]] bool in_backoff(core::instant now) const { return backoff.until > now; }
+
+    /// False during a backoff, and behind it while as many requests are at the endpoint as may be
+    /// then.
+    [[nodiscard]] bool accepts_requests(core::instant now) const;
+
+    /// The earliest time from `now` on at which the endpoint may accept a request.
+    [[nodiscard]] core::instant next_acceptance(core::instant now) const;
 
     friend auto operator<=>(const endpoint_stats&, const endpoint_stats&) = default;
 };
--- a/libs/forwarding/include/forwarding/endpoint_stats_table.h
+++ b/libs/forwarding/include/forwarding/endpoint_stats_table.h
@@ -38,12 +38,13 @@
     /// Records a failed attempt. Consecutive failures eject the endpoint for longer each time.
     void failed(const core::endpoint_id& name, attempt_end end, core::instant now);
 
-    /// Records that `endpoint` asked for no requests until `until`. An earlier end does not shorten
-    /// a backoff, and it does not apply to other incarnations of the endpoint.
+    /// Records that `endpoint` refused one of the requests in flight and asked for none until
+    /// `until`. An earlier end does not shorten a backoff, and it does not apply to other
+    /// incarnations of the endpoint.
     void back_off(const core::endpoint& endpoint, core::instant until);
 
-    /// True unless `endpoint` asked for no requests at `now`.
-    [[nodiscard]] bool accepts_requests(const core::endpoint& endpoint, core::instant now);
+    /// True if `endpoint` asked for no requests at `now`.
+    [[nodiscard]] bool in_backoff(const core::endpoint& endpoint, core::instant now);
 
     /// Applies a load report of the endpoint.
     void report(const core::endpoint_id& name, const load_report& load, core::instant now);
--- a/libs/forwarding/include/forwarding/requested_backoff.h
+++ b/libs/forwarding/include/forwarding/requested_backoff.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <cstdint>
 
 namespace ej::forwarding {
 
@@ -12,13 +13,14 @@
 struct requested_backoff {
     core::incarnation_id incarnation; ///< Any other incarnation may be used.
     core::instant until{};
+    std::uint32_t accepted = 0; ///< This daemon's requests that the endpoint had accepted then.
 
     /// The period after `next` was requested: the latest end counts. A request by another
     /// incarnation replaces the period.
     [[nodiscard]] requested_backoff extended_by(const requested_backoff& next) const
     {
         const bool same = incarnation == next.incarnation;
-        return {next.incarnation, same ? std::max(until, next.until) : next.until};
+        return {next.incarnation, same ? std::max(until, next.until) : next.until, next.accepted};
     }
 
     friend auto operator<=>(const requested_backoff&, const requested_backoff&) = default;
--- a/libs/forwarding/src/endpoint_stats_table.cpp
+++ b/libs/forwarding/src/endpoint_stats_table.cpp
@@ -63,6 +63,7 @@
     entries_.with(name, [&](auto& entries) {
         endpoint_stats& known = entries[name];
         known.in_flight -= std::min(known.in_flight, 1U);
+        known.in_flight_before = std::min(known.in_flight_before, known.in_flight);
         known.tokens_unread -= std::min(known.tokens_unread, prompt_tokens);
     });
 }
@@ -95,16 +96,18 @@
 {
     entries_.with(endpoint.name, [&](auto& entries) {
         endpoint_stats& known = entries[endpoint.name];
-        known.backoff = known.backoff.extended_by({endpoint.incarnation, until});
+        const auto accepted = known.in_flight - std::min(known.in_flight, 1U);
+        known.backoff = known.backoff.extended_by({endpoint.incarnation, until, accepted});
+        known.in_flight_before = accepted;
     });
 }
 
-bool endpoint_stats_table::accepts_requests(const core::endpoint& endpoint, core::instant now)
+bool endpoint_stats_table::in_backoff(const core::endpoint& endpoint, core::instant now)
 {
     return entries_.with(endpoint.name, [&](auto& entries) {
         const auto found = entries.find(endpoint.name);
-        return found == entries.end() || found->second.accepts_requests(now) ||
-               found->second.backoff.incarnation != endpoint.incarnation;
+        return found != entries.end() && found->second.in_backoff(now) &&
+               found->second.backoff.incarnation == endpoint.incarnation;
     });
 }
 
