Connections of long answers are probed by the kernel

What callers saw: a stream that may not move elsewhere (route not resumable, or no other engine) waited until its deadline when its engine's machine or network vanished without closing the connection.

Cause: sockets to endpoints had TCP_USER_TIMEOUT, which only counts while bytes of the request are unacknowledged, and no keep-alive probes.

Now a connection whose answer takes longer than a second is probed: after a second without bytes, then every second. A machine whose engine is silent answers probes, so its silence ends no answer. While the request is unacknowledged the limit of 1.5 s stays. Short answers cost no system call or packet; kept connections are not probed. Connections that a liveness check hands to the pool get the same options, TCP_USER_TIMEOUT included, which they lacked.

The stand-in engine can lose its network without root: a socket filter drops all packets of one connection (step `vanish`).

--- a/libs/caller_front/src/caller_output.cpp
+++ b/libs/caller_front/src/caller_output.cpp
@@ -1,8 +1,6 @@
 #include "caller_output.h"
 
-#include <sys/ioctl.h>
-
-#include <linux/sockios.h>
+#include "unacknowledged_bytes.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,10 +22,7 @@
 
 std::uint64_t caller_output::unacknowledged() const
 {
-    int count = 0;
-    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &count) == 0
-               ? static_cast<std::uint64_t>(count)
-               : 0;
+    return unacknowledged_bytes(socket_);
 }
 
 std::uint64_t caller_output::acknowledged() const
--- a/libs/caller_front/src/liveness_check.cpp
+++ b/libs/caller_front/src/liveness_check.cpp
@@ -72,9 +72,7 @@
     }
     timer_->stop();
     if (alive && connection_ != nullptr) {
-        error_code ignored; // The options only affect performance.
-        connection_->socket.set_option(tcp::no_delay(true), ignored);
-        connection_->socket.non_blocking(true, ignored);
+        connection_->set_up();
         connection_->usable_until = now() + unused_for;
         pool_.keep(where_, std::exchange(connection_, nullptr));
     }
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -1,6 +1,7 @@
 #include "upstream_attempt.h"
 
 #include "clock.h"
+#include "unacknowledged_bytes.h"
 
 #include <chrono>
 #include <utility>
@@ -20,10 +21,9 @@
 // Limit for the interim answers and the answers to other requests that precede the expected one.
 constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20;
 
-// TCP_USER_TIMEOUT: bytes unacknowledged for this long mean that the endpoint has vanished without
-// closing the connection. Allows several round trips between failure domains and one
-// retransmission.
-constexpr int unacknowledged_ms = 1'500;
+// A connection is probed only if its answer takes this long, which saves system calls and packets
+// for most.
+constexpr std::chrono::milliseconds probe_after{1'000};
 
 } // namespace
 
@@ -84,11 +84,7 @@
         ended(attempt_end::not_sent, "connect: " + error.message());
         return;
     }
-    error_code ignored; // The options only affect performance.
-    connection_->socket.set_option(tcp::no_delay(true), ignored);
-    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-    connection_->socket.set_option(user_timeout(unacknowledged_ms), ignored);
-    connection_->socket.non_blocking(true, ignored);
+    connection_->set_up();
     send();
 }
 
@@ -96,6 +92,12 @@
 {
     sent_ = true;
     reused_ = std::exchange(connection_->used, true);
+    probe_timer_ = std::make_shared<lazy_timer>(pool_.lane(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->begin_probes();
+        }
+    });
+    probe_timer_->set(now() + probe_after);
     asio::async_write(connection_->socket, asio::buffer(message_),
                       [self = shared_from_this()](const error_code& error, std::size_t) {
                           // A failed write also fails the read, after any early answer has been
@@ -105,6 +107,16 @@
     read();
 }
 
+void upstream_attempt::begin_probes()
+{
+    // Until then the shorter limit for a request without acknowledgement applies.
+    if (unacknowledged_bytes(connection_->socket) > 0) {
+        probe_timer_->set(now() + probe_after);
+        return;
+    }
+    connection_->probe(true);
+}
+
 void upstream_attempt::read()
 {
     connection_->socket.async_read_some(
--- a/libs/caller_front/src/upstream_attempt.h
+++ b/libs/caller_front/src/upstream_attempt.h
@@ -60,6 +60,8 @@
     void ended(forwarding::attempt_end end, const std::string& detail);
     [[nodiscard]] bool reusable() const;
     void finish_connection();
+    void begin_probes();
+    void stop_timers();
     void close();
 
     upstream_pool& pool_;
@@ -71,6 +73,7 @@
     upstream_connection_ptr connection_;
     std::unique_ptr<answer_parser> parser_;
     std::shared_ptr<lazy_timer> connect_timer_;
+    std::shared_ptr<lazy_timer> probe_timer_;
     core::instant started_{};
     std::size_t message_bytes_ = 0; // Of the current message.
     std::size_t skipped_bytes_ = 0; // Of earlier messages, which were not the answer.
--- a/libs/caller_front/src/upstream_attempt_end.cpp
+++ b/libs/caller_front/src/upstream_attempt_end.cpp
@@ -39,6 +39,7 @@
 void upstream_attempt::complete()
 {
     over_ = true;
+    stop_timers();
     finish_connection();
     if (const auto listener = listener_.lock()) {
         listener->on_complete(*this);
@@ -57,6 +58,7 @@
         close();
         return;
     }
+    connection_->probe(false);
     connection_->usable_until = now() + keep_alive_timeout(parser_->header("Keep-Alive"));
     pool_.keep(endpoint_.where, connection_);
 }
@@ -92,12 +94,19 @@
 void upstream_attempt::cancel()
 {
     over_ = true;
-    if (connect_timer_ != nullptr) {
-        connect_timer_->stop();
-    }
+    stop_timers();
     close();
 }
 
+void upstream_attempt::stop_timers()
+{
+    for (const auto& timer : {connect_timer_, probe_timer_}) {
+        if (timer != nullptr) {
+            timer->stop();
+        }
+    }
+}
+
 void upstream_attempt::close()
 {
     if (connection_ != nullptr) {
--- a/stand_ins/fleet/include/fleet/step.h
+++ b/stand_ins/fleet/include/fleet/step.h
@@ -12,7 +12,7 @@
 struct step {
     step_kind kind = step_kind::send;
     std::string text;                 ///< Bytes to send, for `send`.
-    std::chrono::milliseconds time{}; ///< Duration, for `wait` and `crash`.
+    std::chrono::milliseconds time{}; ///< Duration, for `wait`, `vanish` and `crash`.
 
     friend auto operator<=>(const step&, const step&) = default;
 };
--- a/stand_ins/fleet/src/endpoint_stand_in.cpp
+++ b/stand_ins/fleet/src/endpoint_stand_in.cpp
@@ -3,6 +3,7 @@
 #include <core/text.h>
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -70,6 +71,23 @@
     ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
 }
 
+/// Lets the kernel drop every packet that arrives for `socket`, as if its machine had lost the
+/// network.
+void drop_packets(int socket)
+{
+    sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog filter{1, &drop_all};
+    if (::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) != 0) {
+        throw std::runtime_error("cannot filter the packets of the endpoint");
+    }
+}
+
+void take_packets(int socket)
+{
+    const int unused = 0;
+    ::setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+}
+
 } // namespace
 
 endpoint_stand_in::endpoint_stand_in(script answer, restart_callback on_restart)
@@ -241,6 +259,13 @@
             break;
         case step_kind::hang:
             return wait(connection, std::chrono::hours(1));
+        case step_kind::vanish:
+            drop_packets(connection.socket);
+            if (!wait(connection, current.time)) {
+                return false;
+            }
+            take_packets(connection.socket);
+            break;
         case step_kind::close:
             return false;
         case step_kind::reset:
