A stream that left a silent engine tries the others first

What callers saw: a stream without its first event that had left a silent engine and met full ones was sent to the silent one again. Each time it waited for the silence limit and used up one of its route's runs; with none left it ended in 502.

Cause: before engines are tried a second time, `send_later` forgot all of them, also the one that the stream had left for its silence.

Now the call remembers engines that it left for silence by name and incarnation. They stay out of later rounds while there is another engine, also after a pause of a begun stream, and come back when there is none.

Evidence: "a stream does not go back to an engine that it left for its silence" (one silent engine, one that refuses three times) failed on the code before: the silent engine got three requests instead of one. The tests of streams that leave or stay with silent engines, and of begun streams that wait, pass.

--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -73,9 +73,31 @@
     }
 }
 
-void stream_call::send_later()
+/// Allows the engines that were tried already, but those that were left for their silence only if
+/// there is no other: one that could not keep a stream before is likely to fail it again.
+void stream_call::allow_tried()
 {
+    const auto all = candidates(true);
+    const auto was_left = [&](const forwarding::candidate& one) {
+        return std::ranges::any_of(left_silent_, [&](const core::endpoint& left) {
+            return left.name == one.what.name && left.incarnation == one.what.incarnation;
+        });
+    };
     tried_.clear();
+    if (std::ranges::all_of(all, was_left)) {
+        left_silent_.clear();
+        return;
+    }
+    for (const auto& one : all) {
+        if (was_left(one)) {
+            tried_.insert(one.what.name);
+        }
+    }
+}
+
+void stream_call::send_later()
+{
+    allow_tried();
     resend_timer_ = make_timer([this] {
         if (held_back() && !environment_.trial) {
             give_up("suspect", status_bad_gateway);
@@ -93,7 +115,7 @@
     const auto pause = forwarding::resume_pause(pauses_++);
     log_resume_pause(request_id_, reason, pause);
     environment_.context.metrics.count("resume_pauses_total", {{"reason", std::string(reason)}});
-    tried_.clear();
+    allow_tried();
     resend_timer_ = make_timer([this] { resume(); });
     resend_timer_->set(now() + pause);
 }
@@ -165,6 +187,7 @@
     if (step == silence_step::move) {
         const auto self = shared_from_this();
         take_failed(attempt_end::silent, seen.detail);
+        left_silent_.push_back(silent);
         send_allowed_ = true;
         send();
     }
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ej::front {
 
@@ -35,6 +36,7 @@
 
     void send_to(const core::endpoint& endpoint, bool from_copy);
     void send_later();
+    void allow_tried();
     void wait_to_resume(std::string_view reason);
     void resume();
     [[nodiscard]] std::optional<core::endpoint> copy_holder() const;
@@ -57,7 +59,8 @@
     std::optional<std::uint64_t> last_event_;
     std::optional<core::endpoint> copy_at_; // Has a copy of the current attempt's memory.
     std::shared_ptr<silence_monitor> silence_;
-    bool silence_noted_ = false; // The current silence was logged.
+    std::vector<core::endpoint> left_silent_; // Left for their silence; tried last.
+    bool silence_noted_ = false;              // The current silence was logged.
     std::shared_ptr<lazy_timer> resend_timer_;
     std::uint32_t pauses_ = 0;  // Of the stream since its last output.
     bool send_allowed_ = false; // The next send has been decided on and charged to the budget.
