A refusal because of a held part tells its caller to wait as long as the hold lasts

Callers refused as "suspect" were told to come back after 0.2 s, however long the part had been held. They retry a few times within their time budget: those with a sound part that is held by mistake had used up their retries before the first trial, 10 s after the hold, could release it; those with a deadly part came back for nothing.

Retry-After is now the age of the latest evidence (death or trial), from 0.2 s to 10 s: short while an output or a trial may release the part at any moment, longer as that gets less likely, so that a caller waits at most as long again as the hold has lasted. Callers honour it up to a third of the time they have left. A request that is itself refused as one that crashes endpoints (the same request again) gets 10 s, since nothing ends that soon. Other refusals keep 0.2 s.

--- a/libs/caller_front/src/call_admission.cpp
+++ b/libs/caller_front/src/call_admission.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 
 #include <core/text.h>
+#include <suspects/refusal_pause.h>
 #include <suspects/verdict.h>
 
 #include "buffered_call.h"
@@ -14,6 +15,7 @@
 #include "stream_call.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +41,7 @@
 struct rejection {
     unsigned status = status_bad_request;
     std::string_view reason;
+    std::optional<core::duration> retry_after; // Unset: the usual one of a refusal.
 };
 
 class admission_check {
@@ -52,7 +55,7 @@
     std::shared_ptr<forwarded_call> check_and_start(upstream_pool& pool)
     {
         if (rules_ == nullptr) {
-            send_rejection({status_unavailable, "no_configuration"});
+            send_rejection({status_unavailable, "no_configuration", {}});
             return nullptr;
         }
         const auto hosts =
@@ -60,35 +63,35 @@
                 return core::equal_ignoring_case(field.name, "Host");
             });
         if (hosts != 1 || !request_.message.target.starts_with('/')) {
-            send_rejection({status_bad_request, "malformed"});
+            send_rejection({status_bad_request, "malformed", {}});
             return nullptr;
         }
         const auto host = request_.message.header_value("Host").value_or("");
         const auto* const matched_route = rules_->find_route(host, request_.path());
         if (matched_route == nullptr) {
-            send_rejection({status_not_found, "no_route"});
+            send_rejection({status_not_found, "no_route", {}});
             return nullptr;
         }
         const auto* const holder = rules_->find_holder(key_of(request_, context_.headers));
         if (holder == nullptr && rules_->requires_key(*matched_route)) {
-            send_rejection({status_unauthorized, "unauthenticated"});
+            send_rejection({status_unauthorized, "unauthenticated", {}});
             return nullptr;
         }
         if (ends_too_late(*matched_route)) {
-            send_rejection({status_unavailable, "leaving"});
+            send_rejection({status_unavailable, "leaving", {}});
             return nullptr;
         }
         // On a public route, a caller with a valid key is still attributed to its workspace.
         const auto workspace = holder == nullptr ? core::workspace_id() : holder->workspace;
         const auto digest = request_digest_of(workspace, request_);
         if (context_.suspects.evaluate(digest, now()) == suspects::verdict::refuse) {
-            send_rejection({status_unavailable, "suspect"});
+            send_rejection({status_unavailable, "suspect", suspects::longest_refusal_pause});
             return nullptr;
         }
         auto parts = read_parts();
         auto by_parts = context_.parts.evaluate(parts);
         if (by_parts.how == suspects::verdict::refuse) {
-            send_rejection({status_unavailable, "suspect"});
+            send_rejection({status_unavailable, "suspect", by_parts.retry_after});
             return nullptr;
         }
         return make_call(pool, *matched_route, workspace, std::move(parts),
@@ -123,9 +126,15 @@
     void send_rejection(const rejection& why)
     {
         const auto id = request_.message.header_value(context_.headers.request_id).value_or("");
-        sink_->reply(why.status == status_unavailable
-                         ? local_refusal(why.reason, id, context_.headers)
-                         : local_reply(why.status, why.reason, id, context_.headers));
+        if (why.retry_after) {
+            sink_->reply(local_refusal_for(*why.retry_after, why.reason, id, context_.headers));
+        }
+        else if (why.status == status_unavailable) {
+            sink_->reply(local_refusal(why.reason, id, context_.headers));
+        }
+        else {
+            sink_->reply(local_reply(why.status, why.reason, id, context_.headers));
+        }
         context_.metrics.count("refusals_total", {{"reason", std::string(why.reason)}});
         log_rejection(id, request_.message.target, why.reason, why.status,
                       rules_ == nullptr ? core::revision() : rules_->rules().version);
--- a/libs/caller_front/src/local_reply.h
+++ b/libs/caller_front/src/local_reply.h
@@ -2,6 +2,7 @@
 
 #include <caller_front/header_names.h>
 
+#include <core/instant.h>
 #include <http/response.h>
 
 #include <string>
@@ -31,4 +32,9 @@
 [[nodiscard]] http::response local_refusal(std::string_view reason, const std::string& request_id,
                                            const header_names& names);
 
+/// The same with a Retry-After of `pause`, in tenths of a second.
+[[nodiscard]] http::response local_refusal_for(core::duration pause, std::string_view reason,
+                                               const std::string& request_id,
+                                               const header_names& names);
+
 } // namespace ej::front
--- a/libs/suspects/include/suspects/part_table.h
+++ b/libs/suspects/include/suspects/part_table.h
@@ -100,6 +100,7 @@
     [[nodiscard]] bool is_ambiguous(part_digest part);
     [[nodiscard]] bool may_try(std::span<const part_digest> held, const trial_delay& delay,
                                core::instant now);
+    [[nodiscard]] part_verdict refusal(std::vector<part_digest> held, core::instant now);
     bool admit(part_digest part, core::instant now);
     void hold(part_digest part, core::instant now);
     void postpone_trials(std::span<const death_id> deaths, core::instant now);
--- a/libs/suspects/include/suspects/part_verdict.h
+++ b/libs/suspects/include/suspects/part_verdict.h
@@ -3,6 +3,8 @@
 #include <suspects/part_digest.h>
 #include <suspects/verdict.h>
 
+#include <core/instant.h>
+
 #include <compare>
 #include <vector>
 
@@ -12,6 +14,7 @@
 struct part_verdict {
     verdict how = verdict::run;
     std::vector<part_digest> held; ///< The parts that keep it from running normally.
+    core::duration retry_after{};  ///< Of a refusal: pause until the caller may come again.
 
     friend auto operator<=>(const part_verdict&, const part_verdict&) = default;
 };
--- a/libs/suspects/src/part_table.cpp
+++ b/libs/suspects/src/part_table.cpp
@@ -1,5 +1,6 @@
 #include <suspects/part_table.h>
 
+#include <suspects/refusal_pause.h>
 #include <suspects/trial_pause.h>
 
 #include <algorithm>
@@ -232,16 +233,26 @@
         return {};
     }
     if (!may_try(held, delay, now)) {
-        return {verdict::refuse, std::move(held)};
+        return refusal(std::move(held), now);
     }
     // Another request may have been admitted since.
     const auto failed =
         std::ranges::find_if(held, [&](part_digest part) { return !admit(part, now); });
     if (failed != held.end()) {
         return_trial({held.begin(), failed}, now);
-        return {verdict::refuse, std::move(held)};
+        return refusal(std::move(held), now);
     }
-    return {verdict::isolate, std::move(held)};
+    return {verdict::isolate, std::move(held), {}};
+}
+
+part_verdict part_table::refusal(std::vector<part_digest> held, core::instant now)
+{
+    // Requests are refused until the last of their parts is released.
+    core::duration pause{};
+    for (const part_digest part : held) {
+        pause = std::max(pause, refusal_pause(now - history_of(part).last_death.value_or(now)));
+    }
+    return {verdict::refuse, std::move(held), pause};
 }
 
 bool part_table::may_try(std::span<const part_digest> held, const trial_delay& delay,
--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -331,6 +331,23 @@
     CHECK(try_part(*table, {deadly, rare}, now + 1h) == verdict::refuse);
 }
 
+TEST_CASE("the pause that refused callers are told grows with the hold and shrinks with a trial")
+{
+    auto table = make_table();
+    const auto held_at = crash(*table, 3, {shared});
+    const auto last_death = held_at - 2s;
+    const auto pause_at = [&](core::instant now) {
+        return table->evaluate(std::vector{shared}, owns_none, now).retry_after;
+    };
+    CHECK(pause_at(last_death + 50ms) == 200ms);
+    CHECK(pause_at(last_death + 3s) == 3s);
+    CHECK(pause_at(last_death + 1h) == 10s);
+    CHECK(try_part(*table, {shared}, held_at + 1h) == verdict::isolate);
+    CHECK(pause_at(held_at + 1h + 1s) == 1s);
+    table->record_output(std::vector{shared}, held_at + 1h + 2s);
+    CHECK(pause_at(held_at + 1h + 2s) == 0s);
+}
+
 TEST_CASE("at most three trials of a deadly part run in the first half hour")
 {
     auto table = make_table();
--- a/tests/forward/crashing_part_test.cpp
+++ b/tests/forward/crashing_part_test.cpp
@@ -209,6 +209,21 @@
     CHECK(ask(fixture, {shared}).served());
 }
 
+TEST_CASE(
+    "requests that are refused since a part is held back are told to wait longer as time goes on")
+{
+    constexpr double usual_pause_s = 0.2;
+    daemon_fixture fixture;
+    const engine_group engines(fixture, {crashing});
+    fixture.configure_and_start(engine_group::count);
+    REQUIRE(ask_until_refused(engines, {&fixture}, fixture));
+    CHECK(daemon_fixture::wait_until([&] {
+        const auto last = ask(fixture, {shared, crashing});
+        return last.refused() && last.retry_after_s() > 4 * usual_pause_s;
+    }));
+    CHECK(engines.arrivals_with_part(crashing) <= most_arrivals);
+}
+
 TEST_CASE("requests with a crashing part leave a steady flow of sound ones served")
 {
     daemon_fixture fixture;
--- a/tests/forward/prompt_outcome.cpp
+++ b/tests/forward/prompt_outcome.cpp
@@ -17,4 +17,11 @@
            answer.find("\r\nRetry-After: ") != std::string::npos;
 }
 
+double prompt_outcome::retry_after_s() const
+{
+    const std::string field = "\r\nRetry-After: ";
+    const auto place = answer.find(field);
+    return place == std::string::npos ? 0 : std::stod(answer.substr(place + field.size()));
+}
+
 } // namespace ej::forward_tests
--- a/tests/forward/prompt_outcome.h
+++ b/tests/forward/prompt_outcome.h
@@ -16,6 +16,9 @@
     /// True if the answer promises that the request has not run and says when to try again.
     [[nodiscard]] bool refused() const;
 
+    /// The Retry-After of the answer in seconds; 0 if it has none.
+    [[nodiscard]] double retry_after_s() const;
+
     friend auto operator<=>(const prompt_outcome&, const prompt_outcome&) = default;
 };
 
