--- a/measure/suspects/history.h
+++ b/measure/suspects/history.h
@@ -19,6 +19,7 @@
     double lost_datagrams = 0; ///< Share of messages between daemons.
     std::chrono::milliseconds kill_every{}; ///< Each time, a third of the daemons; 0: never.
     bool kill_all = false;                  ///< All daemons at once, at 15 s.
+    bool one_domain = false;                ///< All endpoints are in one failure domain.
 };
 
 } // namespace ej::measure
--- a/measure/suspects/main.cpp
+++ b/measure/suspects/main.cpp
@@ -25,11 +25,20 @@
     return std::make_unique<const Policy>();
 }
 
-constexpr std::array<measure::history, 14> histories{{
+constexpr std::array<measure::history, 17> histories{{
     {.name = "deadly part 5 %", .deadly_share = 0.05},
     {.name = "deadly part 10 %", .deadly_share = 0.1},
     {.name = "deadly part 20 %", .deadly_share = 0.2},
     {.name = "two deadly parts, 20 %", .deadly_share = 0.2, .deadly_parts = 2},
+    {.name = "three deadly parts, 20 %", .deadly_share = 0.2, .deadly_parts = 3},
+    {.name = "three deadly parts, 20 %, one domain",
+     .deadly_share = 0.2,
+     .deadly_parts = 3,
+     .one_domain = true},
+    {.name = "four deadly parts, 30 %, one domain",
+     .deadly_share = 0.3,
+     .deadly_parts = 4,
+     .one_domain = true},
     {.name = "10 %, cold start", .deadly_share = 0.1, .cold = true},
     {.name = "10 %, a domain crashes every 4 s", .deadly_share = 0.1, .crash_every = 4s},
     {.name = "10 %, datagrams lost 20 %", .deadly_share = 0.1, .lost_datagrams = 0.2},
--- a/measure/suspects/prompt_fleet.cpp
+++ b/measure/suspects/prompt_fleet.cpp
@@ -217,8 +217,8 @@
             return false;
         }
         for (std::size_t other = 0; other < endpoints; ++other) {
-            const bool counts = how_.scope == isolation::fleet ||
-                                other / endpoints_per_domain == place / endpoints_per_domain;
+            const bool counts =
+                how_.scope == isolation::fleet || domain_of(other) == domain_of(place);
             const auto runs_part = [&](const auto& entry) {
                 return std::ranges::count(entry.second.parts, part) > 0;
             };
@@ -320,11 +320,10 @@
 {
     auto parts = lost.parts;
     std::ranges::sort(parts);
-    const suspects::part_death seen{
-        {core::endpoint_id(std::to_string(place)),
-         core::incarnation_id(std::to_string(incarnation))},
-        core::failure_domain_id(std::to_string(place / endpoints_per_domain)),
-        std::move(parts)};
+    const suspects::part_death seen{{core::endpoint_id(std::to_string(place)),
+                                     core::incarnation_id(std::to_string(incarnation))},
+                                    core::failure_domain_id(std::to_string(domain_of(place))),
+                                    std::move(parts)};
     record_death(lost.daemon, seen);
     tell_peers(lost.daemon, [this, seen](std::size_t to) { record_death(to, seen); });
 }
@@ -336,6 +335,11 @@
     }
 }
 
+std::size_t prompt_fleet::domain_of(std::size_t place) const
+{
+    return chosen_.one_domain ? 0 : place / endpoints_per_domain;
+}
+
 bool prompt_fleet::is_deadly(part_digest part) const
 {
     return part.value() >= deadly_base;
--- a/measure/suspects/prompt_fleet.h
+++ b/measure/suspects/prompt_fleet.h
@@ -64,6 +64,7 @@
     void report_held(std::size_t daemon);
     void restart(std::size_t daemon);
     [[nodiscard]] bool waits_for_isolation(const request& one, std::size_t place);
+    [[nodiscard]] std::size_t domain_of(std::size_t place) const;
     [[nodiscard]] bool is_deadly(suspects::part_digest part) const;
     [[nodiscard]] std::unique_ptr<suspects::part_table> make_table() const;
     void tell_peers(std::size_t from, const std::function<void(std::size_t)>& action);
