--- a/libs/caller_front/src/local_reply.cpp
+++ b/libs/caller_front/src/local_reply.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 
 namespace ej::front {
 
--- a/libs/caller_front/src/local_reply.h
+++ b/libs/caller_front/src/local_reply.h
@@ -2,9 +2,8 @@
 
 #include <caller_front/header_names.h>
 
-#include <http/response.h>
-
 #include <core/instant.h>
+#include <http/response.h>
 
 #include <chrono>
 #include <string>
