A store that answers slowly is followed

What callers saw: nothing changed any more at a daemon whose store, or way to the store, was slow: removed endpoints stayed in use, new ones and new configurations were not taken (LOST, CONFIG), and a daemon that started then never became ready.

Cause, by a trace of the test that was known red with ThreadSanitizer: the answer to "changes since revision N" (10.7 MB) began 1.5 to 1.9 s after each call. The call was given up after 1 s (store_deadline) and sent again unchanged, 12 times in the 20 s of the test. The same holds for an answer that begins in time and ends after the deadline.

- http::answer_deadline: with a body_pace, the deadline ends with the answer's header; after it the body must bring a byte within the same time and 32 KiB a second on the mean.
Only bytes of the body extend the time, so the size limit bounds a call, and a connection that falls silent or drips is noticed after one deadline as before.
- forwarding::store_query_plan decides the next question: one late answer is asked for again in the same way within the same time (it may have been lost); after a second one the follower asks for a listing, whose pages are bounded, and doubles the time up to eight times.
Answers in time halve it again.
Refused calls and failed connects change nothing.
- Updates of neighbours are still applied while a listing is due for lateness.

The daemon's lease and registration keep the fixed deadline.

--- a/libs/caller_front/include/caller_front/front_settings.h
+++ b/libs/caller_front/include/caller_front/front_settings.h
@@ -25,7 +25,9 @@
     core::address peer_listen;  ///< For datagrams from other daemons.
     std::string ready_path = "/ready";
     core::address store;
-    core::duration store_deadline = std::chrono::seconds(1); ///< For one call to the store; > 0.
+    /// For one call to the store; > 0. Listings and changes must begin to arrive within it, and
+    /// within a longer time after repeated late ones.
+    core::duration store_deadline = std::chrono::seconds(1);
     /// Upper bound on the delay until a change in the store takes effect; > 0.
     core::duration apply_within = std::chrono::milliseconds(2'000);
     core::duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end; > 0.
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include "clock.h"
+#include "store_result.h"
 
 #include <logging/log.h>
 
@@ -17,6 +18,8 @@
 
 namespace {
 
+using forwarding::store_query;
+using forwarding::store_result;
 using std::chrono::milliseconds;
 
 // Pause between two queries while the store does not answer. It doubles after each failure, up to
@@ -28,19 +31,12 @@
 // was suspended, and is not shared with peers.
 constexpr milliseconds longest_delay{400};
 
-// The store has answered, but its changes can't be read in one answer: it has compacted this part
-// of its history, or they exceed the size limit. The pages of a listing are bounded.
-bool needs_listing(const absl::Status& status)
-{
-    return absl::IsOutOfRange(status) || absl::IsResourceExhausted(status);
-}
-
 } // namespace
 
 store_follower::store_follower(front_context& context, platform::store& store,
                                const store_layout& layout, asio::io_context& loop)
     : context_(context), store_(store), layout_(layout), due_timer_(loop),
-      pace_(context.settings.apply_within)
+      pace_(context.settings.apply_within), plan_(context.settings.store_deadline)
 {
 }
 
@@ -49,22 +45,22 @@
     core::duration pause = first_pause;
     for (;;) {
         absl::Status status;
-        const bool asked_for_changes = listed_;
+        const auto asked_for = plan_.next();
         pace_.record_poll(now());
-        if (listed_) {
+        if (asked_for == store_query::changes) {
             status = co_await poll_changes();
         }
         else {
             status = co_await list();
         }
-        note_result(status);
+        note_result(status, asked_for);
         publish();
         if (status.ok()) {
             pause = first_pause;
             pace_.record_up_to_date(now());
             co_await wait_until_due(core::duration::zero());
         }
-        else if (!asked_for_changes || !needs_listing(status)) {
+        else if (plan_.next() == asked_for) {
             co_await wait_until_due(pause);
             pause = std::min<core::duration>(2 * pause, longest_pause);
         }
@@ -86,7 +82,9 @@
 asio::awaitable<absl::Status> store_follower::list()
 {
     std::string prefix = layout_.followed_prefix();
-    const auto listing = co_await store_.scan(std::move(prefix));
+    const auto began = since_boot();
+    const auto listing = co_await store_.scan(std::move(prefix), plan_.answer_within());
+    plan_ = plan_.after(store_result_of(listing.status()), since_boot() - began);
     if (!listing.ok()) {
         co_return listing.status();
     }
@@ -113,9 +111,14 @@
     const auto since = as_of_;
     const auto began = since_boot();
     const auto wait = std::chrono::duration_cast<milliseconds>(pace_.interval());
-    const auto changes = co_await store_.poll_changes(std::move(prefix), since, wait);
+    const auto changes =
+        co_await store_.poll_changes(std::move(prefix), since, wait, plan_.answer_within());
+    const auto took = since_boot() - began;
+    const bool waited = changes.ok() && changes->items.empty();
+    const auto result = store_result_of(changes.status());
+    plan_ = plan_.after(result, waited ? took - wait : took);
     if (!changes.ok()) {
-        listed_ = !needs_listing(changes.status());
+        listed_ = result != store_result::compacted;
         co_return changes.status();
     }
     log_.answered(now());
@@ -128,7 +131,7 @@
         }
     }
     as_of_ = std::max(as_of_, changes->as_of);
-    if (!overtaken && since_boot() - began < wait + longest_delay) {
+    if (!overtaken && took < wait + longest_delay) {
         share_changes(since, changes->as_of, std::move(update));
     }
     co_return absl::OkStatus();
@@ -174,9 +177,12 @@
     publish();
 }
 
-void store_follower::note_result(const absl::Status& status)
+void store_follower::note_result(const absl::Status& status, store_query asked_for)
 {
-    const bool lost = !status.ok() && !needs_listing(status);
+    const auto result = store_result_of(status);
+    // Changes that the store can't send in one answer are followed by a listing.
+    const bool lost = result == store_result::late || result == store_result::unreachable ||
+                      (!status.ok() && asked_for == store_query::listing);
     if (lost) {
         log_.outage();
     }
--- a/libs/caller_front/src/store_follower.h
+++ b/libs/caller_front/src/store_follower.h
@@ -9,6 +9,7 @@
 
 #include <forwarding/endpoint_registry.h>
 #include <forwarding/store_poll_schedule.h>
+#include <forwarding/store_query_plan.h>
 
 #include <platform/store.h>
 #include <platform/store_listing.h>
@@ -54,7 +55,7 @@
     void apply_held_part(suspects::part_digest part, const platform::store_item& item);
     void share_changes(core::revision since, core::revision as_of,
                        std::vector<platform::store_item> items);
-    void note_result(const absl::Status& status);
+    void note_result(const absl::Status& status, forwarding::store_query asked_for);
     void publish();
     void publish_daemons();
 
@@ -63,10 +64,11 @@
     const store_layout& layout_;
     asio::steady_timer due_timer_;
     forwarding::store_poll_schedule pace_;
+    forwarding::store_query_plan plan_;
     forwarding::endpoint_registry log_;
     std::map<std::string, daemon_record> daemons_; // The other daemons, by their keys.
     core::revision as_of_;
-    bool listed_ = false;  // False: a full listing is needed.
+    bool listed_ = false;  // The state is that of the store at `as_of_`, or later.
     bool changed_ = false; // The endpoints have changed since the last `publish`.
     bool peers_changed_ = false;
     bool store_unreachable_ = false;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -2,6 +2,7 @@
 #include "client_connection.h"
 #include "convert.h"
 
+#include <http/answer_deadline.h>
 #include <http/client.h>
 
 #include <concurrency/sharded.h>
@@ -83,27 +84,42 @@
 
 namespace {
 
+using answer_parser = wire::response_parser<wire::string_body>;
+
+/// Reads an answer; returns the error of the last read. The header is read by itself, since Beast's
+/// parser forgets that the announced length exceeds the limit as soon as it reads on into the body.
+asio::awaitable<boost::system::error_code>
+read_answer(connection_ptr connection, answer_parser& parser, answer_deadline deadline)
+{
+    boost::system::error_code error;
+    auto& stream = connection->stream;
+    stream.expires_at(deadline.for_header());
+    co_await wire::async_read_header(stream, connection->buffer, parser, no_throw(error));
+    const auto header_at = std::chrono::steady_clock::now();
+    while (!error && !parser.is_done()) {
+        const auto received = parser.get().body().size();
+        const auto now = std::chrono::steady_clock::now();
+        stream.expires_at(deadline.for_body(header_at, received, now));
+        co_await wire::async_read_some(stream, connection->buffer, parser, no_throw(error));
+    }
+    co_return error;
+}
+
 /// Sends the request and reads the answer on the connection's strand.
 asio::awaitable<absl::StatusOr<response>>
 exchange_messages(connection_ptr connection, core::address destination, request outgoing,
-                  core::instant deadline, std::size_t max_body_bytes)
+                  answer_deadline deadline, std::size_t max_body_bytes)
 {
     boost::system::error_code error;
     auto message = to_wire(outgoing, destination);
-    connection->stream.expires_at(deadline);
+    connection->stream.expires_at(deadline.for_header());
     co_await wire::async_write(connection->stream, message, no_throw(error));
     if (error) {
         co_return failure_status(error);
     }
-    wire::response_parser<wire::string_body> parser;
+    answer_parser parser;
     parser.body_limit(max_body_bytes);
-    // The header by itself: Beast's parser forgets that the announced length exceeds the limit as
-    // soon as it reads on into the body.
-    co_await wire::async_read_header(connection->stream, connection->buffer, parser,
-                                     no_throw(error));
-    if (!error) {
-        co_await wire::async_read(connection->stream, connection->buffer, parser, no_throw(error));
-    }
+    error = co_await read_answer(connection, parser, deadline);
     if (error) {
         co_return failure_status(error);
     }
@@ -127,7 +143,8 @@
     if (std::chrono::steady_clock::now() >= deadline) {
         co_return absl::UnavailableError("deadline passed before sending");
     }
-    co_return co_await exchange_messages(connection, destination, std::move(outgoing), deadline,
+    const answer_deadline waits(deadline, options.pace);
+    co_return co_await exchange_messages(connection, destination, std::move(outgoing), waits,
                                          options.max_body_bytes);
 }
 
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -2,6 +2,7 @@
 
 #include <http/client.h>
 #include <http/line_stream.h>
+#include <http/pause_for.h>
 #include <http/server.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -141,6 +142,37 @@
     CHECK(answer_of("12345678").ok());
 }
 
+TEST_CASE("a body that stops is an error after the longest silence, one that goes on is not")
+{
+    loop io;
+    const auto service = start(io, [](std::shared_ptr<exchange> call) -> asio::awaitable<void> {
+        const bool stops = call->received().body == "stop";
+        std::vector<header> headers;
+        co_await call->start_stream(headers);
+        for (int part = 0; part < 10; ++part) {
+            co_await call->write("part,");
+            co_await pause_for(std::chrono::milliseconds(20));
+        }
+        if (!stops) {
+            co_await call->finish();
+            co_return;
+        }
+        co_await pause_for(std::chrono::hours(1));
+    });
+    client calls(io.executor());
+    call_options options;
+    options.deadline = std::chrono::seconds(5); // For the header.
+    options.pace = body_pace{std::chrono::seconds(1), 1};
+    const auto answer_of = [&](const std::string& body) {
+        return io.wait(calls.fetch(service->local(), {"POST", "/", {}, body}, options));
+    };
+    const auto whole = answer_of("go on");
+    REQUIRE(whole.ok());
+    CHECK(whole->body.size() == 50);
+    options.pace->silence = std::chrono::milliseconds(300);
+    CHECK(absl::IsDeadlineExceeded(answer_of("stop").status()));
+}
+
 TEST_CASE("lines that arrive in pieces are returned whole, then the end of the stream")
 {
     loop io;
--- a/libs/platform/include/platform/store.h
+++ b/libs/platform/include/platform/store.h
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
 /// Longest answer that is read: a page holds at most 1 MB of values, to which base64 adds a third.
 inline constexpr std::size_t max_answer_bytes = std::size_t{4} << 20;
 
+/// Lowest mean rate at which a listing or changes may arrive: the longest answer takes two minutes.
+inline constexpr std::size_t min_answer_bytes_per_second = std::size_t{32} << 10;
+
 /// Calls a key-value store through a `store_protocol`; never retries a call. Thread-safe.
 /// Errors: those of `store_protocol` and of `http::client`. A commit without a usable answer may
 /// have taken effect, or may still do so.
@@ -34,12 +38,16 @@
           std::shared_ptr<const store_protocol> protocol);
 
     /// All keys that begin with `prefix`, page by page; `as_of` is that of the first page, so that
-    /// `poll_changes` from there misses no change.
-    boost::asio::awaitable<absl::StatusOr<store_listing>> scan(std::string prefix);
+    /// `poll_changes` from there misses no change. Each page must begin `within` that time and then
+    /// keep arriving.
+    boost::asio::awaitable<absl::StatusOr<store_listing>> scan(std::string prefix,
+                                                               core::duration within);
 
-    /// The changes later than `after`; empty when there were none within `wait`.
+    /// The changes later than `after`; empty when there were none within `wait`. The answer must
+    /// begin `within` that time beyond `wait` and then keep arriving.
     boost::asio::awaitable<absl::StatusOr<store_listing>>
-    poll_changes(std::string prefix, core::revision after, std::chrono::milliseconds wait);
+    poll_changes(std::string prefix, core::revision after, std::chrono::milliseconds wait,
+                 core::duration within);
 
     /// Applies all of `writes` or none.
     boost::asio::awaitable<absl::StatusOr<core::revision>> commit(std::vector<store_write> writes);
@@ -53,7 +61,8 @@
 
 private:
     boost::asio::awaitable<absl::StatusOr<http::response>>
-    call(call_kind kind, http::request outgoing, core::duration deadline);
+    call(call_kind kind, http::request outgoing, core::duration deadline,
+         std::optional<http::body_pace> pace = std::nullopt);
 
     http::client& transport_;
     client_settings settings_;
--- a/libs/platform/src/store.cpp
+++ b/libs/platform/src/store.cpp
@@ -16,11 +16,13 @@
 }
 
 asio::awaitable<absl::StatusOr<http::response>> store::call(call_kind kind, http::request outgoing,
-                                                            core::duration deadline)
+                                                            core::duration deadline,
+                                                            std::optional<http::body_pace> pace)
 {
     counts_.begin(kind);
     http::call_options options;
     options.deadline = deadline;
+    options.pace = pace;
     options.connect_timeout = settings_.deadline;
     options.max_body_bytes = max_answer_bytes;
     absl::StatusOr<http::response> answer =
@@ -31,13 +33,15 @@
     co_return answer;
 }
 
-asio::awaitable<absl::StatusOr<store_listing>> store::scan(std::string prefix)
+asio::awaitable<absl::StatusOr<store_listing>> store::scan(std::string prefix,
+                                                           core::duration within)
 {
+    const http::body_pace pace{within, min_answer_bytes_per_second};
     store_listing all;
     std::string after;
     for (bool first = true;; first = false) {
         http::request outgoing = protocol_->scan(prefix, after);
-        const auto answer = co_await call(call_kind::list, std::move(outgoing), settings_.deadline);
+        const auto answer = co_await call(call_kind::list, std::move(outgoing), within, pace);
         if (!answer.ok()) {
             co_return answer.status();
         }
@@ -58,12 +62,15 @@
     }
 }
 
-asio::awaitable<absl::StatusOr<store_listing>>
-store::poll_changes(std::string prefix, core::revision after, std::chrono::milliseconds wait)
+asio::awaitable<absl::StatusOr<store_listing>> store::poll_changes(std::string prefix,
+                                                                   core::revision after,
+                                                                   std::chrono::milliseconds wait,
+                                                                   core::duration within)
 {
     http::request outgoing = protocol_->poll_changes(prefix, after, wait);
-    const core::duration deadline = settings_.deadline + wait;
-    const auto answer = co_await call(call_kind::watch, std::move(outgoing), deadline);
+    const http::body_pace pace{within, min_answer_bytes_per_second};
+    const core::duration deadline = within + wait;
+    const auto answer = co_await call(call_kind::watch, std::move(outgoing), deadline, pace);
     if (!answer.ok()) {
         co_return answer.status();
     }
--- a/stand_ins/fleet/include/fleet/store_stand_in.h
+++ b/stand_ins/fleet/include/fleet/store_stand_in.h
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -35,6 +37,13 @@
     /// While set, every call is answered with status 503.
     void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
 
+    /// Sends each answer `delay` later than it could be sent; 0: at once.
+    void set_answer_delay(std::chrono::milliseconds delay) { answer_delay_ = delay; }
+
+    /// Sends the bodies of successful answers in parts of `part_bytes` with `pause` between them; 0
+    /// bytes: whole.
+    void set_answer_pace(std::size_t part_bytes, std::chrono::milliseconds pause);
+
     /// Drops the change history: a watch from an earlier revision is answered with status 410.
     void drop_history();
 
@@ -49,12 +58,17 @@
     };
 
     boost::asio::awaitable<void> answer(std::shared_ptr<http::exchange> call);
+    boost::asio::awaitable<void> send_in_parts(std::shared_ptr<http::exchange> call,
+                                               http::response result);
     http::response range(const std::string& prefix, const std::string& after);
     http::response changes(const std::string& prefix, std::uint64_t after, bool& empty);
     http::response commit(const std::string& body);
 
     std::atomic<bool> unavailable_{false};
     std::atomic<std::uint64_t> calls_{0};
+    std::atomic<std::chrono::milliseconds> answer_delay_{std::chrono::milliseconds(0)};
+    std::atomic<std::size_t> part_bytes_{0};
+    std::atomic<std::chrono::milliseconds> part_pause_{std::chrono::milliseconds(0)};
     std::mutex mutex_;
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
--- a/stand_ins/fleet/src/store_stand_in.cpp
+++ b/stand_ins/fleet/src/store_stand_in.cpp
@@ -79,6 +79,12 @@
     items_[key] = {"", true, ++revision_};
 }
 
+void store_stand_in::set_answer_pace(std::size_t part_bytes, std::chrono::milliseconds pause)
+{
+    part_pause_ = pause;
+    part_bytes_ = part_bytes;
+}
+
 void store_stand_in::drop_history()
 {
     const std::scoped_lock lock(mutex_);
@@ -183,8 +189,32 @@
     else if (target == "/v1/kv-lease" || target.starts_with("/v1/kv-keep")) {
         result = reply({{"lease", 7}, {"ttlMs", 10'000}});
     }
+    if (answer_delay_.load() > std::chrono::milliseconds(0)) {
+        co_await http::pause_for(answer_delay_.load());
+    }
+    if (part_bytes_ > 0 && result.status == status_ok) {
+        co_await send_in_parts(std::move(call), std::move(result));
+        co_return;
+    }
     const auto status = co_await call->respond(std::move(result));
     static_cast<void>(status); // A daemon that shuts down does not read its last response.
 }
 
+boost::asio::awaitable<void> store_stand_in::send_in_parts(std::shared_ptr<http::exchange> call,
+                                                           http::response result)
+{
+    auto status = co_await call->start_stream(std::move(result.headers));
+    const std::size_t length = part_bytes_;
+    for (std::size_t sent = 0; status.ok() && sent < result.body.size(); sent += length) {
+        if (sent > 0) {
+            co_await http::pause_for(part_pause_.load());
+        }
+        std::string part = result.body.substr(sent, length);
+        status = co_await call->write(std::move(part));
+    }
+    if (status.ok()) {
+        status = co_await call->finish();
+    }
+}
+
 } // namespace ej::fleet
