A queued stream moves only to an engine that has room

What callers saw: a stream without its first event left an engine that had it in its queue, met only full engines, went back and forth until its sends were used up, and ended in 502.

Cause: `may_move_from` asked whether another engine exists and is not ejected, not whether it could run the request.

Now a stream without output leaves an engine that still accepts connections only for one whose estimated requests (those that the choice of an engine uses: the last valid report, own and other daemons' requests) are fewer than its slots. An engine that a liveness check could not reach is left as before, and so are engines of streams with output. The limit for a first output may be shorter than the time until the first check, so that a monitor that goes on beyond the limit makes that check once. `requests_at` moves from endpoint_choices.cpp to a file of its own.

--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -8,6 +8,7 @@
 #include "shared_parts.h"
 
 #include <forwarding/draw_service.h>
+#include <forwarding/requests_at.h>
 #include <forwarding/retry_policy.h>
 #include <forwarding/step_after_silence.h>
 #include <suspects/verdict.h>
@@ -206,14 +207,17 @@
     return step;
 }
 
-bool forwarded_call::may_move_from(const core::endpoint& endpoint)
+bool forwarded_call::may_move_from(const core::endpoint& endpoint, bool reachable)
 {
     auto& context = environment_.context;
     const auto at = now();
+    // The engine may only have queued the request, which would gain nothing in another queue.
+    const bool may_be_queued = reachable && !progress_.had_output;
     const bool other_engine = std::ranges::any_of(candidates(true), [&](const auto& one) {
         const bool same =
             one.what.name == endpoint.name && one.what.incarnation == endpoint.incarnation;
-        return !same && one.stats.avoid_until <= at;
+        return !same && one.stats.avoid_until <= at &&
+               (!may_be_queued || forwarding::has_room(one, at));
     });
     return forwarding::step_after_silence(progress_, environment_.matched_route, other_engine) ==
                forwarding::silence_step::move &&
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -96,8 +96,8 @@
     [[nodiscard]] forwarding::next_step decide(forwarding::attempt_end end);
 
     /// True if an attempt at the silent `endpoint` should be abandoned for one at another endpoint,
-    /// which is then charged to the retry budget.
-    [[nodiscard]] bool may_move_from(const core::endpoint& endpoint);
+    /// which is then charged to the retry budget. `reachable`: the endpoint accepts connections.
+    [[nodiscard]] bool may_move_from(const core::endpoint& endpoint, bool reachable);
 
     /// True if the request may not be sent again, since it or a part of its prompt crashes
     /// endpoints.
--- a/libs/caller_front/src/silence_monitor.cpp
+++ b/libs/caller_front/src/silence_monitor.cpp
@@ -37,6 +37,7 @@
 {
     bounds_ = bounds;
     last_output_ = now();
+    reachable_ = true;
     if (check_ != nullptr) {
         std::exchange(check_, nullptr)->cancel();
     }
@@ -59,22 +60,33 @@
 {
     const auto timer_late = now() - due_;
     if (now() - last_output_ >= bounds_.give_up_after) {
+        const auto timer = timer_;
         set_timer(now() + bounds_.probe_after);
         report_lost("no output within the limit", timer_late);
+        // The limit may be shorter than the time until the first check.
+        if (timer_ == timer && check_ == nullptr) {
+            begin_check(timer_late);
+        }
         return;
     }
     if (check_ != nullptr) {
         check_->cancel();
     }
+    // Before the check starts, since its result may stop the monitor.
+    set_timer(std::min(now() + bounds_.probe_after, last_output_ + bounds_.give_up_after));
+    begin_check(timer_late);
+}
+
+void silence_monitor::begin_check(core::duration timer_late)
+{
     check_ = std::make_shared<liveness_check>(
         pool_, where_, [weak = weak_from_this(), timer_late](bool alive) {
             const auto self = weak.lock();
             if (self != nullptr && !alive) {
+                self->reachable_ = false;
                 self->report_lost("endpoint unreachable", timer_late);
             }
         });
-    // Before the check starts, since its result may stop the monitor.
-    set_timer(std::min(now() + bounds_.probe_after, last_output_ + bounds_.give_up_after));
     check_->start(check_timeout);
 }
 
@@ -86,7 +98,7 @@
 
 void silence_monitor::report_lost(const char* detail, core::duration timer_late)
 {
-    on_lost_({detail, now() - last_output_, timer_late});
+    on_lost_({detail, now() - last_output_, reachable_, timer_late});
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/silence_monitor.h
+++ b/libs/caller_front/src/silence_monitor.h
@@ -40,6 +40,7 @@
 
 private:
     void check_silence();
+    void begin_check(core::duration timer_late);
     void set_timer(core::instant due);
     void report_lost(const char* detail, core::duration timer_late);
 
@@ -48,7 +49,8 @@
     core::address where_;
     forwarding::silence_timeouts bounds_;
     core::instant last_output_{};
-    core::instant due_{}; // Of `timer_`.
+    core::instant due_{};   // Of `timer_`.
+    bool reachable_ = true; // As far as the latest check since that output has shown.
     std::shared_ptr<lazy_timer> timer_;
     std::shared_ptr<liveness_check> check_;
 };
--- a/libs/caller_front/src/silence_report.h
+++ b/libs/caller_front/src/silence_report.h
@@ -11,6 +11,7 @@
 struct silence_report {
     std::string detail;
     core::duration silent_for{};
+    bool reachable = true;       ///< As far as its latest liveness check has shown.
     core::duration timer_late{}; ///< By how much the lane ran the monitor's timer late.
 
     friend auto operator<=>(const silence_report&, const silence_report&) = default;
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -178,7 +178,8 @@
 void stream_call::handle_silence(const silence_report& seen)
 {
     const auto silent = current_->endpoint();
-    const auto step = may_move_from(silent) ? silence_step::move : silence_step::stay;
+    const auto step =
+        may_move_from(silent, seen.reachable) ? silence_step::move : silence_step::stay;
     if (step == silence_step::move || !std::exchange(silence_noted_, true)) {
         log_silence(request_id_, silent, seen, step);
         environment_.context.metrics.count("silences_total",
--- a/libs/caller_front/tests/silence_monitor_test.cpp
+++ b/libs/caller_front/tests/silence_monitor_test.cpp
@@ -49,4 +49,24 @@
     CHECK_FALSE(lost);
 }
 
+TEST_CASE("an engine that is silent beyond a limit before its first check is still checked")
+{
+    constexpr milliseconds limit{100};
+    constexpr milliseconds first_look{200};
+    asio::io_context lane;
+    upstream_pool pool(lane);
+    tcp::acceptor engine(lane, tcp::v4());
+    engine.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const auto port = engine.local_endpoint().port();
+    engine.close(); // Refuses connections.
+    std::vector<bool> reachable;
+    const auto monitor = std::make_shared<silence_monitor>(
+        pool, [&](const silence_report& seen) { reachable.push_back(seen.reachable); });
+    monitor->begin({"127.0.0.1", port}, {first_look, limit});
+    while (reachable.size() < 2) {
+        lane.run_one();
+    }
+    CHECK(reachable == std::vector{true, false});
+}
+
 } // namespace ej::front
--- a/libs/forwarding/src/endpoint_choices.cpp
+++ b/libs/forwarding/src/endpoint_choices.cpp
@@ -1,8 +1,8 @@
 #include <forwarding/endpoint_choice.h>
+#include <forwarding/requests_at.h>
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <functional>
 #include <utility>
 
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Older reports are ignored: by then a plain call has ended and a stream has progressed.
-constexpr std::chrono::milliseconds report_validity{3'000};
-
 // Delay that each request running at an engine adds to the first output of the next one, in ms.
 constexpr double ms_per_running = 40;
 // Time to read one prompt token at an average engine, in ms (platform's data sheet: 5 tokens per
@@ -22,17 +19,6 @@
 // higher.
 constexpr double ms_remote = 10;
 
-/// Estimated number of requests of all daemons at the endpoint.
-double requests_at(const endpoint_stats& known, core::instant now)
-{
-    const double from_messages = double(known.in_flight) + double(known.others_in_flight);
-    if (known.reported_at == core::instant{} || now - known.reported_at > report_validity) {
-        return from_messages;
-    }
-    const double since = double(known.in_flight) - double(known.in_flight_at_report);
-    return std::max(from_messages, double(known.reported) + since);
-}
-
 /// The candidate with the lowest score; ejected endpoints rank after all others.
 template <class Score>
 std::optional<std::size_t> lowest(std::span<const candidate> from, std::uint64_t turn,
--- a/tests/forward/full_engines_test.cpp
+++ b/tests/forward/full_engines_test.cpp
@@ -85,4 +85,30 @@
     CHECK(full.requests().size() == refusals + 1);
 }
 
+TEST_CASE("a stream that waits in its engine's queue does not leave it for a full engine")
+{
+    // Three times the silence limit of the route, less than reports of load are valid.
+    constexpr std::chrono::milliseconds queued{1'000};
+    daemon_fixture fixture;
+    const endpoint_stand_in full([](const std::string& request, int) {
+        return refuse(request, "Endivejunction-Server-Load: 8,3,8\r\n");
+    });
+    fixture.add("i-1", "llm", full);
+    fixture.configure(1, streaming_route());
+    fixture.start();
+    REQUIRE(fixture.wait_for_endpoints(1));
+    CHECK(answer_to_stream(fixture).starts_with("HTTP/1.1 503"));
+    const auto refused = full.requests().size();
+    const endpoint_stand_in queueing([&](const std::string& request, int) {
+        auto steps = serve(request);
+        steps.insert(steps.begin(), {step_kind::wait, "", queued});
+        return steps;
+    });
+    fixture.add("i-2", "llm", queueing);
+    REQUIRE(fixture.wait_for_endpoints(2));
+    CHECK(joined_chunks(answer_to_stream(fixture)) == whole_stream());
+    CHECK(queueing.requests().size() == 1);
+    CHECK(full.requests().size() == refused);
+}
+
 } // namespace ej::forward_tests
