A retry goes to an application that lost no attempt of the request

Cause, shown by a test of libs/routing: one failure does not block an endpoint, and the pool of the daemon's own failure domain comes first. The second attempt therefore went back to the application that had just lost the first. If its listener isn't closed yet, that attempt is lost too, and the budget has room for one.

A request now carries the endpoints where its attempts failed (request_features::lost_at, through admission_gate::enter_again). The pool passes over them, the other failure domains come next, and only if no other endpoint has room now does the request go back. The cost is that of the names passed over, not of the pool's size.

Now routing_tests pass (8) and runtime_tests (16).

--- a/libs/routing/include/routing/endpoint_pools.h
+++ b/libs/routing/include/routing/endpoint_pools.h
@@ -42,7 +42,8 @@
     void report(const pool_key& key, const load_report& report);
 
     /// Chooses an endpoint and counts the request as in flight there. Uses the local failure
-    /// domain, or a remote one if the local pool has no free capacity. Empty if no pool has any.
+    /// domain, or a remote one if the local pool has no free capacity. An endpoint where the
+    /// request lost an attempt is used only if no other has free capacity. Empty if none has any.
     [[nodiscard]] std::optional<endpoint_assignment>
     acquire(const core::service_id& service, const reachable_domains& reachable_domains,
             const request_features& request, std::uint64_t seed, core::instant now);
@@ -60,6 +61,10 @@
                                        core::instant now);
 
 private:
+    std::optional<endpoint_assignment> acquire_reachable(const core::service_id& service,
+                                                         const reachable_domains& reachable_domains,
+                                                         const request_features& request,
+                                                         std::uint64_t seed, core::instant now);
     std::optional<core::endpoint_id> acquire_in(const pool_key& key,
                                                 const request_features& request, std::uint64_t seed,
                                                 core::instant now);
--- a/libs/routing/include/routing/pool.h
+++ b/libs/routing/include/routing/pool.h
@@ -37,7 +37,8 @@
     void report(const load_report& report, const limits::limiter& limiter,
                 const limits::daemon_share& share);
 
-    /// Chooses an endpoint and counts the request as in flight there.
+    /// Chooses an endpoint where the request has lost no attempt and counts the request as in
+    /// flight there.
     std::optional<core::endpoint_id> acquire(const request_features& request, const router& router,
                                              std::uint64_t seed, core::instant now);
 
@@ -52,6 +53,12 @@
     [[nodiscard]] pool_summary summary(core::instant now);
 
 private:
+    [[nodiscard]] std::optional<core::endpoint_id> choose(const request_features& request,
+                                                          const router& router, std::uint64_t seed,
+                                                          core::instant now) const;
+    [[nodiscard]] std::vector<std::uint32_t>
+    indexes_of(const std::vector<core::endpoint_id>& names) const;
+    void close(std::uint32_t index);
     void replace(std::uint32_t index, endpoint_view next);
     void count(const endpoint_view& view, double sign);
     void update_open(std::uint32_t index);
--- a/libs/routing/src/endpoint_pools.cpp
+++ b/libs/routing/src/endpoint_pools.cpp
@@ -68,6 +68,19 @@
 std::optional<endpoint_assignment>
 endpoint_pools::acquire(const core::service_id& service, const reachable_domains& reachable_domains,
                         const request_features& request, std::uint64_t seed, core::instant now)
+{
+    auto other = acquire_reachable(service, reachable_domains, request, seed, now);
+    if (other || request.lost_at.empty()) {
+        return other;
+    }
+    request_features anywhere = request;
+    anywhere.lost_at.clear();
+    return acquire_reachable(service, reachable_domains, anywhere, seed, now);
+}
+
+std::optional<endpoint_assignment> endpoint_pools::acquire_reachable(
+    const core::service_id& service, const reachable_domains& reachable_domains,
+    const request_features& request, std::uint64_t seed, core::instant now)
 {
     const auto try_domain =
         [&](const core::failure_domain_id& domain) -> std::optional<endpoint_assignment> {
--- a/libs/routing/src/pool.cpp
+++ b/libs/routing/src/pool.cpp
@@ -34,9 +34,7 @@
     }
     views_.pop_back();
     index_.erase(name);
-    // A view with limit 0 may still be open for urgent requests.
-    open_.update(last, false);
-    urgent_open_.update(last, false);
+    close(last); // A view with limit 0 may still be open for urgent requests.
 }
 
 void pool::report(const load_report& report, const limits::limiter& limiter,
@@ -53,10 +51,10 @@
                                                core::instant now)
 {
     unblock_due(now);
-    // Urgent requests exceed the limits only if no endpoint has free capacity within them.
-    const bool past_limit = request.urgent && open_.members().empty();
-    const candidates from{views_, past_limit ? urgent_open_.members() : open_.members(), turn_};
-    auto chosen = router.choose(from, request, random_stream(seed), now);
+    const auto passed_over = indexes_of(request.lost_at);
+    std::ranges::for_each(passed_over, [&](std::uint32_t index) { close(index); });
+    auto chosen = choose(request, router, seed, now);
+    std::ranges::for_each(passed_over, [&](std::uint32_t index) { update_open(index); });
     if (!chosen) {
         return std::nullopt;
     }
@@ -66,6 +64,26 @@
     return chosen;
 }
 
+std::optional<core::endpoint_id> pool::choose(const request_features& request, const router& router,
+                                              std::uint64_t seed, core::instant now) const
+{
+    // Urgent requests exceed the limits only if no endpoint has free capacity within them.
+    const bool past_limit = request.urgent && open_.members().empty();
+    const candidates from{views_, past_limit ? urgent_open_.members() : open_.members(), turn_};
+    return router.choose(from, request, random_stream(seed), now);
+}
+
+std::vector<std::uint32_t> pool::indexes_of(const std::vector<core::endpoint_id>& names) const
+{
+    std::vector<std::uint32_t> indexes;
+    for (const core::endpoint_id& name : names) {
+        if (const auto found = index_.find(name); found != index_.end()) {
+            indexes.push_back(found->second);
+        }
+    }
+    return indexes;
+}
+
 void pool::release(const core::endpoint_id& name, const outcome& outcome, bool urgent,
                    core::instant now)
 {
@@ -116,6 +134,12 @@
     squared_rates_ += sign * slots * view.work_rate * view.work_rate;
 }
 
+void pool::close(std::uint32_t index)
+{
+    open_.update(index, false);
+    urgent_open_.update(index, false);
+}
+
 void pool::update_open(std::uint32_t index)
 {
     open_.update(index, has_room(views_[index], false));
--- a/libs/routing/src/prefix_affinity.cpp
+++ b/libs/routing/src/prefix_affinity.cpp
@@ -45,7 +45,8 @@
         return other;
     }
     const endpoint_view& preferred = from.all[bucket_of(request.prefix, from.all.size())];
-    if (!has_room(preferred, false)) {
+    const bool lost = std::ranges::find(request.lost_at, preferred.name) != request.lost_at.end();
+    if (lost || !has_room(preferred, false)) {
         return other;
     }
     // A random endpoint with free capacity represents the pool's typical finish.
--- a/libs/runtime/src/admission_gate.cpp
+++ b/libs/runtime/src/admission_gate.cpp
@@ -75,10 +75,11 @@
     return on_own_strand(submit(std::move(work_class), std::move(queued)));
 }
 
-asio::awaitable<admission_result> admission_gate::enter_again(core::work_class work_class,
-                                                              fairness::queued_request queued)
+asio::awaitable<admission_result>
+admission_gate::enter_again(core::work_class work_class, fairness::queued_request queued,
+                            std::vector<core::endpoint_id> lost_at)
 {
-    return on_own_strand(put_back(std::move(work_class), std::move(queued)));
+    return on_own_strand(put_back(std::move(work_class), std::move(queued), std::move(lost_at)));
 }
 
 asio::awaitable<admission_result> admission_gate::submit(core::work_class work_class,
@@ -87,7 +88,7 @@
     const auto strand = co_await asio::this_coro::executor;
     // The waiter is added before the submission, as another thread may grant the request
     // immediately.
-    auto waiting = add_waiter(work_class, queued, strand);
+    auto waiting = add_waiter(work_class, queued, {}, strand);
     const auto result =
         queues_.submit(work_class.name, queued,
                        capacity_of(pools_.summary(work_class.service, reach_(), now())), now());
@@ -102,10 +103,11 @@
 }
 
 asio::awaitable<admission_result> admission_gate::put_back(core::work_class work_class,
-                                                           fairness::queued_request queued)
+                                                           fairness::queued_request queued,
+                                                           std::vector<core::endpoint_id> lost_at)
 {
     const auto strand = co_await asio::this_coro::executor;
-    auto waiting = add_waiter(work_class, queued, strand);
+    auto waiting = add_waiter(work_class, queued, std::move(lost_at), strand);
     queues_.put_back(work_class.name, queued);
     co_return co_await wait(std::move(work_class), std::move(queued), std::move(waiting));
 }
@@ -178,13 +180,14 @@
 
 admission_gate::waiter admission_gate::add_waiter(const core::work_class& work_class,
                                                   const fairness::queued_request& queued,
+                                                  std::vector<core::endpoint_id> lost_at,
                                                   asio::any_io_executor strand)
 {
     const auto unused = [this](const routing::endpoint_assignment& where) {
         release_endpoint(where, {routing::outcome_kind::cancelled, 0, {}});
     };
-    auto added = std::make_shared<gate_waiter>(std::move(strand),
-                                               admission::is_urgent(work_class.target), unused);
+    auto added = std::make_shared<gate_waiter>(
+        std::move(strand), admission::is_urgent(work_class.target), std::move(lost_at), unused);
     waiters_.with(queued.request, [&](auto& waiters) { waiters[queued.request] = added; });
     return added;
 }
@@ -220,7 +223,7 @@
         return true;
     }
     const routing::request_features features{next.granted->work, 0, waiting->urgent(),
-                                             next.granted->finish_by};
+                                             next.granted->finish_by, waiting->lost_at()};
     const auto placed = pools_.acquire(service, reach_(), features, seed_(), now());
     if (placed) {
         waiting->complete({placed, {}});
--- a/libs/runtime/src/admission_gate.h
+++ b/libs/runtime/src/admission_gate.h
@@ -39,9 +39,11 @@
                                                    fairness::queued_request queued);
 
     /// Like `enter`, for a request that lost its endpoint: it is not refused because of the queue
-    /// ahead of it, and it is first within its workspace.
+    /// ahead of it, and it is first within its workspace. It goes to one of the endpoints
+    /// `lost_at`, where its attempts failed, only if no other has room.
     boost::asio::awaitable<admission_result> enter_again(core::work_class work_class,
-                                                         fairness::queued_request queued);
+                                                         fairness::queued_request queued,
+                                                         std::vector<core::endpoint_id> lost_at);
 
     /// Ends the wait of a request whose caller has disconnected.
     void cancel(const core::class_id& name, const core::request_id& request);
@@ -67,9 +69,10 @@
     boost::asio::awaitable<admission_result> submit(core::work_class work_class,
                                                     fairness::queued_request queued);
     boost::asio::awaitable<admission_result> put_back(core::work_class work_class,
-                                                      fairness::queued_request queued);
+                                                      fairness::queued_request queued,
+                                                      std::vector<core::endpoint_id> lost_at);
     waiter add_waiter(const core::work_class& work_class, const fairness::queued_request& queued,
-                      boost::asio::any_io_executor strand);
+                      std::vector<core::endpoint_id> lost_at, boost::asio::any_io_executor strand);
     boost::asio::awaitable<admission_result> wait(core::work_class work_class,
                                                   fairness::queued_request queued, waiter waiting);
     waiter take_waiter(const core::request_id& request);
--- a/libs/runtime/src/gate_waiter.cpp
+++ b/libs/runtime/src/gate_waiter.cpp
@@ -8,8 +8,10 @@
 
 namespace ej::runtime {
 
-gate_waiter::gate_waiter(asio::any_io_executor strand, bool urgent, unused_handler unused)
-    : strand_(std::move(strand)), timer_(strand_), urgent_(urgent), unused_(std::move(unused))
+gate_waiter::gate_waiter(asio::any_io_executor strand, bool urgent,
+                         std::vector<core::endpoint_id> lost_at, unused_handler unused)
+    : strand_(std::move(strand)), timer_(strand_), urgent_(urgent), lost_at_(std::move(lost_at)),
+      unused_(std::move(unused))
 {
 }
 
--- a/libs/runtime/src/generation_wait.cpp
+++ b/libs/runtime/src/generation_wait.cpp
@@ -30,7 +30,7 @@
     }
     queued.start_by = core::instant::max();
     queued.finish_by = std::chrono::steady_clock::now() + work_class.target.finish;
-    co_return co_await shared.gate.enter_again(std::move(work_class), std::move(queued));
+    co_return co_await shared.gate.enter_again(std::move(work_class), std::move(queued), {});
 }
 
 } // namespace ej::runtime
--- a/libs/runtime/src/idempotent_runner.cpp
+++ b/libs/runtime/src/idempotent_runner.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace ej::runtime {
 
@@ -35,6 +36,7 @@
     const auto queued = queued_request_of(call);
     shared_->budgets.first_attempt(call.work_class.name, call.work_class.target, queued.work);
     bool may_have_run = false;
+    std::vector<core::endpoint_id> lost_at;
     auto entry = co_await shared_->gate.enter(call.work_class, queued);
     while (entry.placed) {
         const auto began = now();
@@ -49,7 +51,8 @@
                                    : refusal(core::refusal_reason::no_endpoint);
         }
         shared_->metrics.count("retries_total", {{"reason", "endpoint_failed"}});
-        entry = co_await shared_->gate.enter_again(call.work_class, queued);
+        lost_at.push_back(entry.placed->endpoint);
+        entry = co_await shared_->gate.enter_again(call.work_class, queued, lost_at);
     }
     if (may_have_run) {
         co_return outcome_unknown("endpoint_failed");
--- a/libs/runtime/tests/admission_gate_test.cpp
+++ b/libs/runtime/tests/admission_gate_test.cpp
@@ -58,6 +58,22 @@
             [this, asked]() -> asio::awaitable<void> { co_await enter(asked); }, asio::detached);
     }
 
+    /// Like `start`, for a request whose attempt was lost at `lost_at`.
+    void start_again(const std::string& request, const core::endpoint_id& lost_at)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const fairness::queued_request asked{core::request_id(request), core::workspace_id("w"), 1,
+                                             now, now + 1h};
+        asio::co_spawn(
+            asio::make_strand(context),
+            [this, asked, lost_at]() -> asio::awaitable<void> {
+                std::vector<core::endpoint_id> lost{lost_at};
+                auto entry = co_await gate.enter_again(classes_.front(), asked, std::move(lost));
+                entries.emplace_back(asked.request.text(), std::move(entry));
+            },
+            asio::detached);
+    }
+
     [[nodiscard]] const core::work_class& work_class() const { return classes_.front(); }
 
     void run_ready()
@@ -69,9 +85,12 @@
     asio::io_context context;
     routing::endpoint_pools pools{std::make_unique<routing::two_choices>(),
                                   std::make_unique<limits::spare_share>()};
-    admission_gate gate{
-        pools, [] { return routing::reachable_domains{core::failure_domain_id("here"), {}}; },
-        [] { return std::uint64_t{7}; }};
+    admission_gate gate{pools,
+                        [] {
+                            return routing::reachable_domains{core::failure_domain_id("here"),
+                                                              {core::failure_domain_id("there")}};
+                        },
+                        [] { return std::uint64_t{7}; }};
     std::vector<std::pair<std::string, admission_result>> entries;
 
 private:
@@ -119,6 +138,28 @@
     CHECK(fixture.gate.reports().front().waiting == 0);
 }
 
+TEST_CASE("a request that lost its endpoint is placed at another one that has room")
+{
+    gate_fixture fixture;
+    core::endpoint other;
+    other.name = core::endpoint_id("e2");
+    other.domain = core::failure_domain_id("there");
+    other.service = service;
+    fixture.pools.add(other, std::chrono::steady_clock::now());
+    fixture.start("a", 1h);
+    fixture.run_ready();
+    REQUIRE(fixture.entries.size() == 1);
+    const auto first = fixture.entries.front().second.placed;
+    REQUIRE(first);
+    CHECK(first->endpoint == core::endpoint_id("e1"));
+    fixture.gate.release_endpoint(*first, {routing::outcome_kind::failed, 1, 1ms});
+    fixture.start_again("a", first->endpoint);
+    fixture.run_ready();
+    REQUIRE(fixture.entries.size() == 2);
+    REQUIRE(fixture.entries.back().second.placed);
+    CHECK(fixture.entries.back().second.placed->endpoint == core::endpoint_id("e2"));
+}
+
 TEST_CASE("no result is lost when another thread sets it while the wait begins")
 {
     constexpr std::size_t threads = 4;
