The soak sends SIGHUP to leaving daemons

The users' report of lost requests was shown by SIGHUP to daemons in their grace, which the soak never sent: `reload_settings` skips daemons that a fault holds.

From seed 2,000 on each `stop_daemon` fault sends SIGHUP as well, after the fault's drawn length (0.1 to 2.1 s) of the grace of 4 s. No number is drawn for it, so that the plans of smaller seeds stay the same, and those of larger ones differ in nothing else. A daemon that the signal ends is reported by its exit status ("ended with an error"), as any other.

That the soak finds the fault of then was not shown by a run on its code.

--- a/tests/soak/src/fault.cpp
+++ b/tests/soak/src/fault.cpp
@@ -17,6 +17,9 @@
 // Smaller seeds are replayed as they were before crashing parts existed.
 constexpr std::uint64_t first_seed_with_parts = 1'000;
 
+// Smaller seeds are replayed as they were before leaving daemons got SIGHUP.
+constexpr std::uint64_t first_seed_with_late_reloads = 2'000;
+
 // Faults beside a crashing part: the promise holds for daemons that reach the store and each other.
 constexpr std::array faults_beside_crashes{
     fault_kind::kill_daemon,    fault_kind::stop_daemon,          fault_kind::kill_endpoint,
@@ -42,6 +45,8 @@
                                                 draw(longest_fault_ms - shortest_fault_ms));
         made.kind = static_cast<fault_kind>(draw(fault_kind_count));
         made.target = draw(soak_fleet::daemon_count * soak_fleet::endpoint_count);
+        made.reloads_late =
+            seed >= first_seed_with_late_reloads && made.kind == fault_kind::stop_daemon;
         plan.push_back(made);
     }
     if (has_crashing_part(seed)) {
--- a/tests/soak/src/fault.h
+++ b/tests/soak/src/fault.h
@@ -15,7 +15,8 @@
     std::chrono::milliseconds at{}; ///< Offset from the start of the plan.
     std::chrono::milliseconds length{};
     fault_kind kind = fault_kind::kill_daemon;
-    std::size_t target = 0; ///< Index of a daemon or an endpoint, modulo their number.
+    std::size_t target = 0;    ///< Index of a daemon or an endpoint, modulo their number.
+    bool reloads_late = false; ///< SIGHUP `length` after the SIGTERM of `stop_daemon`.
 
     friend auto operator<=>(const fault&, const fault&) = default;
 };
--- a/tests/soak/src/fault_runner.cpp
+++ b/tests/soak/src/fault_runner.cpp
@@ -183,6 +183,9 @@
             const auto now = std::chrono::steady_clock::now();
             crashes_.add(daemon_outage{daemon, now, now + stop.length});
             system_.signal_daemon(daemon, SIGTERM);
+            if (injected.reloads_late) {
+                schedule_end(injected, [this, daemon] { system_.signal_daemon(daemon, SIGHUP); });
+            }
         },
         [this, daemon] { restart(daemon); });
 }
