--- a/tests/soak/src/fault.cpp
+++ b/tests/soak/src/fault.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint64_t seeds_per_seed_with_signals = 4;
 constexpr std::uint64_t older_fault_kind_count = 19;
 
+// Smaller seeds are replayed as they were before leaving daemons got SIGHUP.
+constexpr std::uint64_t first_seed_with_late_reloads = 2'000;
+
 // Faults beside a crashing part: the promise holds for daemons that reach the store and each other.
 constexpr std::array faults_beside_crashes{
     fault_kind::kill_daemon,    fault_kind::stop_daemon,          fault_kind::kill_endpoint,
@@ -62,6 +65,8 @@
                         ? faults_beside_signals.at(draw(faults_beside_signals.size()))
                         : static_cast<fault_kind>(draw(older_fault_kind_count));
         made.target = draw(soak_fleet::daemon_count * soak_fleet::endpoint_count);
+        made.reloads_late =
+            seed >= first_seed_with_late_reloads && made.kind == fault_kind::stop_daemon;
         plan.push_back(made);
     }
     if (has_crashing_part(seed)) {
