Load, health and speed of endpoints that are gone are forgotten

A daemon kept the load and health of every endpoint name and the speed of every address it had ever sent to, until it ended. endpoint_stats_table::review, run with the review of leaving incarnations about once a minute on the control loop (no timer of its own), drops names that are not available, run no request of this daemon and are not ejected, and addresses that have not been in use for ten minutes: an engine that restarts has a new name but the same speed.

--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -215,7 +215,9 @@
     if (std::exchange(changed_, false)) {
         log_.publish();
     }
-    log_.review(now());
+    if (log_.review(now())) {
+        context_.stats.review(*context_.endpoints.load(), now());
+    }
 }
 
 } // namespace ej::front
--- a/libs/forwarding/include/forwarding/available_endpoints.h
+++ b/libs/forwarding/include/forwarding/available_endpoints.h
@@ -6,6 +6,8 @@
 #include <core/endpoint_id.h>
 #include <core/service_id.h>
 
+#include <algorithm>
+#include <concepts>
 #include <cstddef>
 #include <memory>
 #include <unordered_map>
@@ -30,6 +32,15 @@
     /// True if `endpoint` is still listed with the same incarnation and is not leaving.
     [[nodiscard]] bool lists(const core::endpoint& endpoint) const;
 
+    /// Calls `action` with each endpoint that may receive requests.
+    template <std::invocable<const core::endpoint&> Action>
+    void for_each(Action action) const
+    {
+        for (const auto& [service, endpoints] : by_service_) {
+            std::ranges::for_each(*endpoints, action);
+        }
+    }
+
     /// A copy without `run`. Lists of services that do not have it are shared.
     [[nodiscard]] available_endpoints without(const endpoint_run& run) const;
 
--- a/libs/forwarding/include/forwarding/endpoint_registry.h
+++ b/libs/forwarding/include/forwarding/endpoint_registry.h
@@ -59,9 +59,9 @@
     /// Replaces the registrations in the directory.
     void publish() const;
 
-    /// Lets the directory forget what it knows of incarnations that are gone. Cheap when called
-    /// often.
-    void review(core::instant now);
+    /// Lets the directory forget what it knows of incarnations that are gone, about once a minute
+    /// however often it is called. Returns true if it has done so.
+    bool review(core::instant now);
 
 private:
     struct entry {
--- a/libs/forwarding/include/forwarding/endpoint_stats_table.h
+++ b/libs/forwarding/include/forwarding/endpoint_stats_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <forwarding/address_speed.h>
 #include <forwarding/attempt_end.h>
+#include <forwarding/available_endpoints.h>
 #include <forwarding/endpoint_stats.h>
 #include <forwarding/load_message.h>
 #include <forwarding/load_report.h>
@@ -13,6 +15,8 @@
 #include <core/endpoint_id.h>
 #include <core/instant.h>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,6 +26,9 @@
 /// Load and health of all endpoints, with one lock per shard of endpoints. Thread-safe.
 class endpoint_stats_table {
 public:
+    /// Time for which the speed at an address is remembered while no endpoint there is available.
+    static constexpr core::duration speed_retention = std::chrono::minutes(10);
+
     /// Records that a request with `prompt_tokens` was sent.
     void begin(const core::endpoint_id& name, std::uint64_t prompt_tokens);
 
@@ -54,6 +61,14 @@
     /// Drops the loads of peers whose last message has expired.
     void expire(core::instant now) { others_.expire(now); }
 
+    /// Forgets the endpoints that are not `available`, run no request of this daemon and are not
+    /// ejected, and the speed at addresses that have not been in use for `speed_retention`; to be
+    /// called regularly.
+    void review(const available_endpoints& available, core::instant now);
+
+    /// Number of endpoints and of addresses that are remembered.
+    [[nodiscard]] std::size_t size() { return entries_.size() + speeds_.size(); }
+
     /// This daemon's share of the load at `name`.
     [[nodiscard]] load_share own_share(const core::endpoint_id& name);
 
@@ -65,7 +80,7 @@
 
 private:
     concurrency::sharded<core::endpoint_id, endpoint_stats> entries_;
-    concurrency::sharded<std::string, double> slowness_; // By address.
+    concurrency::sharded<std::string, address_speed> speeds_; // By address.
     peer_loads others_;
 };
 
--- a/libs/forwarding/src/endpoint_registry.cpp
+++ b/libs/forwarding/src/endpoint_registry.cpp
@@ -110,13 +110,14 @@
     directory_.publish(std::move(records));
 }
 
-void endpoint_registry::review(core::instant now)
+bool endpoint_registry::review(core::instant now)
 {
     if (now < next_review_) {
-        return;
+        return false;
     }
     next_review_ = now + review_interval;
     directory_.review([this](const endpoint_run& run) { return has(run); }, now);
+    return true;
 }
 
 } // namespace ej::forwarding
--- a/libs/forwarding/src/endpoint_stats_table.cpp
+++ b/libs/forwarding/src/endpoint_stats_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <unordered_set>
 
 namespace ej::forwarding {
 
@@ -105,15 +106,43 @@
 void endpoint_stats_table::record_slowness(const core::address& where, double ratio)
 {
     const auto key = core::to_string(where);
-    slowness_.with(key, [&](auto& entries) {
-        const auto [entry, added] = entries.try_emplace(key, std::clamp(ratio, fastest, slowest));
+    const double sample = std::clamp(ratio, fastest, slowest);
+    speeds_.with(key, [&](auto& entries) {
+        const auto [entry, added] = entries.try_emplace(key, address_speed{sample, std::nullopt});
+        double& slowness = entry->second.slowness;
         if (!added) {
-            const double change = std::clamp(ratio, fastest, slowest) - entry->second;
-            entry->second += (change < 0 ? weight_of_faster : weight_of_slower) * change;
+            const double change = sample - slowness;
+            slowness += (change < 0 ? weight_of_faster : weight_of_slower) * change;
         }
     });
 }
 
+void endpoint_stats_table::review(const available_endpoints& available, core::instant now)
+{
+    std::unordered_set<core::endpoint_id> names;
+    std::unordered_set<std::string> addresses;
+    available.for_each([&](const core::endpoint& one) {
+        names.insert(one.name);
+        addresses.insert(core::to_string(one.where));
+    });
+    entries_.for_each_shard([&](auto& entries) {
+        std::erase_if(entries, [&](const auto& one) {
+            const endpoint_stats& known = one.second;
+            return known.in_flight == 0 && known.avoid_until <= now && !names.contains(one.first);
+        });
+    });
+    speeds_.for_each_shard([&](auto& entries) {
+        for (auto& [where, speed] : entries) {
+            speed.unused_since = addresses.contains(where)
+                                     ? std::nullopt
+                                     : std::optional(speed.unused_since.value_or(now));
+        }
+        std::erase_if(entries, [&](const auto& one) {
+            return one.second.unused_since && now - *one.second.unused_since > speed_retention;
+        });
+    });
+}
+
 load_share endpoint_stats_table::own_share(const core::endpoint_id& name)
 {
     return entries_.with(name, [&](auto& entries) {
@@ -145,9 +174,9 @@
         return found == entries.end() ? endpoint_stats{} : found->second;
     });
     const auto key = core::to_string(endpoint.where);
-    known.slowness = slowness_.with(key, [&](auto& entries) {
+    known.slowness = speeds_.with(key, [&](auto& entries) {
         const auto found = entries.find(key);
-        return found == entries.end() ? 1.0 : found->second;
+        return found == entries.end() ? 1.0 : found->second.slowness;
     });
     const auto others = others_.at(name);
     known.others_in_flight = others.in_flight;
