An endpoint's backoff outlasts a missing registration

The review that forgets endpoints that are gone (with the memory of leaving endpoints) dropped the backoff that a 503 with Retry-After had asked for, if the endpoint's registration was missing for a moment. Once registered again, it would have got requests within the time that it wanted none. Entries in their backoff stay.

Before, the test failed: no backoff at 4 of 5 s.

--- a/libs/forwarding/src/endpoint_stats_table.cpp
+++ b/libs/forwarding/src/endpoint_stats_table.cpp
@@ -148,7 +148,8 @@
     entries_.for_each_shard([&](auto& entries) {
         std::erase_if(entries, [&](const auto& one) {
             const endpoint_stats& known = one.second;
-            return known.in_flight == 0 && known.avoid_until <= now && !names.contains(one.first);
+            return known.in_flight == 0 && known.avoid_until <= now && !known.in_backoff(now) &&
+                   !names.contains(one.first);
         });
     });
     speeds_.for_each_shard([&](auto& entries) {
--- a/libs/forwarding/tests/endpoint_stats_test.cpp
+++ b/libs/forwarding/tests/endpoint_stats_test.cpp
@@ -62,4 +62,17 @@
     CHECK(table.size() == 0);
 }
 
+TEST_CASE("the backoff of an endpoint whose registration is missing for a while still holds")
+{
+    endpoint_stats_table table;
+    core::endpoint missing;
+    missing.name = core::endpoint_id("i-1");
+    missing.where = {"10.0.0.1", 1};
+    table.back_off(missing, start + seconds(5));
+    table.review({}, start + seconds(4));
+    CHECK(table.in_backoff(missing, start + seconds(4)));
+    table.review({}, start + seconds(5));
+    CHECK(table.size() == 0);
+}
+
 } // namespace ej::forwarding
