--- a/libs/forwarding/include/forwarding/endpoint_stats_table.h
+++ b/libs/forwarding/include/forwarding/endpoint_stats_table.h
@@ -70,8 +70,8 @@
     void expire(core::instant now) { others_.expire(now); }
 
     /// Forgets the endpoints that are not `available`, run no request of this daemon, are not
-    /// ejected and asked for no backoff, and the speed at addresses that have not been in use for `speed_retention`; to be
-    /// called regularly.
+    /// ejected and asked for no backoff, and the speed at addresses that have not been in use for
+    /// `speed_retention`; to be called regularly.
     void review(const available_endpoints& available, core::instant now);
 
     /// Number of endpoints and of addresses that are remembered.
