--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -6,18 +6,13 @@
 #include "local_reply.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace ej::front {
 
 namespace {
 
-using std::chrono::milliseconds;
-
 constexpr std::size_t read_bytes = 8'192;
-// Checks for progress of the output within the write timeout.
-constexpr int progress_checks = 5;
 // Limit for pipelined requests that are buffered while the current one is answered.
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} << 10;
 // Limit for discarded input, see `linger`.
@@ -197,59 +192,6 @@
     reply(local_reply(status, reason, "", context_.headers));
 }
 
-void caller_connection::timed_out()
-{
-    if (output_.busy() && phase_ != phase::closed) {
-        check_progress();
-        return;
-    }
-    switch (phase_) {
-    case phase::idle:
-        idle_limit_passed();
-        break;
-    case phase::lingering:
-        close();
-        break;
-    case phase::aborting:
-        reset_when_received();
-        break;
-    case phase::reading:
-        send_rejection(status_request_timeout, "request_timeout");
-        break;
-    case phase::answering:
-    case phase::closed:
-        break;
-    }
-}
-
-/// Disconnects a caller that has not read a part of its answer within the write timeout. Bytes that
-/// its machine has acknowledged count: the socket takes more only after many of them.
-void caller_connection::check_progress()
-{
-    const auto acknowledged = output_.acknowledged();
-    if (acknowledged > std::exchange(acknowledged_, acknowledged)) {
-        progress_at_ = now();
-    }
-    const auto& timeout = context_.settings.write_timeout;
-    if (now() >= progress_at_ + timeout) {
-        disconnect(connection_end::write_timeout);
-        return;
-    }
-    timer_->set(now() + timeout / progress_checks);
-}
-
-/// The limit that was in force when the connection became idle has passed. A caller may rely on one
-/// that was raised since; a lowered one applies to later waits.
-void caller_connection::idle_limit_passed()
-{
-    const auto end = idle_since_ + limits().idle_timeout;
-    if (now() < end) {
-        timer_->set(end);
-        return;
-    }
-    stop_waiting(connection_end::idle_timeout);
-}
-
 void caller_connection::abort()
 {
     if (phase_ != phase::answering) {
@@ -271,7 +213,7 @@
         return;
     }
     progress_at_ = now();
-    timer_->set(progress_at_ + context_.settings.write_timeout / progress_checks);
+    timer_->set(next_progress_check());
     output_.send(text, shared_from_this());
 }
 
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -62,6 +62,7 @@
     void idle_limit_passed();
     void send(const std::string& text, bool last);
     void check_progress();
+    [[nodiscard]] core::instant next_progress_check() const;
     void written(const error_code& error);
     void on_answer_sent();
     [[nodiscard]] bool announces_close() const;
