--- a/libs/forwarding/tests/load_test.cpp
+++ b/libs/forwarding/tests/load_test.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ej::forwarding {
@@ -27,7 +28,7 @@
     core::endpoint what;
     what.name = core::endpoint_id(name);
     what.domain = core::failure_domain_id(domain);
-    return {what, stats, local};
+    return {what, std::move(stats), local};
 }
 
 std::string chosen(const std::string& strategy, const std::vector<candidate>& from,
