A lost answer of the store is waited for three deadlines at most

If the last of them was lost just before the store was back, the daemon followed an old configuration and used removed endpoints for up to 8.8 s, longer than the bounds of the small sites allow (in touch after 3 s, then 2 s).

The wait grows to three deadlines now: with its pause and a listing it ends within these 5 s.

--- a/libs/forwarding/src/store_query_plan.cpp
+++ b/libs/forwarding/src/store_query_plan.cpp
@@ -11,7 +11,9 @@
 // slow: asking in the same way again could go on without an end.
 constexpr std::uint32_t lost_answers = 1;
 
-constexpr int longest_factor = 8;
+// A longer wait would keep a daemon at its old state for too long once the store, or the way to it,
+// is back: answers that were lost are waited for until its end.
+constexpr int longest_factor = 3;
 
 } // namespace
 
