Only requests that may be sent again are probed for

For these requests an early end gains nothing.

Probes begin only if the route allows a further send.

--- a/libs/caller_front/src/attempt_listener.h
+++ b/libs/caller_front/src/attempt_listener.h
@@ -25,6 +25,9 @@
     /// it.
     [[nodiscard]] virtual bool may_send(const upstream_attempt& attempt) const = 0;
 
+    /// True if the request may be sent again once its connection is lost.
+    [[nodiscard]] virtual bool may_be_repeated() const = 0;
+
     /// The answer's header was read.
     virtual void on_head(upstream_attempt& attempt) = 0;
 
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -251,6 +251,13 @@
            (trial_counted_ || environment_.context.parts.is_admitted(environment_.trial_of));
 }
 
+bool forwarded_call::may_be_repeated() const
+{
+    const auto& by = environment_.matched_route;
+    return by.kind == core::work_kind::idempotent ||
+           (by.kind == core::work_kind::generation && by.resumable);
+}
+
 void forwarded_call::on_sent(upstream_attempt& /*attempt*/)
 {
     if (!environment_.trial_of.empty() && !std::exchange(trial_counted_, true)) {
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -56,6 +56,8 @@
 
     [[nodiscard]] bool may_send(const upstream_attempt& attempt) const override;
 
+    [[nodiscard]] bool may_be_repeated() const override;
+
     /// Ends the call with its final answer now, for `reason`: its deadline has passed or the daemon
     /// shuts down.
     void end_now(std::string_view reason);
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -117,6 +117,11 @@
 
 void upstream_attempt::begin_probes()
 {
+    // An answer that no other endpoint may give is waited for: the network may come back in time.
+    const auto listener = listener_.lock();
+    if (listener == nullptr || !listener->may_be_repeated()) {
+        return;
+    }
     // Until then the shorter limit for a request without acknowledgement applies.
     if (unacknowledged_bytes(connection_->socket) > 0) {
         probe_timer_->set(now() + probe_after);
--- a/libs/caller_front/tests/upstream_attempt_test.cpp
+++ b/libs/caller_front/tests/upstream_attempt_test.cpp
@@ -22,6 +22,7 @@
 class refusing_listener final : public attempt_listener {
 public:
     [[nodiscard]] bool may_send(const upstream_attempt&) const override { return false; }
+    [[nodiscard]] bool may_be_repeated() const override { return false; }
     void on_sent(upstream_attempt&) override {}
     void on_head(upstream_attempt&) override {}
     void on_body(upstream_attempt&, std::string) override {}
