A death within a backoff is evidence unless the endpoint is only silent

Found by the review of the merge: an engine that had asked for a backoff and then crashed behind the head of an answer, its connection ending in an orderly way, left no evidence, since only lost connections were checked within a backoff.

Only silence is no reason for a new connection then. Before, the new test failed: no death seen within 20 s.

--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -177,8 +177,8 @@
     // looks spoiled.
     const bool may_have_died =
         end == attempt_end::broken || end == attempt_end::silent || end == attempt_end::spoiled;
-    // An endpoint that asked for a backoff gets no new connection unless its own was lost.
-    const bool may_check = end == attempt_end::broken || may_send(attempt);
+    // An endpoint that asked for a backoff gets no new connection for its silence alone.
+    const bool may_check = end != attempt_end::silent || may_send(attempt);
     if (attempt.sent() && may_have_died && may_check) {
         // A poison request crashes its endpoint before the first output.
         const auto suspect = progress_.had_output
--- a/tests/forward/backoff_test.cpp
+++ b/tests/forward/backoff_test.cpp
@@ -7,7 +7,9 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace ej::forward_tests {
 
@@ -217,4 +219,27 @@
     CHECK(engine.arrivals() == 2);
 }
 
+TEST_CASE("the death of an endpoint behind an unfinished head is seen within its backoff")
+{
+    daemon_fixture fixture;
+    backoff_endpoint engine([](const std::string& text, int) -> std::vector<step> {
+        const auto head = "HTTP/1.1 200 OK\r\nEndivejunction-Attempt-Id: " +
+                          header_value(text, "Endivejunction-Attempt-Id") +
+                          "\r\nEndivejunction-Response-Signature: signed\r\n\r\n";
+        return {{step_kind::hold, ""}, {step_kind::crash, head, std::chrono::seconds(30)}};
+    });
+    fixture.add("i-1", "llm", engine.stand_in());
+    fixture.configure_and_start(1);
+    caller connection(fixture.listen_address());
+    connection.send(backoff_request("/gen/x", "crashing"));
+    REQUIRE(daemon_fixture::wait_until([&] { return engine.arrivals() == 1; }));
+    engine.refuse(long_time);
+    caller second(fixture.listen_address());
+    second.send(backoff_request("/gen/x", "refused"));
+    REQUIRE(daemon_fixture::wait_until([&] { return engine.refused() == 1; }));
+    engine.stand_in().release();
+    CHECK(daemon_fixture::wait_until(
+        [&] { return contains(fixture.metrics(), "endivejunction_deaths_seen_total 1\n"); }));
+}
+
 } // namespace ej::forward_tests
