--- a/tests/soak/src/fault_runner.cpp
+++ b/tests/soak/src/fault_runner.cpp
@@ -23,6 +23,8 @@
 // From an engine's crash to its restart.
 constexpr milliseconds crash_time{1'000};
 
+constexpr int killed = 128 + SIGKILL;
+
 std::size_t daemon_of(const fault& injected)
 {
     return injected.target % soak_fleet::daemon_count;
@@ -159,8 +161,10 @@
 
 void fault_runner::restart(std::size_t daemon)
 {
-    if (!system_.restart_daemon(daemon)) {
-        unexpected_exits_.push_back("daemon " + std::to_string(daemon) + " ended with an error");
+    const int code = system_.restart_daemon(daemon);
+    if (code != 0 && code != killed) {
+        unexpected_exits_.push_back("daemon " + std::to_string(daemon) + " ended with code " +
+                                    std::to_string(code));
     }
 }
 
--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -218,12 +218,11 @@
     slot.process->signal(number);
 }
 
-bool soak_fleet::restart_daemon(std::size_t daemon)
+int soak_fleet::restart_daemon(std::size_t daemon)
 {
-    constexpr int killed = 128 + SIGKILL;
     const int code = daemons_.at(daemon)->process->wait();
     start_daemon(daemon);
-    return code == 0 || code == killed;
+    return code;
 }
 
 bool soak_fleet::daemon_ended_unexpectedly(std::size_t daemon)
--- a/tests/soak/src/soak_fleet.h
+++ b/tests/soak/src/soak_fleet.h
@@ -59,9 +59,8 @@
     [[nodiscard]] bool ready(std::size_t daemon) const;
 
     void signal_daemon(std::size_t daemon, int number);
-    /// Waits for the process to end and starts the daemon again; false if the exit code was neither
-    /// 0 nor that of SIGKILL.
-    bool restart_daemon(std::size_t daemon);
+    /// Waits for the process to end and starts the daemon again. Returns the exit code.
+    int restart_daemon(std::size_t daemon);
     /// True if the process has ended without a preceding SIGTERM or SIGKILL from the soak.
     [[nodiscard]] bool daemon_ended_unexpectedly(std::size_t daemon);
 
