Findings of the linter in tests

Long test cases have functions for their parts, constants that lambdas use are static, and parts are built from a range. The checks are the same.

--- a/libs/suspects/tests/part_table_test.cpp
+++ b/libs/suspects/tests/part_table_test.cpp
@@ -415,17 +415,27 @@
     CHECK(table->held(now + 2h).empty());
 }
 
+namespace {
+
+/// Admits a trial of `shared`, beside which no other is admitted, and takes it back. Returns when.
+core::instant return_a_trial(part_table& table, core::instant now)
+{
+    const auto found = table.evaluate(std::vector{shared}, owns_all, now);
+    CHECK(found.how == verdict::isolate);
+    CHECK(verdict_of(table, {shared}, now + 1s, owns_all) == verdict::refuse);
+    table.return_trial(found.held, now + 2s);
+    return now + 2s;
+}
+
+} // namespace
+
 TEST_CASE(
     "a trial whose request reaches no endpoint is not counted and the next one follows at once")
 {
     auto table = make_table();
     auto now = crash(*table, 3, {shared}) + 11s;
     for (int number = 0; number < 10; ++number) {
-        const auto found = table->evaluate(std::vector{shared}, owns_all, now);
-        CHECK(found.how == verdict::isolate);
-        CHECK(verdict_of(*table, {shared}, now + 1s, owns_all) == verdict::refuse);
-        now += 2s;
-        table->return_trial(found.held, now);
+        now = return_a_trial(*table, now);
     }
     CHECK(table->held(now).front().trials == 0);
     CHECK(try_part(*table, {shared}, now) == verdict::isolate);
@@ -526,10 +536,7 @@
             const auto numbers = *rc::gen::container<std::vector<std::uint64_t>>(
                 rc::gen::inRange<std::uint64_t>(1, 6));
             const std::set<std::uint64_t> drawn(numbers.begin(), numbers.end());
-            std::vector<part_digest> parts;
-            for (const std::uint64_t one : drawn) {
-                parts.emplace_back(one);
-            }
+            std::vector<part_digest> parts(drawn.begin(), drawn.end());
             reports.push_back(
                 death(number / 2, "d" + std::to_string(number / 2 % 3), std::move(parts)));
         }
--- a/tests/forward/odd_entry_test.cpp
+++ b/tests/forward/odd_entry_test.cpp
@@ -75,13 +75,24 @@
     }
 }
 
+/// Checks that a later registration and the removal of "i-1", the only endpoint, are followed.
+void check_followed(daemon_fixture& fixture)
+{
+    const endpoint_stand_in second(serve);
+    fixture.add("i-2", "app", second);
+    CHECK(fixture.wait_for_endpoints(2));
+    fixture.store.remove("servers/i-1");
+    CHECK(fixture.wait_for_endpoints(1));
+    CHECK(is_served(fixture, "b"));
+    CHECK(second.requests().size() == 1);
+}
+
 } // namespace
 
 TEST_CASE("odd entries among the registrations leave the others in use and are counted once")
 {
     daemon_fixture fixture;
     const endpoint_stand_in first(serve);
-    const endpoint_stand_in second(serve);
     fixture.add("i-1", "app", first);
     const bool before_start = GENERATE(true, false);
     const auto odd = odd_values();
@@ -95,12 +106,7 @@
     CHECK(daemon_fixture::wait_until(
         [&] { return counts(fixture, "endpoint_faults_total", odd.size()); }));
     CHECK(is_served(fixture, "a"));
-    fixture.add("i-2", "app", second); // A later registration is still followed.
-    CHECK(fixture.wait_for_endpoints(2));
-    fixture.store.remove("servers/i-1");
-    CHECK(fixture.wait_for_endpoints(1));
-    CHECK(is_served(fixture, "b"));
-    CHECK(second.requests().size() == 1);
+    check_followed(fixture);
     CHECK(counts(fixture, "endpoint_faults_total", odd.size()));
 }
 
--- a/tests/forward/vanished_engine_test.cpp
+++ b/tests/forward/vanished_engine_test.cpp
@@ -111,7 +111,7 @@
 
 TEST_CASE("a stream that may not go on elsewhere outlasts a loss of its engine's network")
 {
-    constexpr milliseconds loss{6'000};
+    static constexpr milliseconds loss{6'000};
     daemon_fixture fixture;
     const endpoint_stand_in engine([](const std::string& request, int) {
         return events_around(request, step_kind::vanish, loss);
@@ -122,8 +122,8 @@
 
 TEST_CASE("a stream outlasts the loss of a probe of its silent engine")
 {
-    constexpr milliseconds loss{2'300};
-    constexpr milliseconds silence{3'000};
+    static constexpr milliseconds loss{2'300};
+    static constexpr milliseconds silence{3'000};
     daemon_fixture fixture;
     const endpoint_stand_in engine([](const std::string& request, int) {
         auto steps = events_around(request, step_kind::wait, silence);
@@ -137,7 +137,7 @@
 
 TEST_CASE("a stream is not cut while its engine is silent for longer than probes may be lost")
 {
-    constexpr milliseconds silence{6'000};
+    static constexpr milliseconds silence{6'000};
     daemon_fixture fixture;
     const endpoint_stand_in engine([](const std::string& request, int) {
         return events_around(request, step_kind::wait, silence);
