The retry budget holds when many daemons lose streams at once

Cause: each daemon compared the sum that it had heard of with the limit. When a failure domain's engines die, all daemons resume streams within one report, and each sees the same remainder: the sum passes the limit by what is sent in that time. Of its own share, a daemon could use all while others had taken the whole remainder.

Change: a daemon that hears of others owns 0.4 of its share whatever happens; the rest of the budget is shared, up to 0.7 of it in use, and within one report interval (50 ms) a daemon takes at most its part of what is left; a part below one is drawn.

--- a/libs/forwarding/include/forwarding/retry_budget.h
+++ b/libs/forwarding/include/forwarding/retry_budget.h
@@ -1,25 +1,27 @@
 #pragma once
 
-#include <forwarding/budget_share.h>
 #include <forwarding/load_message.h>
 #include <forwarding/peer_budgets.h>
 #include <forwarding/retry_budget_settings.h>
 #include <forwarding/send_window.h>
+#include <forwarding/budget_share.h>
 
 #include <concurrency/sharded.h>
 #include <concurrency/snapshot.h>
 #include <core/instant.h>
 #include <core/service_id.h>
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace ej::forwarding {
 
 /// Retry budget: limits the sends after the first one of each request, per service, over a sliding
 /// window and summed over all daemons. Each daemon may use the ratio of its own first sends plus
-/// its share of the allowance; beyond that, it may use what the messages of its peers show to be
-/// unused. Thread-safe.
+/// its share of the allowance; once it hears of others, a part of that is its own and the rest is
+/// used by whoever needs it, as far as the messages of its peers show it to be unused. Thread-safe.
 class retry_budget {
 public:
     explicit retry_budget(retry_budget_settings settings);
@@ -34,6 +36,9 @@
     /// daemons that share the allowance.
     bool take(const core::service_id& service, std::size_t daemons, core::instant now);
 
+    /// Number of further sends since the start, of all services.
+    [[nodiscard]] std::uint64_t takes() const { return takes_; }
+
     /// Applies the numbers of sends in a peer's message.
     void apply_peer_message(const load_message& message, core::instant now)
     {
@@ -47,6 +52,7 @@
     concurrency::snapshot<retry_budget_settings> settings_;
     concurrency::sharded<core::service_id, send_window> windows_;
     peer_budgets others_;
+    std::atomic<std::uint64_t> takes_{0};
 };
 
 } // namespace ej::forwarding
--- a/libs/forwarding/include/forwarding/send_window.h
+++ b/libs/forwarding/include/forwarding/send_window.h
@@ -10,6 +10,8 @@
 struct send_window {
     std::deque<core::instant> first_sends;
     std::deque<core::instant> further_sends;
+    core::instant lending_since{}; ///< Begin of the current interval of sends from the shared part.
+    double lent = 0;               ///< Sends from the shared part in that interval.
 };
 
 } // namespace ej::forwarding
--- a/libs/forwarding/src/retry_budget.cpp
+++ b/libs/forwarding/src/retry_budget.cpp
@@ -1,15 +1,51 @@
 #include <forwarding/retry_budget.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
 
 namespace ej::forwarding {
 
 namespace {
 
-// Fraction of the total budget that may be in use when a daemon sends within its own share, and
-// beyond it. The remainder covers sends that peers have not reported yet.
-constexpr double own_part = 1;
-constexpr double lent_part = 0.7;
+// Fraction of its share that a daemon may use whatever it hears of the others, and fraction of the
+// total budget that may be in use when it sends beyond it. The remainder covers what the others may
+// still use of their own.
+constexpr double reserved_part = 0.4;
+constexpr double shared_part = 0.7;
+// Other daemons learn of a send within this interval. In each one, a daemon takes at most its part
+// of what is left, since the streams of a failed domain are resumed by all daemons at once.
+constexpr std::chrono::milliseconds report_interval{50};
+
+/// A number from 0 to below 1 that differs between nearby instants.
+double draw_of(core::instant now)
+{
+    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+    constexpr unsigned fraction_bits = 53;
+    auto mixed = static_cast<std::uint64_t>(now.time_since_epoch().count()) * multiplier;
+    mixed = (mixed ^ (mixed >> 32U)) * multiplier;
+    return std::ldexp(double(mixed >> (64U - fraction_bits)), -int(fraction_bits));
+}
+
+/// True if `window` may take one more of the `left` sends that `daemons` share.
+bool take_shared(send_window& window, double left, std::size_t daemons, core::instant now)
+{
+    if (left < 1) {
+        return false;
+    }
+    if (now - window.lending_since >= report_interval) {
+        window.lending_since = now;
+        window.lent = 0;
+    }
+    // `left` includes what was not used of this interval's part.
+    const double part = (left + window.lent) / double(daemons);
+    if (window.lent + 1 > part && (window.lent > 0 || draw_of(now) >= part)) {
+        return false;
+    }
+    ++window.lent;
+    return true;
+}
 
 void drop_before(std::deque<core::instant>& times, core::instant oldest)
 {
@@ -53,12 +89,14 @@
         // Daemons without a recent message may use their shares of the allowance unnoticed.
         const double all_most = bound->ratio * (first_sends + double(peers.first_sends)) +
                                 bound->allowance * double(peers.daemons + 1) / double(daemon_count);
-        const double part = wanted <= own_most ? own_part : lent_part;
-        if ((peers.daemons == 0 && wanted > own_most) ||
-            wanted + double(peers.further_sends) > part * all_most) {
+        const double reserved = peers.daemons == 0 ? own_most : reserved_part * own_most;
+        const double left = shared_part * all_most + 1 - (wanted + double(peers.further_sends));
+        if (wanted > reserved &&
+            (peers.daemons == 0 || !take_shared(window, left, peers.daemons + 1, now))) {
             return false;
         }
         window.further_sends.push_back(now);
+        ++takes_;
         return true;
     });
 }
