Streams prefer engines of their own failure domain

Cause: the penalty for another domain was 10 ms, less than the difference of two idle engines.

Change: 500 ms for a generation, half the time to read a prompt: a queue of one prompt is still left for an idle engine elsewhere.

--- a/libs/forwarding/src/endpoint_choices.cpp
+++ b/libs/forwarding/src/endpoint_choices.cpp
@@ -12,8 +12,10 @@
 
 namespace {
 
-// Penalty for another failure domain: traffic to it is charged for, and its latency is higher.
+// Penalty for another failure domain: traffic to it is charged for, and its latency is higher. A
+// stream lasts for seconds, during which the domains may be cut off from each other.
 constexpr std::chrono::milliseconds remote_penalty{10};
+constexpr std::chrono::milliseconds remote_stream_penalty{500};
 
 /// The candidate with the lowest score among those that accept requests; ejected endpoints rank
 /// after all others.
@@ -70,8 +72,9 @@
                                                     core::instant now) const override
     {
         return lowest(from, turn, now, [&](const candidate& one) {
+            const auto penalty = size.prompt_tokens > 0 ? remote_stream_penalty : remote_penalty;
             const auto delay = first_output_delay(one, size, now);
-            return double((delay + (one.local ? core::duration() : remote_penalty)).count());
+            return double((delay + (one.local ? core::duration() : penalty)).count());
         });
     }
 };
