--- a/libs/caller_front/src/peer_link.h
+++ b/libs/caller_front/src/peer_link.h
@@ -101,8 +101,8 @@
     std::mutex mutex_;
     // Engines by failure domain. Guarded by mutex_.
     std::map<core::failure_domain_id, std::set<core::endpoint_id>> changes_;
-    std::uint64_t further_sends_told_ = 0; // To all daemons. Used on the loop.
-    std::uint64_t full_loads_ = 0;         // Sent. Used on the loop.
+    std::uint64_t further_sends_reported_ = 0; // To all daemons. Used on the loop.
+    std::uint64_t full_loads_ = 0;             // Sent. Used on the loop.
 };
 
 } // namespace ej::front
--- a/libs/caller_front/src/peer_link_load.cpp
+++ b/libs/caller_front/src/peer_link_load.cpp
@@ -57,7 +57,8 @@
     const auto peers = context_.peers_by_domain.load();
     // The budget is shared by all daemons, so that each must know of further sends at once.
     const auto further_sends = context_.budget.takes();
-    const bool further_sent = std::exchange(further_sends_told_, further_sends) != further_sends;
+    const bool further_sent =
+        std::exchange(further_sends_reported_, further_sends) != further_sends;
     const bool to_all = further_sent || context_.copies.places_are_scarce();
     std::vector<forwarding::load_share> all;
     for (const auto& [domain, engines] : changes) {
--- a/libs/forwarding/include/forwarding/retry_budget.h
+++ b/libs/forwarding/include/forwarding/retry_budget.h
@@ -20,8 +20,9 @@
 
 /// Retry budget: limits the sends after the first one of each request, per service, over a sliding
 /// window and summed over all daemons. Each daemon may use the ratio of its own first sends plus
-/// its share of the allowance; once it hears of others, a part of that is its own and the rest is
-/// used by whoever needs it, as far as the messages of its peers show it to be unused. Thread-safe.
+/// its share of the allowance; once it receives messages of others, a part of that is its own and
+/// the rest is used by whoever needs it, as far as the messages of its peers show it to be unused.
+/// Thread-safe.
 class retry_budget {
 public:
     explicit retry_budget(retry_budget_settings settings);
--- a/libs/forwarding/src/retry_budget.cpp
+++ b/libs/forwarding/src/retry_budget.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Fraction of its share that a daemon may use whatever it hears of the others, and fraction of the
+// Fraction of its share that a daemon may use whatever the others report, and fraction of the
 // total budget that may be in use when it sends beyond it. The remainder covers what the others may
 // still use of their own.
 constexpr double reserved_part = 0.4;
--- a/tests/forward/backoff_test.cpp
+++ b/tests/forward/backoff_test.cpp
@@ -184,8 +184,8 @@
     caller connection(fixture.listen_address());
     begin_stream_with_copy(connection, first, holder.stand_in());
     REQUIRE(contains(connection.read_until("word5"), "word5"));
-    // The first engine has a request already, so that the next one is sent to the other, which is in
-    // the same failure domain.
+    // The first engine has a request already, so that the next one is sent to the other, which is
+    // in the same failure domain.
     caller second(fixture.listen_address());
     second.send(backoff_request("/gen/x", "refused"));
     REQUIRE(daemon_fixture::wait_until([&] { return holder.refused() == 1; }));
