The last log lines of a daemon are written to a slow reader

Cause: the queue's destructor gave its writer 100 ms for all that was queued, some 30 calls that ended at once, and the process ended within the write. It now waits as long as the reader goes on reading, in writes of 4 KiB, and gives up after 100 ms without progress.

Evidence: the test "the last lines are written although their reader is slow" failed before (147,456 of 500,500 bytes could have been read).

--- a/libs/logging/src/line_queue.cpp
+++ b/libs/logging/src/line_queue.cpp
@@ -3,9 +3,12 @@
 #include <pthread.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -20,8 +23,11 @@
 // more than writing it.
 constexpr std::chrono::milliseconds batch_interval{100};
 
-// How long the destructor waits for a reader that does not read.
-constexpr std::chrono::milliseconds shutdown_wait{100};
+// A slow reader makes progress that shows within one write.
+constexpr std::size_t max_write_bytes = std::size_t{4} << 10;
+
+// The destructor gives up on a reader that has read nothing for this long.
+constexpr std::chrono::milliseconds reader_patience{100};
 
 /// Blocks SIGPIPE, so that a closed reader makes write() fail instead of ending the process.
 void block_pipe_signal()
@@ -32,16 +38,18 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-/// Writes all of `text`; false on a write error, such as a closed reader.
-bool write_all(int descriptor, std::string_view text)
+/// Writes all of `text` and adds its bytes to `total` as they are written; false on a write error,
+/// such as a closed reader.
+bool write_all(int descriptor, std::string_view text, std::atomic<std::uint64_t>& total)
 {
     while (!text.empty()) {
-        const auto written = ::write(descriptor, text.data(), text.size());
+        const auto written = ::write(descriptor, text.data(), std::min(text.size(), max_write_bytes));
         if (written < 0 && errno != EINTR) {
             return false;
         }
         if (written > 0) {
             text.remove_prefix(static_cast<std::size_t>(written));
+            total += static_cast<std::uint64_t>(written);
         }
     }
     return true;
@@ -60,7 +68,12 @@
     std::unique_lock lock(state_->mutex);
     state_->ending = true;
     state_->changed.notify_all();
-    if (state_->changed.wait_for(lock, shutdown_wait, [this] { return state_->finished; })) {
+    std::optional<std::uint64_t> before;
+    while (!state_->finished && before != state_->written) {
+        before = state_->written;
+        state_->changed.wait_for(lock, reader_patience, [this] { return state_->finished; });
+    }
+    if (state_->finished) {
         lock.unlock();
         thread_.join();
         return;
@@ -104,7 +117,7 @@
         }
         const auto text = take_lines(shared);
         lock.unlock();
-        reader_open = write_all(descriptor, text);
+        reader_open = write_all(descriptor, text, shared.written);
         lock.lock();
     }
     shared.finished = true;
--- a/libs/logging/src/line_queue.h
+++ b/libs/logging/src/line_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -18,7 +19,7 @@
 public:
     explicit line_queue(int descriptor);
 
-    /// Writes queued lines as far as the reader accepts them at once.
+    /// Writes the queued lines, unless the reader stops reading.
     ~line_queue();
     line_queue(const line_queue&) = delete;
     line_queue& operator=(const line_queue&) = delete;
@@ -40,6 +41,7 @@
         std::size_t bytes = 0;
         std::uint64_t dropped = 0;
         std::uint64_t reported_dropped = 0; // Value of `dropped` last written.
+        std::atomic<std::uint64_t> written{0}; // Bytes accepted by the descriptor.
         bool ending = false;
         bool finished = false; // The thread writes no more lines.
     };
--- a/libs/logging/tests/line_queue_test.cpp
+++ b/libs/logging/tests/line_queue_test.cpp
@@ -7,9 +7,12 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -43,6 +46,19 @@
     return text;
 }
 
+constexpr std::size_t part_bytes = 16'384;
+
+/// Reads until the end, some bytes at a time with pauses, and counts them.
+void read_slowly(int descriptor, std::atomic<std::size_t>& total)
+{
+    std::vector<char> part(part_bytes);
+    for (auto count = ::read(descriptor, part.data(), part.size()); count > 0;
+         count = ::read(descriptor, part.data(), part.size())) {
+        total += static_cast<std::size_t>(count);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+}
+
 } // namespace
 
 TEST_CASE("lines are written whole and in order")
@@ -62,6 +78,27 @@
     CHECK(read_all(pipe.ends[0]) == expected);
 }
 
+TEST_CASE("the last lines are written although their reader is slow")
+{
+    pipe_ends pipe;
+    const std::string line(1'000, 'x');
+    constexpr int count = 500; // Many times the size of a pipe.
+    constexpr std::size_t pipe_bytes = 65'536;
+    std::atomic<std::size_t> read{0};
+    auto reader = std::async(std::launch::async, [&] { read_slowly(pipe.ends[0], read); });
+    {
+        line_queue lines(pipe.ends[1]);
+        for (int number = 0; number < count; ++number) {
+            lines.push(line + "\n");
+        }
+    }
+    // The process may end now: the rest is in the pipe or was just taken from it.
+    CHECK(read + pipe_bytes + part_bytes >= count * (line.size() + 1));
+    ::close(std::exchange(pipe.ends[1], ::dup(pipe.ends[0])));
+    reader.get();
+    CHECK(read == count * (line.size() + 1));
+}
+
 TEST_CASE("a reader that does not read does not delay the writer, and dropped lines are counted")
 {
     // Both ends stay open: the queue's thread may be blocked in a write until the process ends.
