A leaving daemon refuses at once what it would cut at its end

They had arrived up to 2.3 s after SIGTERM, or waited for a place, and took 9 to 14 s where the grace is 8 s. A call with a long timeout, not to be repeated, was sent in the grace and got 504 at its end.

Cause: whether a request can end in time was asked once, as its head arrived, and not before the load balancer's notice time. A body that came slowly, a wait for a place or for a pause, and a further send made the answer wrong. The class is a check at admission for a condition that changes before the act.

Now the question is asked before every first send, while a request waits, and of all that wait when SIGTERM comes. A plain call is measured by its deadline, a generation by a forecast of its last output: prompt, pace of the running streams with a margin, and run times of those that ended. What may have run or has begun to be answered is never refused. A refusal says that the request has not run.

--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -50,6 +50,9 @@
 
 void buffered_call::send()
 {
+    if (refuse_if_too_late()) {
+        return;
+    }
     const auto endpoint = choose(candidates(false));
     if (!endpoint) {
         wait_or_give_up();
--- a/libs/caller_front/src/buffered_call.h
+++ b/libs/caller_front/src/buffered_call.h
@@ -30,6 +30,7 @@
     void send() override;
     void expire(std::string_view reason) override;
     void cancel_attempts() override;
+    [[nodiscard]] bool is_running() const override { return !running_.empty(); }
     void continue_after(forwarding::attempt_end end, const upstream_attempt& attempt,
                         std::string body);
     void arm_hedge_timer();
--- a/libs/caller_front/src/call_admission.cpp
+++ b/libs/caller_front/src/call_admission.cpp
@@ -99,16 +99,13 @@
     }
 
 private:
-    /// True if the daemon would shut down before the request completes. A load balancer without
-    /// other daemons still sends callers here.
+    /// True if a leaving daemon accepts no more requests of this kind, whatever they take. A load
+    /// balancer without other daemons still sends callers here.
     bool ends_too_late(const forwarding::route& matched_route) const
     {
         const auto schedule = *context_.schedule.load();
-        if (!schedule || request_.arrived < schedule->balancer_stops_by) {
-            return false;
-        }
-        return matched_route.kind == core::work_kind::generation ||
-               request_.arrived + matched_route.timeout > schedule->end;
+        return schedule && matched_route.kind == core::work_kind::generation &&
+               now() >= schedule->balancer_stops_by;
     }
 
     std::vector<suspects::part_digest> read_parts()
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -40,6 +40,9 @@
     /// Closes the connection if no request has arrived that is not answered yet.
     void close_if_idle();
 
+    /// Refuses the current call if it would outlast a leaving daemon, see `forwarded_call::review`.
+    void review_call();
+
     /// Ends the current call with its final answer now.
     void end_call();
 
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -145,6 +145,13 @@
     }
 }
 
+void caller_connection::review_call()
+{
+    if (const auto call = call_) {
+        call->review();
+    }
+}
+
 void caller_connection::end_call()
 {
     if (const auto call = call_) {
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -60,6 +60,10 @@
 
     [[nodiscard]] bool may_be_repeated() const override;
 
+    /// Refuses the request if the daemon is leaving, no endpoint has begun it, and it would be cut
+    /// at the daemon's end.
+    void review();
+
     /// Ends the call with its final answer now, for `reason`: its deadline has passed or the daemon
     /// shuts down.
     void end_now(std::string_view reason);
@@ -76,6 +80,20 @@
     /// Cancels all running attempts.
     virtual void cancel_attempts() = 0;
 
+    /// True while an attempt is in progress.
+    [[nodiscard]] virtual bool is_running() const = 0;
+
+    /// True if the answer to a request that is sent from now on would probably come after
+    /// `calls_end`.
+    [[nodiscard]] virtual bool outlasts_daemon() const;
+
+    /// When a leaving daemon ends its calls; `max` if it is not leaving.
+    [[nodiscard]] core::instant calls_end() const;
+
+    /// Refuses a request that no endpoint has begun and that would outlast the daemon; false if it
+    /// may be sent.
+    bool refuse_if_too_late();
+
     /// The endpoints of the call's service that accept requests and were not tried yet, or all that
     /// accept requests if `include_tried`.
     [[nodiscard]] std::vector<forwarding::candidate> candidates(bool include_tried) const;
--- a/libs/caller_front/src/forwarded_call_end.cpp
+++ b/libs/caller_front/src/forwarded_call_end.cpp
@@ -64,6 +64,36 @@
     finish("failed:" + std::string(reason), status);
 }
 
+core::instant forwarded_call::calls_end() const
+{
+    const auto schedule = *environment_.context.schedule.load();
+    return schedule ? schedule->calls_end : core::instant::max();
+}
+
+bool forwarded_call::outlasts_daemon() const
+{
+    return deadline_ > calls_end();
+}
+
+bool forwarded_call::refuse_if_too_late()
+{
+    if (progress_.may_have_run || progress_.delivering || !outlasts_daemon()) {
+        return false;
+    }
+    cancel_attempts();
+    refuse("leaving", usual_return_delay);
+    return true;
+}
+
+void forwarded_call::review()
+{
+    if (over_ || is_running()) {
+        return;
+    }
+    const auto self = shared_from_this();
+    refuse_if_too_late();
+}
+
 void forwarded_call::give_up(std::string_view reason, unsigned status)
 {
     if (progress_.may_have_run || progress_.delivering) {
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -153,8 +153,9 @@
     const auto began = now();
     const auto last = began + context.settings.grace - grace_margin;
     const auto earliest = began + balancer_notice_time;
-    context.schedule.store(shutdown_schedule{earliest, last});
+    context.schedule.store(shutdown_schedule{earliest, last - answer_margin, last});
     context.leaving = true;
+    std::ranges::for_each(parts_->lanes, [](const auto& one) { one->review_calls(); });
     asio::io_context waiting;
     asio::steady_timer timer(waiting);
     // Unlike a blocking wait of the timer, `run` goes on after a signal.
@@ -173,7 +174,7 @@
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
     wait_until(last - answer_margin, [&] { return context.calls_open == 0; });
     // A call that begins now would outlast the process, so every further request is refused.
-    context.schedule.store(shutdown_schedule{core::instant::min(), now()});
+    context.schedule.store(shutdown_schedule{core::instant::min(), now(), now()});
     parts_->listener->stop(last - answer_margin);
     std::ranges::for_each(parts_->lanes, [](const auto& one) { one->close_idle(); });
     const auto all_answered = [&] { return context.callers_active == 0; };
--- a/libs/caller_front/src/lane.cpp
+++ b/libs/caller_front/src/lane.cpp
@@ -49,6 +49,11 @@
     for_each_caller(&caller_connection::close_if_idle);
 }
 
+void lane::review_calls()
+{
+    for_each_caller(&caller_connection::review_call);
+}
+
 void lane::end_calls()
 {
     for_each_caller(&caller_connection::end_call);
--- a/libs/caller_front/src/lane.h
+++ b/libs/caller_front/src/lane.h
@@ -34,6 +34,9 @@
     /// Closes callers' connections that have no request in progress.
     void close_idle();
 
+    /// Refuses the requests that no endpoint has begun and that would outlast a leaving daemon.
+    void review_calls();
+
     /// Ends all running calls with their final answer.
     void end_calls();
 
--- a/libs/caller_front/src/shutdown_schedule.h
+++ b/libs/caller_front/src/shutdown_schedule.h
@@ -10,7 +10,8 @@
 struct shutdown_schedule {
     /// From this time on the load balancer sends new callers to other daemons, if there are any.
     core::instant balancer_stops_by;
-    core::instant end; ///< The process ends.
+    core::instant calls_end; ///< Calls that are open are ended with their final answers.
+    core::instant end;       ///< The process ends.
 
     friend auto operator<=>(const shutdown_schedule&, const shutdown_schedule&) = default;
 };
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -14,6 +14,7 @@
 
 #include <core/request_id.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,11 +38,14 @@
 
     bool take_turn() override;
     void leave(std::string_view reason) override;
+    void review_wait() override { review(); }
 
 private:
     void send() override;
     void expire(std::string_view reason) override;
     void cancel_attempts() override;
+    [[nodiscard]] bool is_running() const override { return current_ != nullptr; }
+    [[nodiscard]] bool outlasts_daemon() const override;
 
     void place(const std::vector<forwarding::candidate>& engines);
     bool follow(const overload::placement_step& step,
@@ -60,6 +64,7 @@
     [[nodiscard]] std::optional<core::endpoint> choose_copy(const core::endpoint& runner) const;
     void deliver(upstream_attempt& attempt, const std::vector<framed_event>& events);
     void record_pace(const upstream_attempt& attempt, core::duration gap) const;
+    void record_token_time(core::duration gap, std::size_t events) const;
     void monitor_silence(const core::endpoint& endpoint);
     void handle_silence(const silence_report& seen);
     void abandon_attempt(forwarding::attempt_end end, const std::string& detail);
--- a/libs/caller_front/src/stream_call_output.cpp
+++ b/libs/caller_front/src/stream_call_output.cpp
@@ -4,6 +4,8 @@
 #include "answer_limits.h"
 #include "call_log.h"
 
+#include <forwarding/nominal_time_per_token.h>
+
 #include <absl/strings/str_cat.h>
 
 #include <chrono>
@@ -17,10 +19,6 @@
 
 constexpr unsigned status_ok = 200;
 
-// Time per output token of an engine at nominal speed, in ms (the platform specifies 5.05 ms or
-// more per step).
-constexpr double nominal_ms_per_token = 5.1;
-
 } // namespace
 
 void stream_call::on_head(upstream_attempt& attempt)
@@ -61,6 +59,9 @@
     if (flowing_ && events.size() == 1) {
         record_pace(attempt, gap);
     }
+    if (flowing_ && !events.empty()) {
+        record_token_time(gap, events.size());
+    }
     deliver(attempt, events);
     if (over() || &attempt != current_.get()) {
         return;
@@ -81,9 +82,17 @@
     if (profile == nullptr) {
         return;
     }
-    const double nominal_ms = nominal_ms_per_token * profile->tokens_per_event;
-    const double actual_ms = std::chrono::duration<double, std::milli>(gap).count();
-    environment_.context.stats.record_slowness(attempt.endpoint().where, actual_ms / nominal_ms);
+    const auto nominal = forwarding::nominal_time_per_token * double(profile->tokens_per_event);
+    const std::chrono::duration<double, std::milli> actual(gap);
+    environment_.context.stats.record_slowness(attempt.endpoint().where, actual / nominal);
+}
+
+void stream_call::record_token_time(core::duration gap, std::size_t events) const
+{
+    if (const auto* const profile = engine()) {
+        const auto tokens = static_cast<core::duration::rep>(events * profile->tokens_per_event);
+        environment_.context.usage.record_token_time(service_, gap / tokens);
+    }
 }
 
 void stream_call::record_first_output(const upstream_attempt& attempt) const
--- a/libs/caller_front/src/stream_call_placement.cpp
+++ b/libs/caller_front/src/stream_call_placement.cpp
@@ -5,6 +5,7 @@
 #include "local_reply.h"
 
 #include <overload/placement_view.h>
+#include <overload/step_before.h>
 
 #include <algorithm>
 #include <memory>
@@ -60,15 +61,30 @@
         queue.ahead = here + context.budget.waiting_elsewhere(service_, at);
         queue.others_first = here > 0;
     }
-    return context.placement->place(demand(), {engines, *engine(), *context.choice, usage, queue,
-                                               context.choices_made.fetch_add(1), at});
+    const overload::placement_view view{
+        engines, *engine(), *context.choice, usage, queue, context.choices_made.fetch_add(1), at};
+    const auto asked = demand();
+    const auto step = context.placement->place(asked, view);
+    return step ? std::optional(overload::step_before(calls_end(), *step, asked, view)) : step;
+}
+
+bool stream_call::outlasts_daemon() const
+{
+    const auto engines = candidates(true);
+    if (engine() == nullptr || engines.empty()) {
+        return forwarded_call::outlasts_daemon();
+    }
+    const auto step = step_for(engines);
+    return step && step->kind == overload::placement_kind::too_late;
 }
 
 /// Sends the request to one of `engines`, lets it wait for a place or refuses it.
 void stream_call::place(const std::vector<forwarding::candidate>& engines)
 {
     if (engine() == nullptr) {
-        send_to(*choose(engines), false);
+        if (!refuse_if_too_late()) {
+            send_to(*choose(engines), false);
+        }
         return;
     }
     if (const auto step = step_for(engines)) {
@@ -99,6 +115,10 @@
         stop_waiting();
         refuse("no_capacity", step.come_back);
     }
+    else if (step.kind == placement_kind::too_late) {
+        stop_waiting();
+        refuse("leaving", usual_return_delay);
+    }
     else {
         const auto self = std::static_pointer_cast<stream_call>(shared_from_this());
         const auto ticket = environment_.waiting.add(self, demand(), request_.message.body.size());
--- a/libs/caller_front/src/waiting_call.h
+++ b/libs/caller_front/src/waiting_call.h
@@ -18,6 +18,9 @@
     /// room for it.
     virtual bool take_turn() = 0;
 
+    /// The daemon is leaving: the call ends if it would be cut at the daemon's end.
+    virtual void review_wait() = 0;
+
     /// The call cannot wait any longer: it ends, for `reason`.
     virtual void leave(std::string_view reason) = 0;
 };
--- a/libs/caller_front/src/waiting_calls.cpp
+++ b/libs/caller_front/src/waiting_calls.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace ej::front {
 
@@ -67,11 +68,26 @@
 {
     const auto due = room_.due(now());
     std::ranges::for_each(due, [this](const auto& one) { end(one, "waited_too_long"); });
+    if (context_.leaving) {
+        review();
+    }
     const auto services = room_.services();
     std::ranges::for_each(services, [this](const auto& one) { serve(one); });
     look_later();
 }
 
+void waiting_calls::review()
+{
+    // Copied, since calls that end remove themselves.
+    std::vector<std::shared_ptr<waiting_call>> calls;
+    for (const auto& [id, one] : calls_) {
+        if (auto call = one.call.lock()) {
+            calls.push_back(std::move(call));
+        }
+    }
+    std::ranges::for_each(calls, [](const auto& one) { one->review_wait(); });
+}
+
 void waiting_calls::serve(const core::service_id& service)
 {
     while (const auto id = room_.next(service, now())) {
--- a/libs/caller_front/src/waiting_calls.h
+++ b/libs/caller_front/src/waiting_calls.h
@@ -56,6 +56,7 @@
     };
 
     void look();
+    void review();
     void serve(const core::service_id& service);
     void end(const core::request_id& id, std::string_view reason);
     void forget(const core::request_id& id);
--- a/libs/overload/include/overload/placement_kind.h
+++ b/libs/overload/include/overload/placement_kind.h
@@ -7,9 +7,10 @@
 
 /// What happens to a generation that asks for a place.
 enum class placement_kind : std::uint8_t {
-    send,   ///< To the chosen engine, now.
-    wait,   ///< At this daemon, until an engine has room.
-    refuse, ///< At once, with a time to come back.
+    send,     ///< To the chosen engine, now.
+    wait,     ///< At this daemon, until an engine has room.
+    refuse,   ///< At once, with a time to come back.
+    too_late, ///< Refused: it would outlast the daemon, which is leaving.
 };
 
 /// Name for logs and metrics.
--- a/libs/overload/include/overload/usage_history.h
+++ b/libs/overload/include/overload/usage_history.h
@@ -21,6 +21,9 @@
     void record_first_output(const core::service_id& service, core::duration forecast,
                              core::duration measured);
 
+    /// Records the time that a running stream took for one output token.
+    void record_token_time(const core::service_id& service, core::duration time);
+
     /// Records a complete stream of `output_tokens`, which took `run_time` from its send.
     void record_stream(const core::service_id& service, const forwarding::call_size& declared,
                        std::uint64_t output_tokens, core::duration run_time);
--- a/libs/overload/src/placement_kind.cpp
+++ b/libs/overload/src/placement_kind.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> names{"send", "wait", "refuse"};
+constexpr std::array<std::string_view, 4> names{"send", "wait", "refuse", "too_late"};
 
 } // namespace
 
--- a/libs/overload/src/usage_history.cpp
+++ b/libs/overload/src/usage_history.cpp
@@ -15,6 +15,15 @@
 constexpr double most_ratio = 4;
 constexpr double least_share = 0.05;
 
+// Streams give a sample with each event. A second of a few streams replaces a wrong start.
+constexpr double weight_of_event = 0.02;
+
+/// The part of a sample's difference by which it moves an average.
+core::duration weighted(core::duration difference, double by)
+{
+    return core::duration(static_cast<core::duration::rep>(by * double(difference.count())));
+}
+
 } // namespace
 
 void usage_history::record_first_output(const core::service_id& service, core::duration forecast,
@@ -28,6 +37,15 @@
     });
 }
 
+void usage_history::record_token_time(const core::service_id& service, core::duration time)
+{
+    entries_.with(service, [&](auto& entries) {
+        core::duration& known = entries[service].token_time;
+        known = known == core::duration::zero() ? time
+                                                : known + weighted(time - known, weight_of_event);
+    });
+}
+
 void usage_history::record_stream(const core::service_id& service,
                                   const forwarding::call_size& declared,
                                   std::uint64_t output_tokens, core::duration run_time)
@@ -39,11 +57,13 @@
             known.output_share +=
                 weight * (std::clamp(share, least_share, 1.0) - known.output_share);
         }
-        known.run_time =
-            known.run_time == core::duration::zero()
-                ? run_time
-                : known.run_time + core::duration(static_cast<core::duration::rep>(
-                                       weight * double((run_time - known.run_time).count())));
+        if (known.run_time == core::duration::zero()) {
+            known.run_time = run_time;
+            return;
+        }
+        const auto error = run_time - known.run_time;
+        known.run_time += weighted(error, weight);
+        known.run_deviation += weighted(std::chrono::abs(error) - known.run_deviation, weight);
     });
 }
 
