Answers to a daemon's own calls are bounded where nothing can be parsed

What callers saw: nothing yet here; another operator's machine ran out of memory on bytes without end and its callers' requests ended with it.

Cause: the client for the store, for applications and for engines of `serve` reads into a buffer without a limit. Beast bounds a header and a body, but it consumes neither a chunk extension, nor a chunk size, nor trailers before their end, so all of it stayed in the buffer until the deadline.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -27,7 +27,8 @@
     if (error == beast::error::timeout) {
         return absl::DeadlineExceededError("no answer within the deadline");
     }
-    if (error == wire::error::body_limit) {
+    if (error == wire::error::body_limit || error == wire::error::header_limit ||
+        error == wire::error::buffer_overflow) {
         return absl::ResourceExhaustedError("answer exceeds the size limit");
     }
     return absl::AbortedError("connection broke: " + error.message());
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "beast.h"
+#include "parse_limits.h"
 
 #include <core/address.h>
 #include <core/instant.h>
@@ -20,7 +21,7 @@
 
     asio::any_io_executor executor; ///< All work on the connection runs here.
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     bool reusable = false; ///< A whole answer was read, and the server keeps the connection open.
 };
 
