Requests are bounded where nothing can be parsed

The same cause on the callers' side, found by looking for the class: a chunk extension or a trailer without an end grew the buffer of a caller's connection, whose timeout starts anew with each part, and that of the port for health checks and of `serve`. Both answer 4xx at a limit now.

--- a/libs/caller_front/src/request_reader.cpp
+++ b/libs/caller_front/src/request_reader.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <iterator>
 #include <utility>
@@ -13,11 +14,16 @@
 
 constexpr unsigned http_1_1 = 11;
 
+// Limit for received bytes that the parser cannot consume yet, besides the header. The parser
+// limits that itself, but neither chunk extensions nor trailers.
+constexpr std::size_t max_framing_bytes = std::size_t{64} << 10;
+
 } // namespace
 
 void request_reader::begin(const forwarding::caller_limits& limits)
 {
     continued_ = false;
+    max_unparsed_bytes_ = limits.max_header_bytes + max_framing_bytes;
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser_->body_limit(limits.max_body_bytes);
@@ -44,6 +50,10 @@
     if (parser_->is_done()) {
         return progress::complete;
     }
+    if (buffer_.size() > max_unparsed_bytes_) {
+        fault_ = wire::error::buffer_overflow;
+        return progress::faulty;
+    }
     return parser_->is_header_done() ? progress::body : progress::header;
 }
 
--- a/libs/caller_front/src/request_reader.h
+++ b/libs/caller_front/src/request_reader.h
@@ -40,6 +40,7 @@
 
 private:
     beast::flat_buffer buffer_;
+    std::size_t max_unparsed_bytes_ = 0;
     std::optional<wire::request_parser<wire::string_body>> parser_;
     error_code fault_;
     core::instant arrived_{};
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -77,7 +77,8 @@
     parser.body_limit(options_.max_body_bytes);
     stream_.expires_after(options_.request_timeout);
     co_await wire::async_read(stream_, buffer_, parser, no_throw(error));
-    if (error == wire::error::body_limit || error == wire::error::header_limit) {
+    if (error == wire::error::body_limit || error == wire::error::header_limit ||
+        error == wire::error::buffer_overflow) {
         keep_alive_ = false;
         response answer{status_too_large, {}, "request is too large\n"};
         co_await respond(std::move(answer));
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "beast.h"
+#include "parse_limits.h"
 
 #include <http/exchange.h>
 #include <http/server.h>
@@ -32,7 +33,7 @@
     void on_caller_disconnected();
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     server_options options_;
     request received_;
     bool keep_alive_ = false;
