Buffered answers share a bounded part of a VM's memory

What callers saw: nothing yet here; on another operator's machine a faulty worker's bytes without end filled the memory, and the requests of all callers on that machine ended with its process.

Cause: each answer had a limit (16 MiB for a body, 1 MiB for an event, 4 MiB for what a caller has not read), but not their sum. The class is a limit for each of many, without one for all.

Answers now take what exceeds 64 KiB from one quota, an eighth of the VM's memory (`memory-mb`, rendered from the platform's settings). One answer may take at most as much as stays free, so a few large ones leave room for the others; what finds no room counts as spoiled, as an answer beyond its own limit did.

--- a/endivejunction/src/parse_forward_settings.cpp
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -21,6 +21,11 @@
 namespace options = boost::program_options;
 
 constexpr std::size_t max_lanes = 64;
+constexpr std::size_t default_memory_mb = 512;
+constexpr std::size_t max_memory_mb = 1'000'000;
+constexpr std::size_t bytes_per_mb = std::size_t{1} << 20;
+// A buffer takes up to twice its size as it grows, and an answer is copied as it is sent.
+constexpr std::size_t answer_memory_divisor = 8;
 constexpr unsigned max_interval_ms = 60'000;
 constexpr unsigned max_grace_ms = 3'600'000;
 constexpr double max_ratio = 100;
@@ -63,6 +68,8 @@
         "where generations run: memory (engines that have room for them) or at_once");
     add("backups", options::value<bool>()->default_value(true),
         "ask engines to keep copies of running requests at other engines");
+    add("memory-mb", options::value<std::size_t>()->default_value(default_memory_mb),
+        "memory of this VM in MB; buffered answers may take an eighth");
     add("lanes", options::value<std::size_t>()->default_value(front::default_lanes),
         "threads that serve callers, 1 to 64");
     add("budget-ratio", number(0.2), "repeated sends per request, all daemons together");
@@ -123,6 +130,8 @@
         faults.add("--placement", "'" + front.placement + "' is unknown");
     }
     front.backups = values["backups"].as<bool>();
+    front.answer_memory = read.number<std::size_t>("memory-mb", max_memory_mb) *
+                          (bytes_per_mb / answer_memory_divisor);
     front.lanes = read.number<std::size_t>("lanes", max_lanes);
     front.budget = {read.fraction("budget-ratio", max_ratio),
                     read.fraction("budget-allowance", max_allowance),
--- a/libs/caller_front/include/caller_front/front_settings.h
+++ b/libs/caller_front/include/caller_front/front_settings.h
@@ -15,6 +15,7 @@
 namespace ej::front {
 
 inline constexpr std::size_t default_lanes = 1;
+inline constexpr std::size_t default_answer_memory = std::size_t{64} << 20;
 
 /// Settings of a forwarding daemon.
 struct front_settings {
@@ -36,7 +37,8 @@
     std::string choice = "first_output"; ///< Name of the load-balancing strategy.
     std::string placement = "memory";    ///< Name of the placement policy for generations.
     bool backups = true;                 ///< Asks engines to keep copies of running requests.
-    std::size_t lanes = default_lanes;   ///< Threads that serve callers; from 1.
+    std::size_t answer_memory = default_answer_memory; ///< Bytes for buffered answers; > 0.
+    std::size_t lanes = default_lanes;                 ///< Threads that serve callers; from 1.
     forwarding::retry_budget_settings budget;
 
     friend auto operator<=>(const front_settings&, const front_settings&) = default;
--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -58,7 +58,9 @@
         wait_or_give_up();
         return;
     }
-    running_.push_back({attempt_at(*endpoint, {}, connect_timeout()), {}});
+    running_.push_back({attempt_at(*endpoint, {}, connect_timeout()),
+                        {},
+                        byte_share(environment_.context.answer_bytes)});
     arm_hedge_timer();
 }
 
@@ -84,7 +86,9 @@
         return;
     }
     context.metrics.count("second_sends_total", {});
-    running_.push_back({attempt_at(*endpoint, {}, connect_timeout()), {}});
+    running_.push_back({attempt_at(*endpoint, {}, connect_timeout()),
+                        {},
+                        byte_share(environment_.context.answer_bytes)});
 }
 
 void buffered_call::on_head(upstream_attempt& attempt)
@@ -107,11 +111,13 @@
     if (one == running_.end()) {
         return;
     }
-    one->body += part;
-    if (one->body.size() > max_answer_bytes) {
+    const auto size = one->body.size() + part.size();
+    if (size > max_answer_bytes || !one->memory.resize(size)) {
         attempt.cancel();
         on_end(attempt, attempt_end::spoiled, "answer exceeds the size limit");
+        return;
     }
+    one->body += part;
 }
 
 void buffered_call::on_complete(upstream_attempt& attempt)
--- a/libs/caller_front/src/buffered_call.h
+++ b/libs/caller_front/src/buffered_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "byte_share.h"
 #include "forwarded_call.h"
 
 #include <string>
@@ -25,6 +26,7 @@
     struct running {
         attempt_ptr attempt;
         std::string body;
+        byte_share memory; // Of the body.
     };
 
     void send() override;
--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -23,7 +23,8 @@
 caller_connection::caller_connection(tcp::socket socket, front_context& context,
                                      upstream_pool& pool, waiting_calls& waiting)
     : socket_(std::move(socket)), context_(context), pool_(pool), waiting_(waiting),
-      output_(socket_, [this](const error_code& error) { written(error); })
+      output_(socket_, [this](const error_code& error) { written(error); }),
+      output_memory_(context.answer_bytes)
 {
     ++context_.callers_open;
     ++context_.callers_active;
@@ -205,7 +206,7 @@
     }
 }
 
-void caller_connection::send(const std::string& text, bool last)
+void caller_connection::send(std::string text, bool last)
 {
     last_written_ = last_written_ || last;
     if (text.empty() && !output_.busy()) {
@@ -214,7 +215,7 @@
     }
     progress_at_ = now();
     timer_->set(next_progress_check());
-    output_.send(text, shared_from_this());
+    output_.send(std::move(text), shared_from_this());
 }
 
 void caller_connection::written(const error_code& error)
@@ -223,6 +224,7 @@
         return;
     }
     timer_->clear();
+    output_memory_.release();
     if (error) {
         disconnect(connection_end::write_failed);
     }
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "byte_share.h"
 #include "caller_output.h"
 #include "connection_end.h"
 #include "connection_phase.h"
@@ -65,7 +66,7 @@
     void send_rejection(unsigned status, std::string_view reason);
     void timed_out();
     void idle_limit_passed();
-    void send(const std::string& text, bool last);
+    void send(std::string text, bool last);
     void check_progress();
     [[nodiscard]] core::instant next_progress_check() const;
     void written(const error_code& error);
@@ -104,6 +105,7 @@
     bool reading_ = false;
     bool serving_ = true; // Included in `callers_active`.
     caller_output output_;
+    byte_share output_memory_;
     core::instant progress_at_{};    // Of the output.
     std::uint64_t acknowledged_ = 0; // Bytes of the output, at the latest check.
     bool last_written_ = false;      // The last part of the answer has been queued.
--- a/libs/caller_front/src/caller_connection_reply.cpp
+++ b/libs/caller_front/src/caller_connection_reply.cpp
@@ -3,6 +3,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <utility>
+
 namespace ej::front {
 
 namespace {
@@ -11,6 +13,9 @@
 // bound.
 constexpr std::size_t max_unsent_bytes = std::size_t{4} << 20;
 
+// The fields that `reply` adds to a head.
+constexpr std::size_t more_fields_bytes = 128;
+
 } // namespace
 
 void caller_connection::reply(const http::response& answer)
@@ -19,6 +24,7 @@
         return;
     }
     auto text = head_text(answer);
+    text.reserve(text.size() + answer.body.size() + more_fields_bytes);
     const bool no_body = has_no_body(answer.status);
     if (!no_body && !head_only_) {
         absl::StrAppend(&text, "Content-Length: ", answer.body.size(), "\r\n");
@@ -31,7 +37,8 @@
     if (!no_body && !head_only_) {
         text += answer.body;
     }
-    send(text, true);
+    output_memory_.take_over(text.size());
+    send(std::move(text), true);
 }
 
 void caller_connection::start_stream(const http::response& head)
@@ -53,7 +60,7 @@
     if (phase_ != phase::answering || part.empty()) {
         return;
     }
-    if (output_.waiting() > max_unsent_bytes) {
+    if (output_.waiting() > max_unsent_bytes || !output_memory_.resize(output_.unsent())) {
         disconnect(connection_end::output_limit);
         return;
     }
--- a/libs/caller_front/src/caller_output.cpp
+++ b/libs/caller_front/src/caller_output.cpp
@@ -12,9 +12,14 @@
 {
 }
 
-void caller_output::send(const std::string& text, std::shared_ptr<void> owner)
+void caller_output::send(std::string text, std::shared_ptr<void> owner)
 {
-    waiting_ += text;
+    if (waiting_.empty()) {
+        waiting_ = std::move(text);
+    }
+    else {
+        waiting_ += text;
+    }
     if (!busy() && !waiting_.empty()) {
         write(std::move(owner));
     }
--- a/libs/caller_front/src/caller_output.h
+++ b/libs/caller_front/src/caller_output.h
@@ -19,7 +19,7 @@
     caller_output(tcp::socket& socket, std::function<void(const error_code&)> written);
 
     /// Sends `text`; `owner` keeps the socket alive meanwhile.
-    void send(const std::string& text, std::shared_ptr<void> owner);
+    void send(std::string text, std::shared_ptr<void> owner);
 
     /// True while something is being sent.
     [[nodiscard]] bool busy() const { return !writing_.empty(); }
@@ -30,6 +30,9 @@
     /// Bytes sent that the caller's machine has not acknowledged; 0 if the socket has failed.
     [[nodiscard]] std::uint64_t unacknowledged() const;
 
+    /// Bytes buffered, those of the write in progress included.
+    [[nodiscard]] std::size_t unsent() const { return waiting_.size() + writing_.size(); }
+
     /// Bytes buffered behind the write in progress.
     [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
 
--- a/libs/caller_front/src/event_framer.h
+++ b/libs/caller_front/src/event_framer.h
@@ -21,6 +21,9 @@
     /// True if an event has begun and is incomplete.
     [[nodiscard]] bool within_event() const { return !pending_.empty(); }
 
+    /// Bytes of the incomplete event.
+    [[nodiscard]] std::size_t buffered() const { return pending_.size(); }
+
     /// True if an event exceeds `max_event_bytes`.
     [[nodiscard]] bool overflowed() const { return pending_.size() > max_event_bytes; }
 
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "byte_quota.h"
 #include "part_guard.h"
 #include "shutdown_schedule.h"
 #include "store_update.h"
@@ -51,7 +52,8 @@
     explicit front_context(front_settings chosen, header_names names)
         : settings(std::move(chosen)), headers(std::move(names)),
           choice(forwarding::make_choice(settings.choice)),
-          placement(overload::make_placement(settings.placement)), budget(settings.budget)
+          placement(overload::make_placement(settings.placement)), budget(settings.budget),
+          answer_bytes(settings.answer_memory)
     {
     }
 
@@ -64,6 +66,7 @@
     forwarding::endpoint_directory endpoints;
     forwarding::endpoint_stats_table stats;
     forwarding::retry_budget budget;
+    byte_quota answer_bytes;
     overload::usage_history usage;
     overload::waiting_counts waiting;
     overload::copy_gate copies;
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -30,6 +30,13 @@
 
 } // namespace
 
+stream_call::stream_call(call_environment environment, caller_request request,
+                         std::weak_ptr<reply_sink> sink)
+    : forwarded_call(std::move(environment), std::move(request), std::move(sink)),
+      memory_(environment_.context.answer_bytes)
+{
+}
+
 std::optional<core::endpoint> stream_call::copy_holder() const
 {
     // Used even if other requests failed there recently: reading the prompt again costs more.
@@ -153,6 +160,7 @@
     from_copy_ = from_copy;
     framer_ = event_framer();
     failure_body_.clear();
+    memory_.release();
     current_ = attempt_at(endpoint, std::move(head), connect_timeout);
     monitor_silence(endpoint);
 }
--- a/libs/caller_front/src/stream_call.h
+++ b/libs/caller_front/src/stream_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "byte_share.h"
 #include "event_framer.h"
 #include "forwarded_call.h"
 #include "silence_monitor.h"
@@ -28,7 +29,8 @@
 /// answer.
 class stream_call final : public forwarded_call, public waiting_call {
 public:
-    using forwarded_call::forwarded_call;
+    stream_call(call_environment environment, caller_request request,
+                std::weak_ptr<reply_sink> sink);
 
     void on_head(upstream_attempt& attempt) override;
     void on_body(upstream_attempt& attempt, std::string part) override;
@@ -74,6 +76,7 @@
     attempt_ptr current_;
     event_framer framer_;
     std::string failure_body_;
+    byte_share memory_;      // Of `framer_` and `failure_body_`.
     bool accepted_ = false;  // The current attempt's answer is a stream of events.
     bool flowing_ = false;   // The current attempt has delivered an event.
     bool from_copy_ = false; // The current attempt resumes from a copy of the engine's memory.
--- a/libs/caller_front/src/stream_call_output.cpp
+++ b/libs/caller_front/src/stream_call_output.cpp
@@ -47,10 +47,12 @@
     }
     const auto gap = now() - silence_->last_output();
     if (!accepted_) {
-        failure_body_ += part;
-        if (failure_body_.size() > max_answer_bytes) {
+        const auto size = failure_body_.size() + part.size();
+        if (size > max_answer_bytes || !memory_.resize(size)) {
             abandon_attempt(attempt_end::spoiled, "answer exceeds the size limit");
+            return;
         }
+        failure_body_ += part;
         return;
     }
     const auto events = framer_.feed(part);
@@ -71,7 +73,7 @@
         silence_->note_output(bounds());
         silence_noted_ = false;
     }
-    if (framer_.overflowed()) {
+    if (framer_.overflowed() || !memory_.resize(framer_.buffered())) {
         abandon_attempt(attempt_end::spoiled, "event exceeds the size limit");
     }
 }
