--- a/libs/logging/src/line_queue.cpp
+++ b/libs/logging/src/line_queue.cpp
@@ -43,7 +43,8 @@
 bool write_all(int descriptor, std::string_view text, std::atomic<std::uint64_t>& total)
 {
     while (!text.empty()) {
-        const auto written = ::write(descriptor, text.data(), std::min(text.size(), max_write_bytes));
+        const auto written =
+            ::write(descriptor, text.data(), std::min(text.size(), max_write_bytes));
         if (written < 0 && errno != EINTR) {
             return false;
         }
--- a/libs/logging/src/line_queue.h
+++ b/libs/logging/src/line_queue.h
@@ -40,7 +40,7 @@
         std::deque<std::string> lines;
         std::size_t bytes = 0;
         std::uint64_t dropped = 0;
-        std::uint64_t reported_dropped = 0; // Value of `dropped` last written.
+        std::uint64_t reported_dropped = 0;    // Value of `dropped` last written.
         std::atomic<std::uint64_t> written{0}; // Bytes accepted by the descriptor.
         bool ending = false;
         bool finished = false; // The thread writes no more lines.
