--- a/tests/forward/endless_request_test.cpp
+++ b/tests/forward/endless_request_test.cpp
@@ -13,7 +13,7 @@
 /// Bytes of which a parser consumes nothing, more than a daemon buffers.
 std::string chunk_extension()
 {
-    constexpr std::size_t bytes = 256 * 1'024;
+    constexpr std::size_t bytes = std::size_t{256} << 10;
     return "1;" + std::string(bytes, 'x');
 }
 
