--- a/tests/forward/waiting_generation_test.cpp
+++ b/tests/forward/waiting_generation_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -71,37 +72,59 @@
     return text.find(part) != std::string::npos;
 }
 
+/// A daemon whose only engine is full, and a generation that waits for it.
+class full_engine {
+public:
+    full_engine()
+    {
+        fixture.add("i-1", "llm", engine);
+        fixture.store.put("op/config", configuration(1, route_to("llm", 60'000), "k1"));
+        fixture.start();
+        REQUIRE(fixture.wait_for_endpoints(1));
+        first = std::make_unique<caller>(fixture.listen_address());
+        first->send(request_for("first", large_generation));
+        REQUIRE(contains(first->read_until("word1"), "word1"));
+        waiting = std::make_unique<caller>(fixture.listen_address());
+        waiting->send(request_for("waits", usual_generation));
+        wait_for_metric(R"(placements_total{step="wait"})");
+    }
+
+    /// Puts the changed configuration in force.
+    void apply(const change& one)
+    {
+        fixture.store.put("op/config", configuration(2, one.route, one.key));
+        wait_for_metric("configuration_version 2");
+    }
+
+    void wait_for_metric(const std::string& text) const
+    {
+        REQUIRE(daemon_fixture::wait_until([&] { return contains(fixture.metrics(), text); }));
+    }
+
+    daemon_fixture fixture;
+    endpoint_stand_in engine{begin_and_hold};
+    std::unique_ptr<caller> first;
+    std::unique_ptr<caller> waiting;
+};
+
 } // namespace
 
 TEST_CASE("a generation that waits for a place is answered whatever the configuration becomes")
 {
     const auto one = any_change();
     INFO(one.name);
-    daemon_fixture fixture;
-    endpoint_stand_in engine(begin_and_hold);
-    fixture.add("i-1", "llm", engine);
-    fixture.store.put("op/config", configuration(1, route_to("llm", 60'000), "k1"));
-    fixture.start();
-    REQUIRE(fixture.wait_for_endpoints(1));
-    caller first(fixture.listen_address());
-    first.send(request_for("first", large_generation));
-    REQUIRE(contains(first.read_until("word1"), "word1"));
-    caller waiting(fixture.listen_address());
-    waiting.send(request_for("waits", usual_generation));
-    REQUIRE(daemon_fixture::wait_until(
-        [&] { return contains(fixture.metrics(), R"(placements_total{step="wait"})"); }));
-    fixture.store.put("op/config", configuration(2, one.route, one.key));
-    REQUIRE(daemon_fixture::wait_until(
-        [&] { return contains(fixture.metrics(), "configuration_version 2"); }));
+    full_engine scene;
+    scene.apply(one);
     if (one.engine_leaves) {
-        fixture.store.remove("servers/i-1");
-        CHECK(waiting.read_answer().starts_with("HTTP/1.1 503"));
+        scene.fixture.store.remove("servers/i-1");
+        CHECK(scene.waiting->read_answer().starts_with("HTTP/1.1 503"));
+        scene.engine.release();
     }
-    engine.release();
-    if (!one.engine_leaves) {
-        CHECK(waiting.read_answer().ends_with("0\r\n\r\n"));
+    else {
+        scene.engine.release();
+        CHECK(scene.waiting->read_answer().ends_with("0\r\n\r\n"));
     }
-    CHECK(first.read_answer().ends_with("0\r\n\r\n"));
+    CHECK(scene.first->read_answer().ends_with("0\r\n\r\n"));
 }
 
 } // namespace ej::forward_tests
--- a/tests/process/flooded_memory_test.cpp
+++ b/tests/process/flooded_memory_test.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <memory>
 #include <stdexcept>
@@ -85,6 +86,39 @@
     return 0;
 }
 
+using callers = std::vector<std::unique_ptr<caller>>;
+
+/// Callers that have each sent a request.
+callers send_requests(const core::address& where, const std::string& path)
+{
+    callers made;
+    for (int number = 0; number < floods; ++number) {
+        made.push_back(std::make_unique<caller>(where));
+        made.back()->send(request("POST", path, "f" + std::to_string(number), "b"));
+    }
+    return made;
+}
+
+void read_answers(const callers& waiting)
+{
+    std::ranges::for_each(waiting, [](const auto& one) { static_cast<void>(one->read_answer()); });
+}
+
+/// Waits until the daemon has given up every flood.
+void wait_until_closed(const flooding_endpoint& faulty)
+{
+    REQUIRE(daemon_fixture::wait_until([&] { return faulty.requests() > 0; }));
+    REQUIRE(daemon_fixture::wait_until([&] { return faulty.closed() == faulty.requests(); }));
+}
+
+/// True if the daemon answers its health check.
+bool is_ready(const core::address& where)
+{
+    caller balancer(where);
+    balancer.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    return balancer.read_answer().starts_with("HTTP/1.1 200");
+}
+
 } // namespace
 
 TEST_CASE("endpoints that write without end do not fill their daemon's memory")
@@ -100,24 +134,15 @@
     const process_log log;
     const auto process = start_daemon(fixture.store.address(), log);
     REQUIRE(daemon_fixture::wait_until([&] { return log.has("endpoint=i-1"); }));
-    std::vector<std::unique_ptr<caller>> callers;
-    for (int number = 0; number < floods; ++number) {
-        callers.push_back(std::make_unique<caller>(log.address("callers")));
-        callers.back()->send(request("POST", one.path, "f" + std::to_string(number), "b"));
-    }
-    CHECK(daemon_fixture::wait_until([&] { return faulty.requests() > 0; }));
+    const auto waiting = send_requests(log.address("callers"), one.path);
     if (one.caller_reads) {
-        for (const auto& waiting : callers) {
-            static_cast<void>(waiting->read_answer());
-        }
+        read_answers(waiting);
     }
-    CHECK(daemon_fixture::wait_until([&] { return faulty.closed() == faulty.requests(); }));
+    wait_until_closed(faulty);
     const auto most = peak_memory_kb(*process);
     CHECK(most > 0);
     CHECK(most < most_kb);
-    caller balancer(log.address("ready"));
-    balancer.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-    CHECK(balancer.read_answer().starts_with("HTTP/1.1 200"));
+    CHECK(is_ready(log.address("ready")));
     process->signal(SIGTERM);
     CHECK(process->wait() == 0);
 }
