A generation that finds no ready engine does not wait beyond its daemon

A generation that arrived in the grace while all engines were in a pause waited for them, and was refused only at the daemon's end.

Cause: its question stands where a place is chosen, and there was no engine to choose from. It is asked before the wait as well.

Evidence: "a generation that finds its engines in a pause in a daemon's grace is refused at once" failed before (its answer came at the end of the grace).

--- a/libs/caller_front/src/forwarded_call_backoff.cpp
+++ b/libs/caller_front/src/forwarded_call_backoff.cpp
@@ -50,6 +50,9 @@
 
 void forwarded_call::wait_or_give_up()
 {
+    if (refuse_if_too_late()) {
+        return;
+    }
     const auto at = now();
     const auto earliest = earliest_acceptance();
     if (!earliest) {
--- a/tests/forward/late_request_test.cpp
+++ b/tests/forward/late_request_test.cpp
@@ -72,6 +72,24 @@
             {step_kind::send, event_chunk(2) + fleet::last_chunk()}};
 }
 
+/// Refuses and asks for a pause that outlasts `short_grace`.
+std::vector<step> ask_for_pause(const std::string& request, int)
+{
+    return {{step_kind::send, "HTTP/1.1 503 X\r\nEndivejunction-Not-Executed: 1\r\n"
+                              "Retry-After: 5\r\nEndivejunction-Attempt-Id: " +
+                                  fleet::header_value(request, "Endivejunction-Attempt-Id") +
+                                  "\r\nContent-Length: 0\r\n\r\n"}};
+}
+
+/// Waits until `count` requests wait for a pause to end.
+void wait_for_pauses(const daemon_fixture& fixture, int count)
+{
+    REQUIRE(daemon_fixture::wait_until([&] {
+        return fixture.metrics().find("backoff_waits_total " + std::to_string(count)) !=
+               std::string::npos;
+    }));
+}
+
 /// A daemon's shutdown, which begins at once.
 class shutdown {
 public:
@@ -188,26 +206,34 @@
 TEST_CASE("a request that waits for its endpoint's pause as its daemon leaves is refused at once")
 {
     daemon_fixture fixture;
-    const endpoint_stand_in app([](const std::string& request, int) {
-        return std::vector<step>{
-            {step_kind::send,
-             "HTTP/1.1 503 X\r\nEndivejunction-Not-Executed: 1\r\nRetry-After: 5\r\n"
-             "Endivejunction-Attempt-Id: " +
-                 fleet::header_value(request, "Endivejunction-Attempt-Id") +
-                 "\r\nContent-Length: 0\r\n\r\n"}};
-    });
+    const endpoint_stand_in app(ask_for_pause);
     fixture.add("i-1", "app", app);
     start(fixture);
-    caller refused(fixture.listen_address());
-    refused.send(request_to("/slow/x", "first"));
     caller waiting(fixture.listen_address());
     waiting.send(request_to("/slow/x", "waits"));
-    REQUIRE(daemon_fixture::wait_until(
-        [&] { return fixture.metrics().find("backoff_waits_total") != std::string::npos; }));
+    wait_for_pauses(fixture, 1);
     shutdown leaving(fixture);
     CHECK(refused_as_leaving(waiting.read_answer()));
     CHECK(leaving.is_early());
     leaving.wait();
 }
 
+TEST_CASE("a generation that finds its engines in a pause in a daemon's grace is refused at once")
+{
+    daemon_fixture fixture;
+    const endpoint_stand_in engine(ask_for_pause);
+    fixture.add("i-1", "llm", engine);
+    start(fixture);
+    caller first(fixture.listen_address());
+    first.send(request_to("/long/x", "first", usual_generation));
+    wait_for_pauses(fixture, 1);
+    shutdown leaving(fixture);
+    CHECK(refused_as_leaving(first.read_answer()));
+    caller late(fixture.listen_address());
+    late.send(request_to("/long/x", "late", usual_generation));
+    CHECK(refused_as_leaving(late.read_answer()));
+    CHECK(leaving.is_early());
+    leaving.wait();
+}
+
 } // namespace ej::forward_tests
