--- a/libs/caller_front/src/call_admission.cpp
+++ b/libs/caller_front/src/call_admission.cpp
@@ -77,7 +77,7 @@
             send_rejection({status_unauthorized, "unauthenticated", {}});
             return nullptr;
         }
-        if (ends_too_late(*matched_route)) {
+        if (is_closed_to(*matched_route)) {
             send_rejection({status_unavailable, "leaving", {}});
             return nullptr;
         }
@@ -99,9 +99,9 @@
     }
 
 private:
-    /// True if a leaving daemon accepts no more requests of this kind, whatever they take. A load
-    /// balancer without other daemons still sends callers here.
-    bool ends_too_late(const forwarding::route& matched_route) const
+    /// True for a generation once the load balancer knows that this daemon is leaving. One without
+    /// other daemons still sends callers here.
+    bool is_closed_to(const forwarding::route& matched_route) const
     {
         const auto schedule = *context_.schedule.load();
         return schedule && matched_route.kind == core::work_kind::generation &&
--- a/libs/overload/tests/step_before_test.cpp
+++ b/libs/overload/tests/step_before_test.cpp
@@ -1,8 +1,8 @@
-#include <overload/completion_forecast.h>
 #include <overload/step_before.h>
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <vector>
 
 namespace ej::overload {
