--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-// A requester sends a request whose body holds the text of a second request, and names a transfer
-// coding that doesn't end with "chunked", so that the body's length can't be known.
+// A request that crashes each worker that runs it comes again after the daemons have been stopped
+// and started in turn.
 
 #include "../support/caller.h"
 #include "../support/config.h"
@@ -7,58 +7,77 @@
 #include "../support/store.h"
 #include "../support/worker.h"
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
+#include <random>
 
 namespace {
 
 using namespace review;
 
 constexpr const char* service = "booking-app";
+constexpr const char* crashing_body = "this body crashes the worker";
 constexpr int slots = 6;
 constexpr milliseconds work_time{15};
-constexpr int rounds = 5;
+constexpr milliseconds down_time{2'000};
+constexpr milliseconds contact{3'000}; // bounds.contactMs
+constexpr int allowed_retries = 3;
 
 class booking_worker final : public worker {
 public:
-    booking_worker(const std::string& zone, store& platform, record& log)
-        : worker({service, zone, slots}, platform, log, "booking-" + zone)
+    booking_worker(const std::string& zone, int number, store& platform, record& log,
+                   std::atomic<int>& crashes)
+        : worker({service, zone, slots}, platform, log,
+                 "booking-" + zone + "-" + std::to_string(number)),
+          crashes_(crashes), supervisor_([this] { restart_after_crashes(); })
     {
     }
-    ~booking_worker() override { stop(); }
 
-    /// The bodies of all runs, by attempt id.
-    std::map<std::string, std::string> runs()
+    ~booking_worker() override
     {
-        const std::scoped_lock lock(mutex_);
-        return runs_;
+        over_ = true;
+        supervisor_.join();
+        stop();
     }
 
 protected:
     bool answer(const message& request, connection& peer) override
     {
         const auto id = request.value("Endivejunction-Attempt-Id");
-        log_.line(name() + " runs " + id + " (" + request.start + ") with a body of " +
-                  std::to_string(request.body.size()) + " bytes");
-        {
-            const std::scoped_lock lock(mutex_);
-            runs_[id] = request.body;
+        if (request.body == crashing_body) {
+            ++crashes_;
+            log_.line(name() + " runs the crashing request " + id);
+            crash_due_ = true;
+            while (!peer.ended() && !over_) {
+                std::this_thread::sleep_for(milliseconds(1));
+            }
+            return false;
         }
         std::this_thread::sleep_for(work_time);
-        return peer.write(worker_answer(request, 200, "done"));
+        return !crash_due_ && peer.write(worker_answer(request, 200, "done"));
     }
 
 private:
-    std::mutex mutex_;
-    std::map<std::string, std::string> runs_;
-};
+    void restart_after_crashes()
+    {
+        while (!over_) {
+            std::this_thread::sleep_for(milliseconds(2));
+            if (!crash_due_) {
+                continue;
+            }
+            crash();
+            std::this_thread::sleep_for(down_time);
+            crash_due_ = false;
+            start();
+        }
+    }
 
-struct sent_request {
-    std::string id;
-    std::string inner_id; ///< Named in the body only.
-    std::string body;
-    int answers = 0;
+    std::atomic<int>& crashes_;
+    std::atomic<bool> crash_due_{false};
+    std::atomic<bool> over_{false};
+    std::thread supervisor_;
 };
 
 } // namespace
@@ -75,11 +94,15 @@
     platform.put("op/config",
                  config_text(route_text("confirm", "non_idempotent", service, 1'500, 150, 1),
                              service_text(service)));
+    std::atomic<int> crashes{0};
     std::vector<std::unique_ptr<booking_worker>> workers;
     for (const std::string zone : {"a", "b", "c"}) {
-        workers.push_back(std::make_unique<booking_worker>(zone, platform, log));
-        if (!workers.back()->start()) {
-            std::_Exit(2);
+        for (int number = 1; number <= 2; ++number) {
+            workers.push_back(
+                std::make_unique<booking_worker>(zone, number, platform, log, crashes));
+            if (!workers.back()->start()) {
+                std::_Exit(2);
+            }
         }
     }
     std::vector<std::unique_ptr<entry_daemon>> daemons;
@@ -95,55 +118,84 @@
     }
     std::this_thread::sleep_for(milliseconds(3'500));
 
-    std::vector<sent_request> all;
-    for (int round = 0; round < rounds; ++round) {
-        for (const auto& to : daemons) {
-            sent_request one{new_id(), new_id(), "", 0};
-            one.body = request_text({"POST", "/confirm/9", one.inner_id, api_key, "", 1'500, ""});
-            std::string text = "POST /confirm/1 HTTP/1.1\r\nHost: review.example\r\n"
-                               "Endivejunction-Attempt-Id: " +
-                               one.id +
-                               "\r\nEndivejunction-Deadline-Ms: 1500\r\nAuthorization: Token " +
-                               api_key + "\r\n";
-            text += trouble ? std::string("Transfer-Encoding: chunked, identity\r\n")
-                            : "Content-Length: " + std::to_string(one.body.size()) + "\r\n";
-            connection peer(connect_to(to->front()));
-            log.line("caller sends one request, " + one.id + ", to " + to->name() +
-                     "; its body names " + one.inner_id);
-            peer.write(text + "\r\n" + one.body);
-            while (const auto answer = peer.read_answer(steady::now() + milliseconds(700))) {
-                ++one.answers;
-                log.line("caller of " + one.id + " gets " + std::to_string(answer->status()) +
-                         " for " + answer->value("Endivejunction-Attempt-Id"));
+    std::atomic<bool> over{false};
+    std::atomic<int> served{0};
+    std::atomic<int> lost{0};
+    std::vector<std::thread> callers;
+    for (const auto& one : daemons) {
+        callers.emplace_back([&, &to = *one] {
+            std::mt19937 random(std::random_device{}());
+            while (!over) {
+                std::this_thread::sleep_for(
+                    milliseconds(std::uniform_int_distribution<>(100, 300)(random)));
+                if (!to.ready()) {
+                    continue;
+                }
+                const call made{"POST", "/confirm/1", new_id(), api_key, new_id(), 1'500, ""};
+                const auto answer = send_call(to.front(), made);
+                const int status = answer ? answer->status() : 0;
+                served += status == 200 ? 1 : 0;
+                lost += status == 502 || status == 504 ? 1 : 0;
+                if (status != 200) {
+                    log.line("another request, " + made.id + ", gets " + std::to_string(status));
+                }
             }
-            all.push_back(one);
-        }
+        });
+    }
+    const auto send_crashing = [&](const entry_daemon& to) {
+        const call made{"POST", "/confirm/7", new_id(), api_key, crashing_body, 1'500, ""};
+        log.line("the crashing request comes as " + made.id + " to " + to.name());
+        const auto answer = send_call(to.front(), made);
+        const int status = answer ? answer->status() : 0;
+        log.line("the crashing request " + made.id + " gets " + std::to_string(status));
+        return status;
+    };
+
+    // It comes until every daemon refuses it.
+    int refusals = 0;
+    for (int turn = 0; turn < 40 && refusals < 6; ++turn) {
+        const int status = send_crashing(*daemons[static_cast<std::size_t>(turn % 3)]);
+        refusals = status == 503 ? refusals + 1 : 0;
+        std::this_thread::sleep_for(milliseconds(300));
     }
-    std::map<std::string, std::string> runs;
-    for (const auto& one : workers) {
-        runs.merge(one->runs());
+    const int before = crashes;
+    log.line("crashes before: " + std::to_string(before));
+    std::this_thread::sleep_for(contact + milliseconds(1'000));
+
+    for (const auto& one : daemons) {
+        if (trouble) {
+            log.line("SIGTERM to " + one->name());
+            one->signal(SIGTERM);
+            one->wait_for_end(milliseconds(8'000)); // bounds.graceS
+            std::this_thread::sleep_for(milliseconds(300));
+            one->start();
+            if (!one->wait_ready(milliseconds(8'000))) {
+                std::_Exit(2);
+            }
+        }
+        // From then on the machine is in touch again.
+        std::this_thread::sleep_for(contact + milliseconds(500));
+        for (int turn = 0; turn < 8; ++turn) {
+            send_crashing(*one);
+            std::this_thread::sleep_for(milliseconds(1'200));
+        }
     }
-    int smuggled = 0;
-    int changed = 0;
-    int surplus = 0;
-    int served = 0;
-    for (const sent_request& one : all) {
-        smuggled += runs.contains(one.inner_id) ? 1 : 0;
-        served += runs.contains(one.id) ? 1 : 0;
-        changed += runs.contains(one.id) && runs[one.id] != one.body ? 1 : 0;
-        surplus += one.answers > 1 ? 1 : 0;
+    over = true;
+    for (auto& one : callers) {
+        one.join();
     }
+    const int retries = crashes - before;
     char text[200];
     std::snprintf(text, sizeof text,
-                  "requests %zu, run %d; run with another body %d; run though only named in a "
-                  "body %d; callers with a second answer %d",
-                  all.size(), served, changed, smuggled, surplus);
+                  "crashed workers before %d; reached workers again %d times (allowed %d); other "
+                  "requests served %d, lost %d",
+                  before, retries, allowed_retries, served.load(), lost.load());
     log.line(text);
     daemons.clear();
     std::puts(text);
     std::fflush(stdout);
-    if (!trouble && served == 0) {
+    if (before < 3 || served == 0) {
         std::_Exit(2);
     }
-    std::_Exit(smuggled > 0 ? 1 : 0);
+    std::_Exit(retries > allowed_retries ? 1 : 0);
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-// The callers of one zone send requests of nearly the largest size that the configuration allows.
-// A process that exceeds its memory is killed and started again, as by the platform.
+// A requester sends a request whose body holds the text of a second request, and names a transfer
+// coding that doesn't end with "chunked", so that the body's length can't be known.
 
 #include "../support/caller.h"
 #include "../support/config.h"
@@ -7,49 +7,58 @@
 #include "../support/store.h"
 #include "../support/worker.h"
 
-#include <algorithm>
-#include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <map>
 
 namespace {
 
 using namespace review;
 
-constexpr const char* service = "report-app";
-constexpr int slots = 64;
-constexpr milliseconds work_time{1'000};
-constexpr int memory_limit_mb = 195;          // limits.memoryMb
-constexpr std::size_t body_bytes = 4'000'000; // Below limits.maxBodyBytes, 4,194,304.
-constexpr std::size_t usual_body_bytes = 10'000;
-constexpr int callers_of_a_zone = 28;
-constexpr int waves = 3;
+constexpr const char* service = "booking-app";
+constexpr int slots = 6;
+constexpr milliseconds work_time{15};
+constexpr int rounds = 5;
 
-class report_worker final : public worker {
+class booking_worker final : public worker {
 public:
-    report_worker(const std::string& zone, store& platform, record& log)
-        : worker({service, zone, slots}, platform, log, "report-" + zone)
+    booking_worker(const std::string& zone, store& platform, record& log)
+        : worker({service, zone, slots}, platform, log, "booking-" + zone)
     {
     }
-    ~report_worker() override { stop(); }
+    ~booking_worker() override { stop(); }
 
-    std::atomic<int> runs{0};
+    /// The bodies of all runs, by attempt id.
+    std::map<std::string, std::string> runs()
+    {
+        const std::scoped_lock lock(mutex_);
+        return runs_;
+    }
 
 protected:
     bool answer(const message& request, connection& peer) override
     {
-        ++runs;
-        log_.line(name() + " runs " + request.value("Endivejunction-Attempt-Id") + ", body of " +
+        const auto id = request.value("Endivejunction-Attempt-Id");
+        log_.line(name() + " runs " + id + " (" + request.start + ") with a body of " +
                   std::to_string(request.body.size()) + " bytes");
+        {
+            const std::scoped_lock lock(mutex_);
+            runs_[id] = request.body;
+        }
         std::this_thread::sleep_for(work_time);
         return peer.write(worker_answer(request, 200, "done"));
     }
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, std::string> runs_;
 };
 
-struct watched {
-    std::unique_ptr<entry_daemon> process;
-    int kills = 0;
-    double peak_mb = 0;
+struct sent_request {
+    std::string id;
+    std::string inner_id; ///< Named in the body only.
+    std::string body;
+    int answers = 0;
 };
 
 } // namespace
@@ -64,97 +73,77 @@
         return 2;
     }
     platform.put("op/config",
-                 config_text(route_text("report", "non_idempotent", service, 8'000, 3'000, 1),
+                 config_text(route_text("confirm", "non_idempotent", service, 1'500, 150, 1),
                              service_text(service)));
-    std::vector<std::unique_ptr<report_worker>> workers;
+    std::vector<std::unique_ptr<booking_worker>> workers;
     for (const std::string zone : {"a", "b", "c"}) {
-        workers.push_back(std::make_unique<report_worker>(zone, platform, log));
+        workers.push_back(std::make_unique<booking_worker>(zone, platform, log));
         if (!workers.back()->start()) {
             std::_Exit(2);
         }
     }
-    std::vector<watched> daemons;
+    std::vector<std::unique_ptr<entry_daemon>> daemons;
     for (const std::string zone : {"a", "b", "c"}) {
-        daemons.push_back({std::make_unique<entry_daemon>("edge-" + zone, zone, platform.port(),
-                                                          memory_limit_mb, folder, log)});
-        daemons.back().process->start();
+        daemons.push_back(std::make_unique<entry_daemon>("edge-" + zone, zone, platform.port(), 195,
+                                                         folder, log));
+        daemons.back()->start();
     }
     for (const auto& one : daemons) {
-        if (!one.process->wait_ready(milliseconds(8'000))) {
+        if (!one->wait_ready(milliseconds(8'000))) {
             std::_Exit(2);
         }
     }
     std::this_thread::sleep_for(milliseconds(3'500));
 
-    std::atomic<bool> over{false};
-    std::thread platform_guard([&] {
-        while (!over) {
-            std::this_thread::sleep_for(milliseconds(5));
-            for (watched& one : daemons) {
-                const double used = one.process->memory_mb();
-                one.peak_mb = std::max(one.peak_mb, used);
-                if (used <= memory_limit_mb) {
-                    continue;
-                }
-                ++one.kills;
-                log.line(one.process->name() + " uses " + std::to_string(used) +
-                         " MB of memory and is killed");
-                one.process->signal(SIGKILL);
-                one.process->wait_for_end(milliseconds(1'000));
-                std::this_thread::sleep_for(milliseconds(300));
-                one.process->start();
-            }
-        }
-    });
-
-    std::atomic<int> served{0};
-    std::atomic<int> lost{0};
-    const auto send = [&](const entry_daemon& to, std::size_t bytes) {
-        const call made{"POST", "/report/1", new_id(), api_key, std::string(bytes, 'x'), 8'000, ""};
-        log.line("caller sends " + made.id + ", " + std::to_string(bytes) + " bytes, to " +
-                 to.name());
-        const auto answer = send_call(to.front(), made);
-        const int status = answer ? answer->status() : 0;
-        served += status == 200 ? 1 : 0;
-        lost += status == 200 || status == 503 ? 0 : 1;
-        log.line("caller of " + made.id +
-                 (answer ? " gets " + std::to_string(status) : " gets no answer"));
-    };
-    for (int wave = 0; wave < waves; ++wave) {
-        for (std::size_t zone = 0; zone < 2; ++zone) {
-            const auto& to = *daemons[zone].process;
-            if (!to.wait_ready(milliseconds(8'000))) {
-                std::_Exit(2);
-            }
-            std::this_thread::sleep_for(milliseconds(3'500));
-            std::vector<std::thread> callers;
-            for (int number = 0; number < callers_of_a_zone; ++number) {
-                callers.emplace_back([&] { send(to, trouble ? body_bytes : usual_body_bytes); });
-            }
-            for (auto& one : callers) {
-                one.join();
+    std::vector<sent_request> all;
+    for (int round = 0; round < rounds; ++round) {
+        for (const auto& to : daemons) {
+            sent_request one{new_id(), new_id(), "", 0};
+            one.body = request_text({"POST", "/confirm/9", one.inner_id, api_key, "", 1'500, ""});
+            std::string text = "POST /confirm/1 HTTP/1.1\r\nHost: review.example\r\n"
+                               "Endivejunction-Attempt-Id: " +
+                               one.id +
+                               "\r\nEndivejunction-Deadline-Ms: 1500\r\nAuthorization: Token " +
+                               api_key + "\r\n";
+            text += trouble ? std::string("Transfer-Encoding: chunked, identity\r\n")
+                            : "Content-Length: " + std::to_string(one.body.size()) + "\r\n";
+            connection peer(connect_to(to->front()));
+            log.line("caller sends one request, " + one.id + ", to " + to->name() +
+                     "; its body names " + one.inner_id);
+            peer.write(text + "\r\n" + one.body);
+            while (const auto answer = peer.read_answer(steady::now() + milliseconds(700))) {
+                ++one.answers;
+                log.line("caller of " + one.id + " gets " + std::to_string(answer->status()) +
+                         " for " + answer->value("Endivejunction-Attempt-Id"));
             }
+            all.push_back(one);
         }
     }
-    over = true;
-    platform_guard.join();
-    int often_killed = 0;
-    for (const watched& one : daemons) {
-        often_killed += one.kills >= 3 ? 1 : 0;
-        char text[100];
-        std::snprintf(text, sizeof text, "%s: most memory %.0f MB, killed %d times",
-                      one.process->name().c_str(), one.peak_mb, one.kills);
-        log.line(text);
-        std::puts(text);
+    std::map<std::string, std::string> runs;
+    for (const auto& one : workers) {
+        runs.merge(one->runs());
     }
-    char text[100];
-    std::snprintf(text, sizeof text, "requests served %d, lost %d", served.load(), lost.load());
+    int smuggled = 0;
+    int changed = 0;
+    int surplus = 0;
+    int served = 0;
+    for (const sent_request& one : all) {
+        smuggled += runs.contains(one.inner_id) ? 1 : 0;
+        served += runs.contains(one.id) ? 1 : 0;
+        changed += runs.contains(one.id) && runs[one.id] != one.body ? 1 : 0;
+        surplus += one.answers > 1 ? 1 : 0;
+    }
+    char text[200];
+    std::snprintf(text, sizeof text,
+                  "requests %zu, run %d; run with another body %d; run though only named in a "
+                  "body %d; callers with a second answer %d",
+                  all.size(), served, changed, smuggled, surplus);
     log.line(text);
-    std::puts(text);
     daemons.clear();
+    std::puts(text);
     std::fflush(stdout);
     if (!trouble && served == 0) {
         std::_Exit(2);
     }
-    std::_Exit(often_killed >= 2 ? 1 : 0);
+    std::_Exit(smuggled > 0 ? 1 : 0);
 }
--- a/review/support/daemon.cpp
+++ b/review/support/daemon.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <map>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -92,6 +93,7 @@
     const auto output = folder_ + "/" + name_ + ".log";
     process_ = ::fork();
     if (process_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Also if the case is stopped early.
         const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -143,32 +143,26 @@
     }
 }
 
-void store::cut_watches()
-{
-    const std::scoped_lock lock(mutex_);
-    ++watches_cut_;
-    changed_.notify_all();
-}
-
 void store::serve(connection& peer)
 {
+    const long cuts_at_start = cut_requests_;
     while (!closing()) {
         const auto request = peer.read_request(steady::now() + std::chrono::hours(1));
-        if (!request || !answer(*request, peer)) {
+        if (!request || !answer(*request, peer, cuts_at_start)) {
             return;
         }
     }
 }
 
-bool store::watch(const std::map<std::string, std::string>& query, connection& peer)
+bool store::watch(const std::map<std::string, std::string>& query, connection& peer,
+                  long cuts_at_start)
 {
     const auto prefix = query.at("prefix");
     const long after = std::atol(query.at("after").c_str());
     const auto until = steady::now() + milliseconds(std::atol(query.at("waitMs").c_str()));
     std::unique_lock lock(mutex_);
-    const auto cut = watches_cut_;
     json events = json::array();
-    for (;;) {
+    for (bool waited = false;; waited = true) {
         expire_leases();
         for (const event& one : events_) {
             if (one.revision <= after || !one.key.starts_with(prefix)) {
@@ -186,7 +180,7 @@
                     {{"key", one.key}, {"revision", one.revision}, {"tombstone", true}});
             }
         }
-        if (watches_cut_ != cut) {
+        if (waited && events.empty() && cut_requests_ != cuts_at_start) {
             ++cuts_;
             return false;
         }
@@ -200,13 +194,13 @@
     return send(peer, 200, body);
 }
 
-bool store::answer(const message& request, connection& peer)
+bool store::answer(const message& request, connection& peer, long cuts_at_start)
 {
     const auto target = request.target();
     const auto path = target.substr(0, target.find('?'));
     const auto query = query_of(target);
     if (path == "/v1/kv-watch") {
-        return watch(query, peer);
+        return watch(query, peer, cuts_at_start);
     }
     std::unique_lock lock(mutex_);
     expire_leases();
--- a/review/support/store.h
+++ b/review/support/store.h
@@ -20,8 +20,9 @@
 
     void remove(const std::string& key);
 
-    /// Closes the connections on which a watch waits now, without an answer.
-    void cut_watches();
+    /// Closes, without an answer, each open connection on which a watch waits now, or on which one
+    /// waits next.
+    void cut_watches() { ++cut_requests_; }
 
     [[nodiscard]] int cuts() const { return cuts_; }
 
@@ -41,8 +42,10 @@
         long revision = 0;
     };
 
-    bool answer(const message& request, connection& peer);
-    bool watch(const std::map<std::string, std::string>& query, connection& peer);
+    /// `cuts_at_start`: the cuts that had been requested as the connection began.
+    bool answer(const message& request, connection& peer, long cuts_at_start);
+    bool watch(const std::map<std::string, std::string>& query, connection& peer,
+               long cuts_at_start);
     void put_locked(const std::string& key, const std::string& value, long lease);
     void remove_locked(const std::string& key);
     void expire_leases();
@@ -56,7 +59,7 @@
     std::map<long, milliseconds> lease_times_;
     long revision_ = 100;
     long next_lease_ = 7'000;
-    long watches_cut_ = 0;
+    std::atomic<long> cut_requests_{0};
     std::atomic<int> cuts_{0};
 };
 
