Refuse messages whose end is ambiguous, before Beast's parser reads them

Cause: Beast takes a message whose last coding is not chunked for one without a body (a request) or with one up to the close (an answer), and leaves the check to its user. It also adds trailer fields to the header's. Change: http::framing_check reads each header before Beast does, in request_reader, answer_parser, the server and both clients of libs/http. What RFC 9112 refuses gets 400, a coding before chunked 501, and the connection closes; an endpoint's answer counts as spoiled. Trailer fields are dropped on both sides.

--- a/libs/caller_front/src/answer_parser.cpp
+++ b/libs/caller_front/src/answer_parser.cpp
@@ -23,6 +23,18 @@
     eager(true);
 }
 
+std::size_t answer_parser::consume(asio::const_buffer received, error_code& error)
+{
+    const std::string_view text(static_cast<const char*>(received.data()), received.size());
+    if (!is_header_done() && check_.inspect(text) != http::framing_fault::none) {
+        error = wire::error::bad_transfer_encoding;
+        return 0;
+    }
+    const auto used = put(received, error);
+    check_.consumed(used);
+    return used;
+}
+
 std::string_view answer_parser::header(std::string_view name) const
 {
     const auto found = std::ranges::find_if(headers_, [&](const http::header& field) {
@@ -49,7 +61,9 @@
 void answer_parser::on_field_impl(wire::field, beast::string_view name, beast::string_view value,
                                   error_code&)
 {
-    headers_.push_back({std::string(name), std::string(value)});
+    if (!is_header_done()) {
+        headers_.push_back({std::string(name), std::string(value)});
+    }
 }
 
 std::size_t answer_parser::on_body_impl(beast::string_view body, error_code&)
--- a/libs/caller_front/src/answer_parser.h
+++ b/libs/caller_front/src/answer_parser.h
@@ -2,8 +2,10 @@
 
 #include "net.h"
 
+#include <http/framing_check.h>
 #include <http/header.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +17,10 @@
 public:
     answer_parser();
 
+    /// Parses `received`, the bytes that were received and not consumed yet; returns the number of
+    /// those consumed. Error: `need_more`, or the fault of the answer.
+    [[nodiscard]] std::size_t consume(asio::const_buffer received, error_code& error);
+
     /// True for an interim answer (1xx), which the final one follows.
     [[nodiscard]] bool interim() const { return status_ < first_final_status; }
 
@@ -26,6 +32,7 @@
         return status_ >= first_final_status && status_ < first_redirect;
     }
 
+    /// The fields of the header, without those of a trailer.
     [[nodiscard]] const std::vector<http::header>& headers() const { return headers_; }
 
     /// The value of the field `name`; empty if there is none.
@@ -50,6 +57,7 @@
     std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, error_code&) override;
     void on_finish_impl(error_code&) override {}
 
+    http::framing_check check_;
     unsigned status_ = 0;
     std::vector<http::header> headers_;
     std::string body_;
--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "call_admission.h"
 #include "call_log.h"
 #include "local_reply.h"
+#include "request_rejection.h"
 
 #include <algorithm>
 #include <utility>
@@ -169,17 +170,10 @@
     }
 }
 
-void caller_connection::reject(const error_code& error)
+void caller_connection::reject(request_fault fault)
 {
-    if (error == wire::error::body_limit) {
-        send_rejection(status_body_too_large, "body_too_large");
-    }
-    else if (error == wire::error::header_limit || error == wire::error::buffer_overflow) {
-        send_rejection(status_header_too_large, "header_too_large");
-    }
-    else {
-        send_rejection(status_bad_request, "malformed");
-    }
+    const auto rejection = rejection_of(fault);
+    send_rejection(rejection.status, rejection.reason);
 }
 
 void caller_connection::send_rejection(unsigned status, std::string_view reason)
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -62,7 +62,7 @@
     void received(const error_code& error, std::size_t count);
     void parse();
     void handle(caller_request request);
-    void reject(const error_code& error);
+    void reject(request_fault fault);
     void send_rejection(unsigned status, std::string_view reason);
     void timed_out();
     void idle_limit_passed();
--- a/libs/caller_front/src/local_reply.h
+++ b/libs/caller_front/src/local_reply.h
@@ -18,6 +18,7 @@
 inline constexpr unsigned status_body_too_large = 413;
 inline constexpr unsigned status_misdirected = 421;
 inline constexpr unsigned status_header_too_large = 431;
+inline constexpr unsigned status_not_implemented = 501;
 inline constexpr unsigned status_bad_gateway = 502;
 inline constexpr unsigned status_unavailable = 503;
 inline constexpr unsigned status_gateway_timeout = 504;
--- a/libs/caller_front/src/request_reader.h
+++ b/libs/caller_front/src/request_reader.h
@@ -2,18 +2,19 @@
 
 #include "caller_request.h"
 #include "net.h"
+#include "request_fault.h"
 
 #include <forwarding/caller_limits.h>
 
 #include <core/instant.h>
+#include <http/framing_check.h>
 
 #include <optional>
 
 namespace ej::front {
 
 /// Parses requests from the bytes that a caller sends. Anything that an endpoint might parse
-/// differently is a fault, such as Content-Length together with chunked encoding, or conflicting
-/// lengths.
+/// differently is a fault, see `http::framing_check`. Trailer fields are discarded.
 class request_reader {
 public:
     /// Parsing state of the current request.
@@ -30,7 +31,7 @@
     [[nodiscard]] progress advance();
 
     /// The fault, after `progress::faulty`.
-    [[nodiscard]] const error_code& fault() const { return fault_; }
+    [[nodiscard]] request_fault fault() const { return fault_; }
 
     /// True once per request, when the caller waits for 100 Continue before it sends the body.
     [[nodiscard]] bool wants_continue();
@@ -39,11 +40,15 @@
     [[nodiscard]] caller_request take();
 
 private:
+    [[nodiscard]] progress fail(request_fault fault);
+    void take_header();
+
     beast::flat_buffer buffer_;
+    http::framing_check check_;
     std::size_t max_unparsed_bytes_ = 0;
     std::optional<wire::request_parser<wire::string_body>> parser_;
-    error_code fault_;
-    core::instant arrived_{};
+    request_fault fault_ = request_fault::malformed;
+    caller_request request_; // Without its body until it is complete.
     bool continued_ = false;
 };
 
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -160,7 +160,7 @@
     auto& buffer = connection_->buffer;
     while (buffer.size() > 0 && !parser_->is_done()) {
         error_code error;
-        const auto used = parser_->put(buffer.data(), error);
+        const auto used = parser_->consume(buffer.data(), error);
         buffer.consume(used);
         message_bytes_ += used;
         if (error == wire::error::need_more) {
--- a/libs/caller_front/tests/parsers_test.cpp
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -157,7 +157,7 @@
                 pending += piece;
                 while (!pending.empty() && !parser.is_done()) {
                     error_code error;
-                    const auto used = parser.put(asio::buffer(pending), error);
+                    const auto used = parser.consume(asio::buffer(pending), error);
                     pending.erase(0, used);
                     body += parser.take_body();
                     if (error) {
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -1,6 +1,7 @@
 #include "beast.h"
 #include "client_connection.h"
 #include "convert.h"
+#include "read_header.h"
 
 #include <http/answer_deadline.h>
 #include <http/client.h>
@@ -86,15 +87,19 @@
 
 using answer_parser = wire::response_parser<wire::string_body>;
 
-/// Reads an answer; returns the error of the last read. The header is read by itself, since Beast's
-/// parser forgets that the announced length exceeds the limit as soon as it reads on into the body.
-asio::awaitable<boost::system::error_code>
-read_answer(connection_ptr connection, answer_parser& parser, answer_deadline deadline)
+/// Reads an answer; returns the error of the last read. `headers` are those of its header. The
+/// header is read by itself, since Beast's parser forgets that the announced length exceeds the
+/// limit as soon as it reads on into the body, and adds trailer fields to the header.
+asio::awaitable<boost::system::error_code> read_answer(connection_ptr connection,
+                                                       answer_parser& parser,
+                                                       answer_deadline deadline,
+                                                       std::vector<header>& headers)
 {
-    boost::system::error_code error;
     auto& stream = connection->stream;
     stream.expires_at(deadline.for_header());
-    co_await wire::async_read_header(stream, connection->buffer, parser, no_throw(error));
+    framing_check check;
+    auto error = co_await read_header(stream, connection->buffer, parser, check);
+    headers = to_headers(parser.get());
     const auto header_at = std::chrono::steady_clock::now();
     while (!error && !parser.is_done()) {
         const auto received = parser.get().body().size();
@@ -119,14 +124,15 @@
     }
     answer_parser parser;
     parser.body_limit(max_body_bytes);
-    error = co_await read_answer(connection, parser, deadline);
+    std::vector<header> headers;
+    error = co_await read_answer(connection, parser, deadline, headers);
     if (error) {
         co_return failure_status(error);
     }
     connection->reusable = parser.keep_alive();
     connection->stream.expires_never();
     auto received = parser.release();
-    co_return response{received.result_int(), to_headers(received), std::move(received.body())};
+    co_return response{received.result_int(), std::move(headers), std::move(received.body())};
 }
 
 /// Connects a new connection first, then exchanges the messages.
--- a/libs/http/src/line_stream.cpp
+++ b/libs/http/src/line_stream.cpp
@@ -1,6 +1,7 @@
 #include "beast.h"
 #include "client_connection.h"
 #include "convert.h"
+#include "read_header.h"
 
 #include <http/line_stream.h>
 
@@ -89,8 +90,9 @@
     link->transport->stream.expires_at(deadline);
     co_await wire::async_write(link->transport->stream, message, no_throw(error));
     if (!error) {
-        co_await wire::async_read_header(link->transport->stream, link->transport->buffer,
-                                         link->parser, no_throw(error));
+        framing_check check;
+        error = co_await read_header(link->transport->stream, link->transport->buffer, link->parser,
+                                     check);
     }
     if (error) {
         co_return failure_status(error);
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "server_connection.h"
 
 #include "convert.h"
+#include "read_header.h"
 
 #include <algorithm>
 #include <array>
@@ -12,6 +13,7 @@
 constexpr unsigned http_version = 11;
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_implemented = 501;
 constexpr std::size_t watch_buffer_bytes = 256;
 
 absl::Status write_status(const boost::system::error_code& error)
@@ -76,29 +78,43 @@
     wire::request_parser<wire::string_body> parser;
     parser.body_limit(options_.max_body_bytes);
     stream_.expires_after(options_.request_timeout);
-    co_await wire::async_read(stream_, buffer_, parser, no_throw(error));
-    if (error == wire::error::body_limit || error == wire::error::header_limit ||
-        error == wire::error::buffer_overflow) {
-        keep_alive_ = false;
-        response answer{status_too_large, {}, "request is too large\n"};
-        co_await respond(std::move(answer));
-        co_return false;
+    framing_check check;
+    error = co_await read_header(stream_, buffer_, parser, check);
+    std::vector<header> headers;
+    if (!error) {
+        headers = to_headers(parser.get()); // Before trailer fields are added.
+        keep_alive_ = parser.keep_alive();
+        co_await wire::async_read(stream_, buffer_, parser, no_throw(error));
     }
     if (error) {
-        if (error.category() == wire::make_error_code(wire::error::bad_method).category() &&
-            error != wire::error::end_of_stream && error != wire::error::partial_message) {
-            response answer{status_bad_request, {}, "request is not HTTP\n"};
-            co_await respond(std::move(answer));
-        }
+        co_await refuse(error, check.fault());
         co_return false;
     }
-    keep_alive_ = parser.keep_alive();
     auto message = parser.release();
     received_ = request{std::string(message.method_string()), std::string(message.target()),
-                        to_headers(message), std::move(message.body())};
+                        std::move(headers), std::move(message.body())};
     co_return true;
 }
 
+asio::awaitable<void> server_connection::refuse(boost::system::error_code error,
+                                                framing_fault fault)
+{
+    keep_alive_ = false;
+    response answer{status_bad_request, {}, "request is not HTTP\n"};
+    if (error == wire::error::body_limit || error == wire::error::header_limit ||
+        error == wire::error::buffer_overflow) {
+        answer = {status_too_large, {}, "request is too large\n"};
+    }
+    else if (fault == framing_fault::unknown_coding) {
+        answer = {status_not_implemented, {}, "transfer coding is not known\n"};
+    }
+    else if (error.category() != wire::make_error_code(wire::error::bad_method).category() ||
+             error == wire::error::end_of_stream || error == wire::error::partial_message) {
+        co_return; // The connection has ended.
+    }
+    co_await respond(std::move(answer));
+}
+
 asio::awaitable<absl::Status> server_connection::respond(response answer)
 {
     auto message = to_wire(answer, keep_alive_);
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -4,6 +4,7 @@
 #include "parse_limits.h"
 
 #include <http/exchange.h>
+#include <http/framing_fault.h>
 #include <http/server.h>
 
 #include <memory>
@@ -29,6 +30,10 @@
 
 private:
     asio::awaitable<bool> read_request();
+
+    /// Answers a request that could not be read with `error`, unless its connection has ended, and
+    /// closes the connection.
+    asio::awaitable<void> refuse(boost::system::error_code error, framing_fault fault);
     asio::awaitable<void> watch_caller();
     void on_caller_disconnected();
 
