Count the death of an endpoint as evidence also after a request's output

Cause: forwarded_call::record_failure named no suspect once a request had had output, and serve's crash_tracker ended its tracking with the first output. That output proves parts of a prompt was taken to hold for the whole request. Ruled out: deaths that were not noticed (all were logged), a hold that was not told. Change: death records list requests with and without output apart. Those without count as before; one with output counts two if it ran alone and no other endpoint died within a second, else one. A record with output has its own layout, which older builds reject. The test "a request that had output at the engine is not a suspect after its death" stated the fault; three replace it: no suspect if it no longer runs there, refused after two deaths alone, not refused for the deaths that refuse a request without output.

--- a/libs/caller_front/src/death_check.cpp
+++ b/libs/caller_front/src/death_check.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 void check_death(front_context& context, upstream_pool& pool, const core::endpoint& endpoint,
-                 std::optional<suspect_request> suspect, const std::string& request)
+                 suspect_request suspect, const std::string& request)
 {
     // A broken connection alone does not mean that the endpoint died: it must also be unreachable.
     const auto check = std::make_shared<liveness_check>(
@@ -29,16 +29,16 @@
             }
             log_death(request, endpoint);
             context.metrics.count("deaths_seen_total", {});
-            if (!suspect) {
-                return;
-            }
-            const auto seen = context.suspects.record_death(
-                {{endpoint.name, endpoint.incarnation}, {suspect->digest}}, now());
-            if (!seen.running.empty()) {
+            const suspects::death_id death{endpoint.name, endpoint.incarnation};
+            suspects::death_record ran{death, {}, {}};
+            (suspect.had_output ? ran.flowing : ran.running).push_back(suspect.digest);
+            const auto seen = context.suspects.record_death(ran, now());
+            if (!seen.empty()) {
                 context.death_seen(seen);
             }
-            context.parts.record_death(
-                {{endpoint.name, endpoint.incarnation}, endpoint.domain, suspect->parts});
+            if (!suspect.had_output) {
+                context.parts.record_death({death, endpoint.domain, suspect.parts});
+            }
         });
     check->start(check_timeout);
 }
--- a/libs/caller_front/src/death_check.h
+++ b/libs/caller_front/src/death_check.h
@@ -6,16 +6,14 @@
 
 #include <core/endpoint.h>
 
-#include <optional>
 #include <string>
 
 namespace ej::front {
 
 /// Checks whether `endpoint`, whose connection broke during a request, has died. If so, counts its
-/// death and, with `suspect`, reports it to the other daemons as possibly caused by this request or
-/// a part of its prompt.
+/// death and reports it to the other daemons as possibly caused by `suspect`.
 /// `context` and `pool` outlive the check.
 void check_death(front_context& context, upstream_pool& pool, const core::endpoint& endpoint,
-                 std::optional<suspect_request> suspect, const std::string& request);
+                 suspect_request suspect, const std::string& request);
 
 } // namespace ej::front
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -182,11 +182,8 @@
     // An endpoint that asked for a backoff gets no new connection for its silence alone.
     const bool may_check = end != attempt_end::silent || may_send(attempt);
     if (attempt.sent() && may_have_died && may_check) {
-        // A poison request crashes its endpoint before the first output.
-        const auto suspect = progress_.had_output
-                                 ? std::nullopt
-                                 : std::optional(suspect_request{digest_, environment_.parts});
-        check_death(context, environment_.pool, endpoint, suspect, request_id_);
+        check_death(context, environment_.pool, endpoint,
+                    {digest_, progress_.had_output, environment_.parts}, request_id_);
     }
     log_attempt_end(request_id_, endpoint, end, detail, now() - attempt.started(),
                     context.stats.of(endpoint));
@@ -221,7 +218,7 @@
         return true;
     }
     if (progress_.had_output) {
-        return false;
+        return false; // Its output has proved its parts.
     }
     // A request that certainly has not run has caused no death: sending it on is as safe as
     // admitting it now.
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -80,7 +80,7 @@
 void peer_link::apply(const suspects::death_record& seen)
 {
     const auto known = context_.suspects.record_death(seen, now());
-    if (!known.running.empty()) {
+    if (!known.empty()) {
         context_.metrics.count("deaths_heard_total", {});
     }
 }
--- a/libs/runtime/src/crash_tracker.cpp
+++ b/libs/runtime/src/crash_tracker.cpp
@@ -58,11 +58,21 @@
     return isolated_;
 }
 
-void crash_tracker::begin(const core::endpoint& engine)
+void crash_tracker::begin(const core::endpoint& engine, bool had_output)
 {
     end_attempt();
     engine_ = engine;
     shared_->suspects.begin(engine.name, request_);
+    if (had_output) {
+        record_output();
+    }
+}
+
+void crash_tracker::record_output()
+{
+    if (engine_) {
+        shared_->suspects.record_output(engine_->name, request_);
+    }
 }
 
 void crash_tracker::end_attempt()
@@ -85,14 +95,14 @@
     }
     auto seen = shared_->suspects.record_death(engine, request_, now());
     end_attempt();
-    if (seen.running.empty()) {
+    if (seen.empty()) {
         co_return;
     }
     shared_->metrics.count("engine_deaths_total", {});
     logging::log(logging::level::warn, "engine died while running requests",
                  {{"engine", engine.name.text()},
                   {"incarnation", engine.incarnation.text()},
-                  {"requests", std::to_string(seen.running.size())}});
+                  {"requests", std::to_string(seen.running.size() + seen.flowing.size())}});
     if (shared_->deaths != nullptr) {
         co_await shared_->deaths->announce(std::move(seen));
     }
--- a/libs/runtime/src/crash_tracker.h
+++ b/libs/runtime/src/crash_tracker.h
@@ -12,8 +12,8 @@
 
 namespace ej::runtime {
 
-/// Tracks one generation's attempt at an engine until its first output: if the engine dies before
-/// that, the request may have crashed it. Used on one strand.
+/// Tracks one generation's attempt at an engine: if the engine dies meanwhile, the request may have
+/// crashed it. Used on one strand.
 class crash_tracker {
 public:
     crash_tracker(std::shared_ptr<daemon_context> shared, suspects::request_digest request);
@@ -27,10 +27,13 @@
     /// at this daemon.
     bool may_run();
 
-    /// Reports that the request is being sent to `engine`.
-    void begin(const core::endpoint& engine);
+    /// Reports that the request is being sent to `engine`; `had_output`: it is resumed there.
+    void begin(const core::endpoint& engine, bool had_output);
 
-    /// Reports that the engine made output or did not accept the request.
+    /// Reports that the engine made output.
+    void record_output();
+
+    /// Reports that the engine did not accept the request.
     void end_attempt();
 
     /// Reports that the attempt was lost. If the engine accepts no connection, it has died: records
@@ -45,7 +48,7 @@
 
     std::shared_ptr<daemon_context> shared_;
     suspects::request_digest request_;
-    std::optional<core::endpoint> engine_; // Runs the request, without output so far.
+    std::optional<core::endpoint> engine_; // Runs the request.
     bool isolated_ = false;
 };
 
--- a/libs/runtime/src/generation_session.cpp
+++ b/libs/runtime/src/generation_session.cpp
@@ -179,11 +179,7 @@
         co_return make_event(event_kind::rejected);
     }
     seal_location();
-    // A request that has made output at some engine has not crashed that engine, so it needs no
-    // tracking.
-    if (state_.next == core::token_offset()) {
-        crash_tracker_.begin(*engine_);
-    }
+    crash_tracker_.begin(*engine_, state_.next > core::token_offset());
     auto order = order_of(start_, state_);
     auto opened = co_await connection_.open(*engine_, std::move(order), policy_->silence_timeout());
     auto failure = event_of(opened);
@@ -254,7 +250,7 @@
 
 asio::awaitable<generation_session::optional_event> generation_session::deliver(effect what)
 {
-    crash_tracker_.end_attempt();
+    crash_tracker_.record_output();
     timing_.delivered(now(), shared_->metrics);
     delivered_here_ += what.tokens.size();
     const auto id = cursor::cursor_codec::event_id(sealed_place_, state_.next, state_.text);
--- a/libs/runtime/src/suspect_tracker.cpp
+++ b/libs/runtime/src/suspect_tracker.cpp
@@ -11,11 +11,26 @@
 
 namespace {
 
-// Death records list only requests without output. A request is refused after two deaths at which
-// it was the only such request, or four deaths at which there were others, so a request that
-// crashes engines crashes two of them.
+// A request is refused after two deaths at which it was the only request without output, or the
+// only one at all, or four deaths at which there were others, so a request that crashes engines
+// before its output crashes two of them.
 constexpr std::uint32_t weight_to_refuse = 4;
 
+void erase_one(std::multiset<suspects::request_digest>& from, suspects::request_digest request)
+{
+    if (const auto found = from.find(request); found != from.end()) {
+        from.erase(found);
+    }
+}
+
+std::vector<suspects::request_digest>
+distinct(const std::multiset<suspects::request_digest>& requests)
+{
+    std::vector<suspects::request_digest> found;
+    std::ranges::unique_copy(requests, std::back_inserter(found));
+    return found;
+}
+
 } // namespace
 
 suspect_tracker::suspect_tracker()
@@ -25,20 +40,34 @@
 
 void suspect_tracker::begin(const core::endpoint_id& engine, suspects::request_digest request)
 {
-    without_output_.with(engine, [&](auto& engines) { engines[engine].insert(request); });
+    requests_.with(engine, [&](auto& engines) { engines[engine].without_output.insert(request); });
+}
+
+void suspect_tracker::record_output(const core::endpoint_id& engine,
+                                    suspects::request_digest request)
+{
+    requests_.with(engine, [&](auto& engines) {
+        auto& running = engines[engine];
+        const auto found = running.without_output.find(request);
+        if (found != running.without_output.end()) {
+            running.without_output.erase(found);
+            running.after_output.insert(request);
+        }
+    });
 }
 
 void suspect_tracker::end(const core::endpoint_id& engine, suspects::request_digest request)
 {
-    without_output_.with(engine, [&](auto& engines) {
+    requests_.with(engine, [&](auto& engines) {
         const auto found = engines.find(engine);
         if (found == engines.end()) {
             return;
         }
-        if (const auto one = found->second.find(request); one != found->second.end()) {
-            found->second.erase(one);
-        }
-        if (found->second.empty()) {
+        auto& running = found->second;
+        erase_one(running.after_output.contains(request) ? running.after_output
+                                                         : running.without_output,
+                  request);
+        if (running.without_output.empty() && running.after_output.empty()) {
             engines.erase(found);
         }
     });
@@ -48,15 +77,17 @@
                                                      suspects::request_digest request,
                                                      core::instant now)
 {
-    suspects::death_record seen{{engine.name, engine.incarnation}, {request}};
-    without_output_.with(engine.name, [&](auto& engines) {
+    suspects::death_record seen{{engine.name, engine.incarnation}, {}, {}};
+    requests_.with(engine.name, [&](auto& engines) {
         if (const auto found = engines.find(engine.name); found != engines.end()) {
-            seen.running.insert(seen.running.end(), found->second.begin(), found->second.end());
+            seen.running = distinct(found->second.without_output);
+            seen.flowing = distinct(found->second.after_output);
         }
     });
-    std::ranges::sort(seen.running);
-    const auto repeated = std::ranges::unique(seen.running);
-    seen.running.erase(repeated.begin(), repeated.end());
+    if (!std::ranges::binary_search(seen.running, request) &&
+        !std::ranges::binary_search(seen.flowing, request)) {
+        seen.running.insert(std::ranges::lower_bound(seen.running, request), request);
+    }
     table_.expire(now);
     return table_.record_death(seen, now);
 }
@@ -64,7 +95,7 @@
 bool suspect_tracker::record_remote_death(const suspects::death_record& seen, core::instant now)
 {
     table_.expire(now);
-    return !table_.record_death(seen, now).running.empty();
+    return !table_.record_death(seen, now).empty();
 }
 
 void suspect_tracker::clear(suspects::request_digest request)
--- a/libs/runtime/src/suspect_tracker.h
+++ b/libs/runtime/src/suspect_tracker.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "engine_requests.h"
+
 #include <concurrency/sharded.h>
 #include <core/endpoint.h>
 #include <core/endpoint_id.h>
@@ -9,13 +11,10 @@
 #include <suspects/suspect_table.h>
 #include <suspects/verdict.h>
 
-#include <set>
-
 namespace ej::runtime {
 
-/// Tracks which requests run at which engine without output so far, and which of them were running
-/// when an engine died. A request that crashes engines does so before its first output.
-/// Thread-safe.
+/// Tracks which requests run at which engine, with and without output so far, and which of them
+/// were running when an engine died. Thread-safe.
 class suspect_tracker {
 public:
     suspect_tracker();
@@ -23,7 +22,10 @@
     /// Reports that `request` starts at `engine`.
     void begin(const core::endpoint_id& engine, suspects::request_digest request);
 
-    /// Reports that `request` made output at `engine` or no longer runs there.
+    /// Reports that `request`, which runs at `engine`, has had output.
+    void record_output(const core::endpoint_id& engine, suspects::request_digest request);
+
+    /// Reports that `request` no longer runs at `engine`.
     void end(const core::endpoint_id& engine, suspects::request_digest request);
 
     /// Records that `engine` died while `request` ran there. Returns the record to send to other
@@ -47,8 +49,7 @@
     void end_isolated(suspects::request_digest request);
 
 private:
-    concurrency::sharded<core::endpoint_id, std::multiset<suspects::request_digest>>
-        without_output_;
+    concurrency::sharded<core::endpoint_id, engine_requests> requests_;
     suspects::suspect_table table_;
 };
 
--- a/libs/runtime/tests/suspect_tracker_test.cpp
+++ b/libs/runtime/tests/suspect_tracker_test.cpp
@@ -35,7 +35,7 @@
     CHECK(watch.evaluate(crashing, now) == verdict::refuse);
 }
 
-TEST_CASE("a request that had output at the engine is not a suspect after its death")
+TEST_CASE("a request that no longer runs at the engine is not a suspect after its death")
 {
     suspect_tracker watch;
     for (const auto* const name : {"e1", "e2", "e3"}) {
@@ -48,6 +48,32 @@
     CHECK(watch.evaluate(crashing, now) == verdict::refuse);
 }
 
+// BUDGET: output made a request that crashes its engines no suspect.
+TEST_CASE("a request that crashes engines after its output is refused after two deaths")
+{
+    suspect_tracker watch;
+    for (const auto* const name : {"e1", "e2"}) {
+        CHECK(watch.evaluate(crashing, now) != verdict::refuse);
+        watch.begin(engine(name).name, crashing);
+        watch.record_output(engine(name).name, crashing);
+        watch.record_death(engine(name), crashing, now);
+    }
+    CHECK(watch.evaluate(crashing, now) == verdict::refuse);
+}
+
+TEST_CASE("a request after output is not refused for the deaths that refuse one without output")
+{
+    suspect_tracker watch;
+    for (const auto* const name : {"e1", "e2", "e3"}) {
+        watch.begin(engine(name).name, bystander);
+        watch.begin(engine(name).name, crashing);
+        watch.record_output(engine(name).name, bystander);
+        watch.record_death(engine(name), crashing, now);
+    }
+    CHECK(watch.evaluate(bystander, now) != verdict::refuse);
+    CHECK(watch.evaluate(crashing, now) == verdict::refuse);
+}
+
 TEST_CASE("two requests at the same two engine deaths are isolated and not refused")
 {
     suspect_tracker watch;
--- a/libs/suspects/include/suspects/death_record.h
+++ b/libs/suspects/include/suspects/death_record.h
@@ -12,7 +12,11 @@
 /// other.
 struct death_record {
     death_id death;
-    std::vector<request_digest> running; ///< Sorted, without duplicates.
+    std::vector<request_digest> running; ///< Without output so far. Sorted, without duplicates.
+    std::vector<request_digest> flowing; ///< After output. Sorted, without duplicates.
+
+    /// True if no request ran there.
+    [[nodiscard]] bool empty() const { return running.empty() && flowing.empty(); }
 
     friend auto operator<=>(const death_record&, const death_record&) = default;
 };
--- a/libs/suspects/include/suspects/known_death.h
+++ b/libs/suspects/include/suspects/known_death.h
@@ -8,9 +8,10 @@
 
 namespace ej::suspects {
 
-/// A death record and its expiry.
+/// A death record, when it was first known and its expiry.
 struct known_death {
     death_record record;
+    core::instant seen{};
     core::instant expires{};
 
     friend auto operator<=>(const known_death&, const known_death&) = default;
--- a/libs/suspects/include/suspects/suspect_table.h
+++ b/libs/suspects/include/suspects/suspect_table.h
@@ -24,8 +24,7 @@
     explicit suspect_table(std::unique_ptr<const suspicion_policy> policy);
 
     /// Records a death that this daemon observed or a peer reported. If `reported` adds requests,
-    /// returns the merged record, which is to be sent to peers; otherwise a record without
-    /// requests.
+    /// returns the merged record, which is to be sent to peers; otherwise an empty record.
     death_record record_death(const death_record& reported, core::instant now);
 
     /// Removes the suspicion of a request that finished here or at a peer. Returns true if the
@@ -50,6 +49,8 @@
 private:
     [[nodiscard]] std::vector<death_id> deaths_of(request_digest request, core::instant now);
     void record_suspect(request_digest request, const death_id& death, core::instant now);
+    [[nodiscard]] bool ran_alone(request_digest request, const death_id& death);
+    [[nodiscard]] bool died_beside(request_digest request, core::instant at);
 
     std::unique_ptr<const suspicion_policy> policy_;
     concurrency::sharded<death_id, known_death> deaths_;
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -14,6 +14,19 @@
 // Longer than callers retry a failed request.
 constexpr std::chrono::minutes retention{15};
 
+// Endpoints that die of one cause, such as the loss of a failure domain, do so within this time.
+constexpr std::chrono::seconds burst{1};
+
+bool contains(const std::vector<request_digest>& sorted, request_digest request)
+{
+    return std::ranges::binary_search(sorted, request);
+}
+
+bool is_only(const std::vector<request_digest>& requests, request_digest request)
+{
+    return requests.size() == 1 && requests.front() == request;
+}
+
 } // namespace
 
 suspect_table::suspect_table(std::unique_ptr<const suspicion_policy> policy)
@@ -28,8 +41,13 @@
     std::vector<request_digest> added;
     const death_record merged = deaths_.with(reported.death, [&](auto& deaths) {
         known_death& known = deaths[reported.death];
+        if (known.record.empty()) {
+            known.seen = now;
+        }
         std::ranges::set_difference(reported.running, known.record.running,
                                     std::back_inserter(added));
+        std::ranges::set_difference(reported.flowing, known.record.flowing,
+                                    std::back_inserter(added));
         known.record.death = reported.death;
         known.record = merge(known.record, reported);
         known.expires = now + retention;
@@ -38,7 +56,7 @@
     for (const request_digest request : added) {
         record_suspect(request, reported.death, now);
     }
-    return added.empty() ? death_record{reported.death, {}} : merged;
+    return added.empty() ? death_record{reported.death, {}, {}} : merged;
 }
 
 void suspect_table::record_suspect(request_digest request, const death_id& death, core::instant now)
@@ -75,15 +93,41 @@
     // The deaths are copied out of the request's shard first, so that only one lock is held at a
     // time.
     for (const death_id& death : deaths_of(request, now)) {
-        const bool only_request = deaths_.with(death, [&](auto& deaths) {
-            const auto found = deaths.find(death);
-            return found != deaths.end() && found->second.record.running.size() == 1;
-        });
-        ++(only_request ? known.solo_deaths : known.shared_deaths);
+        ++(ran_alone(request, death) ? known.solo_deaths : known.shared_deaths);
     }
     return policy_->evaluate(known);
 }
 
+/// True if no other request can have caused the death. Requests after output are suspected only if
+/// there was none without output. Such a request is resumed at one endpoint after the other, also
+/// in an outage, so that it ran alone only if no other endpoint died at the same time.
+bool suspect_table::ran_alone(request_digest request, const death_id& death)
+{
+    const auto known = deaths_.with(death, [&](auto& deaths) {
+        const auto found = deaths.find(death);
+        return found == deaths.end() ? known_death() : found->second;
+    });
+    if (!known.record.running.empty()) {
+        return is_only(known.record.running, request);
+    }
+    return is_only(known.record.flowing, request) && !died_beside(request, known.seen);
+}
+
+/// True if another endpoint, which did not run the request, died at the time `at`.
+bool suspect_table::died_beside(request_digest request, core::instant at)
+{
+    bool found = false;
+    deaths_.for_each_shard([&](auto& deaths) {
+        found = found || std::ranges::any_of(deaths, [&](const auto& entry) {
+                    const known_death& other = entry.second;
+                    return other.seen >= at - burst && other.seen <= at + burst &&
+                           !contains(other.record.running, request) &&
+                           !contains(other.record.flowing, request);
+                });
+    });
+    return found;
+}
+
 bool suspect_table::begin_isolated(request_digest request)
 {
     return histories_.with(request, [&](auto& histories) {
--- a/libs/suspects/tests/suspects_test.cpp
+++ b/libs/suspects/tests/suspects_test.cpp
@@ -176,6 +176,72 @@
     });
 }
 
+namespace {
+
+death_id death_number(int number)
+{
+    return {core::endpoint_id(std::to_string(number)), core::incarnation_id("1")};
+}
+
+suspect_table strict_table()
+{
+    return suspect_table(std::make_unique<isolate_then_refuse_policy>(6));
+}
+
+} // namespace
+
+// BUDGET: a death after output was no evidence.
+TEST_CASE(
+    "a request after output is refused after three deaths at which it ran alone, or six beside "
+    "others")
+{
+    const bool alone = GENERATE(true, false);
+    const request_digest request(1);
+    const request_digest other(2);
+    const int deaths = alone ? 3 : 6;
+    auto table = strict_table();
+    core::instant at{};
+    for (int number = 0; number < deaths; ++number) {
+        CHECK(table.evaluate(request, at) != verdict::refuse);
+        at += 5s;
+        const std::vector<request_digest> running(alone ? 0 : 1, other);
+        table.record_death({death_number(number), running, {request}}, at);
+    }
+    CHECK(table.evaluate(request, at) == verdict::refuse);
+}
+
+TEST_CASE("requests after output do not weaken the evidence against one without output")
+{
+    const request_digest request(1);
+    auto table = strict_table();
+    core::instant at{};
+    for (int number = 0; number < 3; ++number) {
+        at += 5s;
+        table.record_death(
+            {death_number(number), {request}, {request_digest(2), request_digest(3)}}, at);
+    }
+    CHECK(table.evaluate(request, at) == verdict::refuse);
+    CHECK(table.evaluate(request_digest(2), at) != verdict::refuse);
+}
+
+// LOST: a stream that outlives the losses of whole failure domains has crashed nothing.
+TEST_CASE("a stream is not refused after as many losses of failure domains as it has attempts")
+{
+    const request_digest stream(1);
+    auto table = strict_table();
+    core::instant at{};
+    int number = 0;
+    for (int outage = 0; outage < 5; ++outage) {
+        at += 5s;
+        table.record_death({death_number(number++), {}, {stream}}, at);
+        for (std::uint64_t beside = 2; beside < 5; ++beside) {
+            table.record_death({death_number(number++), {}, {request_digest(10 * beside)}},
+                               at + 300ms);
+        }
+        CHECK(table.evaluate(stream, at + 400ms) != verdict::refuse);
+    }
+}
+
 TEST_CASE("a suspicion expires and is removed from the table")
 {
     suspect_table table(std::make_unique<isolate_then_refuse_policy>());
--- a/libs/suspects_wire/include/suspects_wire/death_codec.h
+++ b/libs/suspects_wire/include/suspects_wire/death_codec.h
@@ -10,11 +10,11 @@
 
 namespace ej::suspects_wire {
 
-/// Encodes the record as CBOR: an array of layout number, endpoint, incarnation and request
-/// digests.
+/// Encodes the record as CBOR: an array of layout number, endpoint, incarnation, the digests of the
+/// requests without output and, if there are any, those of the requests after output.
 [[nodiscard]] std::vector<std::uint8_t> encode(const suspects::death_record& record);
 
-/// Decodes the output of `encode`. Error: InvalidArgument, also for another layout number.
+/// Decodes the output of `encode`. Error: InvalidArgument, also for other layout numbers.
 [[nodiscard]] absl::StatusOr<suspects::death_record>
 decode_death(std::span<const std::uint8_t> bytes);
 
--- a/libs/suspects_wire/src/death_codec.cpp
+++ b/libs/suspects_wire/src/death_codec.cpp
@@ -14,31 +14,63 @@
 using nlohmann::json;
 
 // First element of the array; datagrams of other types begin with another number.
-constexpr int death_record_layout = 2;
-constexpr std::size_t death_record_fields = 4;
+constexpr int layout_without_output = 2; // All requests were without output.
+constexpr int layout_after_output = 11;
+constexpr std::size_t fields_without_output = 4;
+constexpr std::size_t fields_after_output = 5;
 
 bool is_unsigned(const json& value)
 {
     return value.is_number_unsigned();
 }
 
+bool is_list(const json& value)
+{
+    return value.is_array() && std::ranges::all_of(value, is_unsigned);
+}
+
 bool is_death_record(const json& value)
 {
-    return value.is_array() && value.size() == death_record_fields &&
-           value[0] == death_record_layout && value[1].is_string() && value[2].is_string() &&
-           value[3].is_array() && std::ranges::all_of(value[3], is_unsigned);
+    if (!value.is_array() || value.size() < fields_without_output) {
+        return false;
+    }
+    const bool known_layout =
+        (value[0] == layout_without_output && value.size() == fields_without_output) ||
+        (value[0] == layout_after_output && value.size() == fields_after_output);
+    return known_layout && value[1].is_string() && value[2].is_string() &&
+           std::all_of(value.begin() + 3, value.end(), is_list);
+}
+
+json to_json(const std::vector<suspects::request_digest>& requests)
+{
+    json digests = json::array();
+    for (const suspects::request_digest request : requests) {
+        digests.push_back(request.value());
+    }
+    return digests;
+}
+
+std::vector<suspects::request_digest> requests_of(const json& value)
+{
+    std::vector<suspects::request_digest> requests;
+    for (const json& digest : value) {
+        requests.emplace_back(digest.get<std::uint64_t>());
+    }
+    std::ranges::sort(requests);
+    return requests;
 }
 
 } // namespace
 
 std::vector<std::uint8_t> encode(const suspects::death_record& record)
 {
-    json running = json::array();
-    for (const suspects::request_digest digest : record.running) {
-        running.push_back(digest.value());
+    auto fields = json::array({layout_without_output, record.death.endpoint.text(),
+                               record.death.incarnation.text(), to_json(record.running)});
+    if (!record.flowing.empty()) {
+        fields[0] = layout_after_output;
+        fields.push_back(to_json(record.flowing));
     }
-    return json::to_cbor(json::array({death_record_layout, record.death.endpoint.text(),
-                                      record.death.incarnation.text(), std::move(running)}));
+    return json::to_cbor(fields);
 }
 
 absl::StatusOr<suspects::death_record> decode_death(std::span<const std::uint8_t> bytes)
@@ -50,10 +82,10 @@
     suspects::death_record record;
     record.death = {core::endpoint_id(value[1].get<std::string>()),
                     core::incarnation_id(value[2].get<std::string>())};
-    for (const json& digest : value[3]) {
-        record.running.emplace_back(digest.get<std::uint64_t>());
+    record.running = requests_of(value[3]);
+    if (value.size() == fields_after_output) {
+        record.flowing = requests_of(value[4]);
     }
-    std::ranges::sort(record.running);
     return record;
 }
 
--- a/libs/suspects_wire/tests/death_codec_test.cpp
+++ b/libs/suspects_wire/tests/death_codec_test.cpp
@@ -11,16 +11,22 @@
 
 namespace {
 
+std::vector<suspects::request_digest> any_requests()
+{
+    std::vector<suspects::request_digest> requests;
+    for (const auto digest : *rc::gen::arbitrary<std::vector<std::uint64_t>>()) {
+        requests.emplace_back(digest);
+    }
+    std::ranges::sort(requests);
+    return requests;
+}
+
 suspects::death_record any_record()
 {
     // CBOR strings must be UTF-8; endpoint names are printable ASCII.
     const auto name = *rc::gen::container<std::string>(rc::gen::inRange(' ', '~'));
-    suspects::death_record record{{core::endpoint_id(name), core::incarnation_id("boot-1")}, {}};
-    for (const auto digest : *rc::gen::arbitrary<std::vector<std::uint64_t>>()) {
-        record.running.emplace_back(digest);
-    }
-    std::ranges::sort(record.running);
-    return record;
+    return {
+        {core::endpoint_id(name), core::incarnation_id("boot-1")}, any_requests(), any_requests()};
 }
 
 } // namespace
