Never send a request again on a connection that has carried it

Cause: answers were attributed by the request's identifier, which two sends of a request share, and the pool gave the second send the connection of the first. Ruled out: a second endpoint (other connection), streams (the connection is closed). Change: a connection remembers hashes of the identifiers it has carried, for at most 1,000 requests; upstream_pool::take passes over one that has carried the request's. A surplus answer ends its connection. Evidence: three new cases of repeated_refusal_test.cpp failed on (three sends for two; the first request's answer for the second under its id; the connection still in use) and pass; caller_front_tests pass.

--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -43,7 +43,7 @@
     parser_ = std::make_unique<answer_parser>();
     parser_->skip(head_only_);
     started_ = now();
-    connection_ = pool_.take(endpoint_.where, started_);
+    connection_ = pool_.take(endpoint_.where, request_id_, started_);
     if (connection_ != nullptr) {
         send();
         return;
@@ -99,7 +99,8 @@
     if (const auto listener = listener_.lock()) {
         listener->on_sent(*this);
     }
-    reused_ = std::exchange(connection_->used, true);
+    reused_ = !connection_->sent.empty();
+    connection_->note_sent(request_id_);
     probe_timer_ = std::make_shared<lazy_timer>(pool_.lane(), [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->begin_probes();
@@ -228,7 +229,7 @@
     }
     if (!matches_request()) {
         // A surplus answer to an earlier request on this connection; the expected answer follows.
-        stale_answer_ = true;
+        stale_answer_ = surplus_answer_ = true;
         return;
     }
     if (const auto listener = listener_.lock()) {
--- a/libs/caller_front/src/upstream_attempt.h
+++ b/libs/caller_front/src/upstream_attempt.h
@@ -82,7 +82,8 @@
     bool sent_ = false;
     bool written_ = false;
     bool head_seen_ = false;
-    bool stale_answer_ = false; // An answer to an earlier request is being skipped.
+    bool stale_answer_ = false;   // An answer to an earlier request is being skipped.
+    bool surplus_answer_ = false; // One was skipped, and further ones may come.
     bool unframed_ = false;
     bool over_ = false;
 };
--- a/libs/caller_front/src/upstream_attempt_end.cpp
+++ b/libs/caller_front/src/upstream_attempt_end.cpp
@@ -49,7 +49,7 @@
 bool upstream_attempt::reusable() const
 {
     return written_ && parser_->keep_alive() && connection_->buffer.size() == 0 && !unframed_ &&
-           answer_is_own();
+           answer_is_own() && !surplus_answer_ && connection_->accepts_more();
 }
 
 void upstream_attempt::finish_connection()
--- a/libs/caller_front/src/upstream_connection.cpp
+++ b/libs/caller_front/src/upstream_connection.cpp
@@ -1,5 +1,8 @@
 #include "upstream_connection.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace ej::front {
 
 namespace {
@@ -18,8 +21,26 @@
 constexpr int seconds_between_probes = 1;
 constexpr int probed_unacknowledged_ms = 3'500;
 
+// Bounds the memory for the identifiers of a connection's requests to 8 kB.
+constexpr std::size_t max_requests = 1'000;
+
 } // namespace
 
+bool upstream_connection::has_carried(const std::string& request_id) const
+{
+    return std::ranges::find(sent, std::hash<std::string>{}(request_id)) != sent.end();
+}
+
+void upstream_connection::note_sent(const std::string& request_id)
+{
+    sent.push_back(std::hash<std::string>{}(request_id));
+}
+
+bool upstream_connection::accepts_more() const
+{
+    return sent.size() < max_requests;
+}
+
 void upstream_connection::set_up()
 {
     error_code ignored; // Without the options a vanished endpoint is noticed later.
--- a/libs/caller_front/src/upstream_pool.cpp
+++ b/libs/caller_front/src/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "upstream_pool.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ej::front {
 
@@ -27,16 +28,25 @@
 
 } // namespace
 
-upstream_connection_ptr upstream_pool::take(const core::address& where, core::instant now)
+upstream_connection_ptr upstream_pool::take(const core::address& where,
+                                            const std::string& request_id, core::instant now)
 {
     const auto found = idle_.find(where);
     if (found == idle_.end()) {
         return nullptr;
     }
     auto& list = found->second;
-    while (!list.empty()) {
-        const auto connection = list.back();
-        list.pop_back();
+    const auto is_suitable = [&](const upstream_connection_ptr& one) {
+        return !one->has_carried(request_id);
+    };
+    for (;;) {
+        // The one that was used last is the least likely to be closed by the endpoint.
+        const auto place = std::ranges::find_if(list.rbegin(), list.rend(), is_suitable);
+        if (place == list.rend()) {
+            return nullptr;
+        }
+        const auto connection = *place;
+        list.erase(std::next(place).base());
         ++connection->idle_period;
         if (now < connection->usable_until && is_open_and_silent(*connection)) {
             error_code ignored; // Cancels the wait for unexpected bytes; `idle_period` makes its
@@ -46,7 +56,6 @@
         }
         close(*connection);
     }
-    return nullptr;
 }
 
 void upstream_pool::keep(const core::address& where, const upstream_connection_ptr& connection)
--- a/libs/caller_front/src/upstream_pool.h
+++ b/libs/caller_front/src/upstream_pool.h
@@ -8,6 +8,7 @@
 #include <core/instant.h>
 
 #include <map>
+#include <string>
 #include <vector>
 
 namespace ej::front {
@@ -18,8 +19,10 @@
 public:
     explicit upstream_pool(asio::io_context& lane) : lane_(lane) {}
 
-    /// An idle connection to `where`, or null.
-    [[nodiscard]] upstream_connection_ptr take(const core::address& where, core::instant now);
+    /// An idle connection to `where` that has carried no request with the identifier
+    /// `request_id`, or null.
+    [[nodiscard]] upstream_connection_ptr take(const core::address& where,
+                                               const std::string& request_id, core::instant now);
 
     /// Keeps `connection` for the next request.
     void keep(const core::address& where, const upstream_connection_ptr& connection);
--- a/tests/forward/repeated_refusal_test.cpp
+++ b/tests/forward/repeated_refusal_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 
 namespace ej::forward_tests {
@@ -51,14 +52,25 @@
     return {{step_kind::send, answer_of(request)}};
 }
 
-/// Refuses its first request and keeps the connection. Every later request runs, but the answer of
-/// the first is written once more before its own.
+/// The text of the answer to a request.
+using answer_writer = std::function<std::string(const std::string& request)>;
+
+/// Refuses its first request, or answers it otherwise, and keeps the connection. Every later
+/// request runs, but on that connection the answer of the first is written once more before its
+/// own.
 class refusing_endpoint {
 public:
     /// `first_refusal` is the answer to the first request; if it is empty, a refusal that echoes
     /// the request's id is.
-    explicit refusing_endpoint(std::string first_refusal)
-        : refusal_(std::move(first_refusal)),
+    explicit refusing_endpoint(const std::string& first_refusal)
+        : refusing_endpoint([first_refusal](const std::string& request) {
+              return first_refusal.empty() ? refusal_with_id(request, 503) : first_refusal;
+          })
+    {
+    }
+
+    explicit refusing_endpoint(answer_writer first_answer)
+        : write_first_(std::move(first_answer)),
           endpoint(
               [this](const std::string& request, int number) { return answer(request, number); })
     {
@@ -68,7 +80,7 @@
     std::vector<step> answer(const std::string& request, int number)
     {
         if (number == 0) {
-            refusal_ = refusal_.empty() ? refusal_with_id(request, 503) : refusal_;
+            refusal_ = write_first_(request);
             return {{step_kind::send, refusal_}};
         }
         if (endpoint.connections() > 1) {
@@ -79,6 +91,7 @@
                 {step_kind::send, answer_of(request)}};
     }
 
+    answer_writer write_first_;
     std::string refusal_;
 
 public:
@@ -215,6 +228,53 @@
     CHECK(sends_of(faulty.endpoint, "second") == 1);
 }
 
+// TWICE, REFUSED: a late copy of a request's refusal was taken for the answer to its next send.
+TEST_CASE("a refusal that is repeated late is not taken for the answer to the next send of its "
+          "request")
+{
+    daemon_fixture fixture;
+    refusing_endpoint faulty([](const std::string& request) {
+        return signed_answer(request, 503, "", not_executed_field + "Retry-After: 0.05\r\n");
+    });
+    fixture.add("i-1", "app", faulty.endpoint);
+    fixture.configure_and_start(1);
+    const auto path = GENERATE(std::string("/act/x"), std::string("/read/x"));
+    caller connection(fixture.listen_address());
+    connection.send(request("POST", path, "id1", "b"));
+    CHECK(contains(connection.read_answer(), " 200 "));
+    CHECK(sends_of(faulty.endpoint, "id1") == 2); // The refused one and the one that ran.
+}
+
+// MIXED: an answer was taken for that of another request that its caller gave the same id.
+TEST_CASE("an answer that is repeated late is not taken for that of a request under the same id")
+{
+    daemon_fixture fixture;
+    refusing_endpoint faulty([](const std::string& request) {
+        return signed_answer(request, 200, "of the first request");
+    });
+    fixture.add("i-1", "app", faulty.endpoint);
+    fixture.configure_and_start(1);
+    for (const auto* const expected : {"of the first request", "done"}) {
+        caller connection(fixture.listen_address());
+        connection.send(request("POST", "/act/x", "id1", "b"));
+        CHECK(connection.read_answer().ends_with(expected));
+    }
+}
+
+TEST_CASE("a connection on which an answer was repeated carries no further request")
+{
+    daemon_fixture fixture;
+    refusing_endpoint faulty{std::string()};
+    fixture.add("i-1", "app", faulty.endpoint);
+    fixture.configure_and_start(1);
+    CHECK(contains(second_answer(fixture, "POST", "/act/x"), " 200 "));
+    REQUIRE(faulty.endpoint.connections() == 1);
+    caller connection(fixture.listen_address());
+    connection.send(request("POST", "/act/x", "third", "b"));
+    CHECK(contains(connection.read_answer(), " 200 "));
+    CHECK(faulty.endpoint.connections() == 2);
+}
+
 TEST_CASE("a misdirected status without a not-executed field does not send a non-idempotent "
           "request to a second endpoint")
 {
