Hand the evidence against requests on to daemons that lack it

Cause: deaths were told once, by datagram, to the daemons of that moment; a daemon that starts asked nobody and nobody repeated them. Ruled out: another digest after the restart (no seed in it), other incarnations (the store's). Change: evidence_exchange. A daemon that starts asks a few others until one that is informed answers; each daemon with evidence sends one other a report of at most 16 deaths a second, in turn. Deaths carry their age, so that repeats prolong nothing; a report on a request that has completed is answered so.

--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <cbor/parse.h>
 #include <suspects_wire/death_codec.h>
+#include <suspects_wire/evidence_codec.h>
 #include <suspects_wire/part_codec.h>
 
 #include <nlohmann/json.hpp>
@@ -217,6 +218,16 @@
     return suspects_wire::encode(record);
 }
 
+std::vector<std::uint8_t> bytes_of(const suspects::evidence_query& query)
+{
+    return suspects_wire::encode(query);
+}
+
+std::vector<std::uint8_t> bytes_of(const suspects::evidence_report& report)
+{
+    return suspects_wire::encode(report);
+}
+
 std::vector<std::uint8_t> bytes_of(const suspects::part_death& seen)
 {
     return suspects_wire::encode(seen);
@@ -257,6 +268,10 @@
     if (auto about_parts = suspects_wire::decode_part(bytes); about_parts.ok()) {
         return std::visit([](auto& one) -> peer_message { return std::move(one); }, *about_parts);
     }
+    if (auto about_evidence = suspects_wire::decode_evidence(bytes); about_evidence.ok()) {
+        return std::visit([](auto& one) -> peer_message { return std::move(one); },
+                          *about_evidence);
+    }
     return suspects_wire::decode_death(bytes);
 }
 
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -23,7 +23,10 @@
 
 peer_link::peer_link(front_context& context, asio::io_context& loop)
     : context_(context), loop_(loop), socket_(loop), batch_timer_(loop), full_load_timer_(loop),
-      review_timer_(loop)
+      review_timer_(loop),
+      evidence_(context, loop, [this](const peer_message& message, const core::address& to) {
+          send(message, {to});
+      })
 {
 }
 
@@ -53,6 +56,7 @@
         static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
     receive();
     send_full_load();
+    evidence_.start();
 }
 
 void peer_link::receive()
@@ -85,6 +89,21 @@
     }
 }
 
+void peer_link::apply(const suspects::evidence_query& /*query*/)
+{
+    evidence_.answer(sender());
+}
+
+void peer_link::apply(const suspects::evidence_report& report)
+{
+    evidence_.apply(report, sender());
+}
+
+core::address peer_link::sender() const
+{
+    return {sender_.address().to_string(), sender_.port()};
+}
+
 void peer_link::apply(const store_update& update)
 {
     context_.apply_store_update(update);
--- a/libs/caller_front/src/peer_link.h
+++ b/libs/caller_front/src/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "evidence_exchange.h"
 #include "front_context.h"
 #include "net.h"
 #include "peer_message.h"
@@ -28,7 +29,7 @@
 /// changes read from the store. Changes of the load go to the daemons of this failure domain and of
 /// the engine's, to all after a further send or when places are scarce. A lost load report is
 /// repaired by the next full report, a lost store update by a query to the store; a lost death
-/// report only weakens a suspicion; parts of prompts that are held back are reported again each
+/// report by `evidence_exchange`; parts of prompts that are held back are reported again each
 /// second, endpoints that leave a few times. `queue_load_change`, `broadcast`, `broadcast_death`,
 /// `broadcast_cleared`, `broadcast_leaving` and `review_parts_later` are thread-safe, the other
 /// functions run on the loop.
@@ -78,6 +79,9 @@
     void apply(const suspects::cleared_parts& told);
     void apply(const store_update& update);
     void apply(const forwarding::leaving_notice& told);
+    void apply(const suspects::evidence_query& query);
+    void apply(const suspects::evidence_report& report);
+    [[nodiscard]] core::address sender() const;
     void await_review();
     void send_held_parts();
     void send_leaving();
@@ -93,6 +97,7 @@
     asio::steady_timer batch_timer_;
     asio::steady_timer full_load_timer_;
     asio::steady_timer review_timer_;
+    evidence_exchange evidence_;
     core::instant review_due_{};
     bool review_armed_ = false;
     forwarding::leaving_announcements leaving_; // Used on the loop.
--- a/libs/caller_front/src/peer_link_load.cpp
+++ b/libs/caller_front/src/peer_link_load.cpp
@@ -81,6 +81,7 @@
     context_.suspects.expire(now());
     context_.parts.expire(now());
     send_held_parts();
+    evidence_.repeat();
     send_leaving();
     const bool to_all =
         full_loads_++ % full_loads_to_others == 0 || context_.copies.places_are_scarce();
--- a/libs/caller_front/src/peer_message.h
+++ b/libs/caller_front/src/peer_message.h
@@ -7,6 +7,8 @@
 #include <suspects/cleared_parts.h>
 #include <suspects/cleared_request.h>
 #include <suspects/death_record.h>
+#include <suspects/evidence_query.h>
+#include <suspects/evidence_report.h>
 #include <suspects/held_parts.h>
 #include <suspects/part_death.h>
 
@@ -18,6 +20,6 @@
 using peer_message =
     std::variant<forwarding::load_message, suspects::death_record, suspects::cleared_request,
                  suspects::part_death, suspects::held_parts, suspects::cleared_parts, store_update,
-                 forwarding::leaving_notice>;
+                 forwarding::leaving_notice, suspects::evidence_query, suspects::evidence_report>;
 
 } // namespace ej::front
--- a/libs/caller_front/tests/parsers_test.cpp
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -231,6 +231,13 @@
                                           {suspects::part_digest(5), suspects::part_digest(9)}}),
         peer_message(suspects::held_parts{
             {{suspects::part_digest(5), 2, std::chrono::seconds(3), std::chrono::seconds(4)}}}),
+        peer_message(suspects::evidence_query()),
+        peer_message(suspects::evidence_report{
+            true,
+            {{{{core::endpoint_id("x"), core::incarnation_id("1")},
+               {suspects::request_digest(5)},
+               {suspects::request_digest(6), suspects::request_digest(9)}},
+              std::chrono::milliseconds(1'500)}}}),
         peer_message(suspects::cleared_parts{{suspects::part_digest(5)}}),
         peer_message(
             forwarding::leaving_notice{{{core::endpoint_id("x"), core::incarnation_id("1")},
--- a/libs/suspects/include/suspects/suspect_table.h
+++ b/libs/suspects/include/suspects/suspect_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <suspects/aged_death.h>
 #include <suspects/death_id_hash.h>
 #include <suspects/death_record.h>
 #include <suspects/evidence.h>
@@ -12,6 +13,7 @@
 #include <concurrency/sharded.h>
 #include <core/instant.h>
 
+#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -23,9 +25,20 @@
 public:
     explicit suspect_table(std::unique_ptr<const suspicion_policy> policy);
 
-    /// Records a death that this daemon observed or a peer reported. If `reported` adds requests,
-    /// returns the merged record, which is to be sent to peers; otherwise an empty record.
-    death_record record_death(const death_record& reported, core::instant now);
+    /// Records a death that this daemon observed or a peer reported, first known `age` ago. If
+    /// `reported` adds requests, returns the merged record, which is to be sent to peers; otherwise
+    /// an empty record.
+    death_record record_death(const death_record& reported, core::instant now,
+                              core::duration age = core::duration::zero());
+
+    /// The deaths that count against requests, at most `count`. Those of the requests with the most
+    /// deaths come first.
+    [[nodiscard]] std::vector<aged_death> deaths_against_requests(std::size_t count,
+                                                                  core::instant now);
+
+    /// The requests of `reported` against which its death no longer counts here, as they have
+    /// completed since.
+    [[nodiscard]] std::vector<request_digest> cleared_among(const death_record& reported);
 
     /// Removes the suspicion of a request that finished here or at a peer. Returns true if the
     /// request was suspected.
@@ -48,7 +61,9 @@
 
 private:
     [[nodiscard]] std::vector<death_id> deaths_of(request_digest request, core::instant now);
-    void record_suspect(request_digest request, const death_id& death, core::instant now);
+    void record_suspect(request_digest request, const death_id& death, core::instant expires);
+    [[nodiscard]] bool is_suspect(request_digest request);
+    [[nodiscard]] known_death death_of(const death_id& death);
     [[nodiscard]] bool ran_alone(request_digest request, const death_id& death);
     [[nodiscard]] bool died_beside(request_digest request, core::instant at);
 
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <iterator>
+#include <map>
 #include <utility>
 
 namespace ej::suspects {
@@ -17,6 +19,15 @@
 // Endpoints that die of one cause, such as the loss of a failure domain, do so within this time.
 constexpr std::chrono::seconds burst{1};
 
+/// A death that counts against a request, one of `deaths`.
+struct counted_death {
+    std::size_t deaths = 0;
+    death_id death;
+    request_digest request;
+
+    friend auto operator<=>(const counted_death&, const counted_death&) = default;
+};
+
 bool contains(const std::vector<request_digest>& sorted, request_digest request)
 {
     return std::ranges::binary_search(sorted, request);
@@ -34,15 +45,22 @@
 {
 }
 
-death_record suspect_table::record_death(const death_record& reported, core::instant now)
+death_record suspect_table::record_death(const death_record& reported, core::instant now,
+                                         core::duration age)
 {
+    // Repeated reports must not keep a death for longer.
+    const auto expires = now - age + retention;
+    if (expires <= now) {
+        return {reported.death, {}, {}};
+    }
     // Only newly reported requests are updated; the others already have this death in their history
     // or were cleared since.
     std::vector<request_digest> added;
     const death_record merged = deaths_.with(reported.death, [&](auto& deaths) {
         known_death& known = deaths[reported.death];
         if (known.record.empty()) {
-            known.seen = now;
+            known.seen = now - age;
+            known.expires = expires;
         }
         std::ranges::set_difference(reported.running, known.record.running,
                                     std::back_inserter(added));
@@ -50,16 +68,16 @@
                                     std::back_inserter(added));
         known.record.death = reported.death;
         known.record = merge(known.record, reported);
-        known.expires = now + retention;
         return known.record;
     });
     for (const request_digest request : added) {
-        record_suspect(request, reported.death, now);
+        record_suspect(request, reported.death, expires);
     }
     return added.empty() ? death_record{reported.death, {}, {}} : merged;
 }
 
-void suspect_table::record_suspect(request_digest request, const death_id& death, core::instant now)
+void suspect_table::record_suspect(request_digest request, const death_id& death,
+                                   core::instant expires)
 {
     histories_.with(request, [&](auto& histories) {
         suspect_history& known = histories[request];
@@ -67,7 +85,69 @@
         if (place == known.deaths.end() || *place != death) {
             known.deaths.insert(place, death);
         }
-        known.expires = now + retention;
+        known.expires = std::max(known.expires, expires);
+    });
+}
+
+std::vector<aged_death> suspect_table::deaths_against_requests(std::size_t count, core::instant now)
+{
+    // Only one lock is held at a time, so that a request may be cleared meanwhile. Its deaths are
+    // told nevertheless, and answered with its completion.
+    std::vector<counted_death> against;
+    histories_.for_each_shard([&](const auto& histories) {
+        for (const auto& [request, known] : histories) {
+            for (const death_id& death : known.deaths) {
+                against.push_back({known.deaths.size(), death, request});
+            }
+        }
+    });
+    std::ranges::sort(against, std::greater());
+    std::map<death_id, std::size_t> places;
+    std::vector<aged_death> found;
+    for (const auto& [deaths, death, request] : against) {
+        const auto known = death_of(death);
+        if (known.expires <= now) {
+            continue;
+        }
+        const auto [place, added] = places.emplace(death, found.size());
+        if (added) {
+            if (found.size() == count) {
+                break;
+            }
+            found.push_back({{death, {}, {}}, now - known.seen});
+        }
+        auto& record = found[place->second].record;
+        (contains(known.record.running, request) ? record.running : record.flowing)
+            .push_back(request);
+    }
+    for (aged_death& one : found) {
+        std::ranges::sort(one.record.running);
+        std::ranges::sort(one.record.flowing);
+    }
+    return found;
+}
+
+std::vector<request_digest> suspect_table::cleared_among(const death_record& reported)
+{
+    const auto known = death_of(reported.death).record;
+    std::vector<request_digest> cleared;
+    std::ranges::set_intersection(reported.running, known.running, std::back_inserter(cleared));
+    std::ranges::set_intersection(reported.flowing, known.flowing, std::back_inserter(cleared));
+    std::erase_if(cleared, [this](request_digest request) { return is_suspect(request); });
+    return cleared;
+}
+
+bool suspect_table::is_suspect(request_digest request)
+{
+    return histories_.with(request,
+                           [&](const auto& histories) { return histories.contains(request); });
+}
+
+known_death suspect_table::death_of(const death_id& death)
+{
+    return deaths_.with(death, [&](const auto& deaths) {
+        const auto found = deaths.find(death);
+        return found == deaths.end() ? known_death() : found->second;
     });
 }
 
@@ -103,10 +183,7 @@
 /// in an outage, so that it ran alone only if no other endpoint died at the same time.
 bool suspect_table::ran_alone(request_digest request, const death_id& death)
 {
-    const auto known = deaths_.with(death, [&](auto& deaths) {
-        const auto found = deaths.find(death);
-        return found == deaths.end() ? known_death() : found->second;
-    });
+    const auto known = death_of(death);
     if (!known.record.running.empty()) {
         return is_only(known.record.running, request);
     }
--- a/libs/suspects/tests/suspects_test.cpp
+++ b/libs/suspects/tests/suspects_test.cpp
@@ -242,6 +242,48 @@
     }
 }
 
+TEST_CASE("evidence that is handed on leads to the same verdict and expires at the same time")
+{
+    const request_digest request(1);
+    core::instant at{};
+    auto told = strict_table();
+    for (int number = 0; number < 3; ++number) {
+        told.record_death({death_number(number), {}, {request}}, at);
+        at += 5s;
+    }
+    auto learning = strict_table();
+    at += 1min;
+    for (const aged_death& one : told.deaths_against_requests(10, at)) {
+        learning.record_death(one.record, at, one.age);
+    }
+    CHECK(learning.evaluate(request, at) == verdict::refuse);
+    at += 13min;
+    // Repeats do not prolong it.
+    for (const aged_death& one : told.deaths_against_requests(10, at)) {
+        learning.record_death(one.record, at, one.age);
+    }
+    CHECK(learning.evaluate(request, at) == verdict::refuse);
+    at += 1min;
+    CHECK(learning.evaluate(request, at) == verdict::run);
+    CHECK(told.deaths_against_requests(10, at).empty());
+}
+
+TEST_CASE("the requests with the most deaths are told first")
+{
+    auto table = strict_table();
+    int number = 0;
+    for (std::uint64_t request = 1; request <= 4; ++request) {
+        for (std::uint64_t death = 0; death < request; ++death) {
+            table.record_death({death_number(number++), {request_digest(request)}, {}}, {});
+        }
+    }
+    const auto told = table.deaths_against_requests(4, {});
+    REQUIRE(told.size() == 4);
+    CHECK(std::ranges::all_of(told, [](const aged_death& one) {
+        return one.record.running == std::vector{request_digest(4)};
+    }));
+}
+
 TEST_CASE("a suspicion expires and is removed from the table")
 {
     suspect_table table(std::make_unique<isolate_then_refuse_policy>());
--- a/libs/suspects_wire/src/death_codec.cpp
+++ b/libs/suspects_wire/src/death_codec.cpp
@@ -1,5 +1,7 @@
 #include <suspects_wire/death_codec.h>
 
+#include "digest_list.h"
+
 #include <cbor/parse.h>
 
 #include <nlohmann/json.hpp>
@@ -19,16 +21,6 @@
 constexpr std::size_t fields_without_output = 4;
 constexpr std::size_t fields_after_output = 5;
 
-bool is_unsigned(const json& value)
-{
-    return value.is_number_unsigned();
-}
-
-bool is_list(const json& value)
-{
-    return value.is_array() && std::ranges::all_of(value, is_unsigned);
-}
-
 bool is_death_record(const json& value)
 {
     if (!value.is_array() || value.size() < fields_without_output) {
@@ -38,26 +30,7 @@
         (value[0] == layout_without_output && value.size() == fields_without_output) ||
         (value[0] == layout_after_output && value.size() == fields_after_output);
     return known_layout && value[1].is_string() && value[2].is_string() &&
-           std::all_of(value.begin() + 3, value.end(), is_list);
-}
-
-json to_json(const std::vector<suspects::request_digest>& requests)
-{
-    json digests = json::array();
-    for (const suspects::request_digest request : requests) {
-        digests.push_back(request.value());
-    }
-    return digests;
-}
-
-std::vector<suspects::request_digest> requests_of(const json& value)
-{
-    std::vector<suspects::request_digest> requests;
-    for (const json& digest : value) {
-        requests.emplace_back(digest.get<std::uint64_t>());
-    }
-    std::ranges::sort(requests);
-    return requests;
+           std::all_of(value.begin() + 3, value.end(), is_digest_list);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/forward/handed_on_evidence_test.cpp
@@ -0,0 +1,51 @@
+#include "caller.h"
+#include "crashing_engines.h"
+#include "daemon_pair.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace ej::forward_tests {
+
+namespace {
+
+constexpr int times_sent = 5;
+
+std::string ask(const daemon_fixture& at, const std::string& id)
+{
+    caller connection(at.listen_address());
+    connection.send(request("POST", "/gen/x", id, crashing_engines::crashing_body));
+    return connection.read_to_end();
+}
+
+bool has_learnt_deaths(const daemon_fixture& one)
+{
+    return one.metrics().find("endivejunction_deaths_handed_on_total ") != std::string::npos;
+}
+
+} // namespace
+
+// BUDGET: each daemon that restarted let a request crash three more endpoints.
+TEST_CASE("daemons that restart in turn go on refusing a request that crashes endpoints")
+{
+    const bool after_output = GENERATE(false, true);
+    daemon_pair daemons;
+    const crashing_engines engines(daemons.first, after_output);
+    daemons.start();
+    REQUIRE(daemons.wait_until_connected(crashing_engines::count));
+    for (int number = 0; number < times_sent; ++number) {
+        static_cast<void>(ask(daemons.first, "before" + std::to_string(number)));
+    }
+    REQUIRE(ask(daemons.first, "refused").starts_with("HTTP/1.1 503 "));
+    const int runs = engines.runs();
+    for (daemon_fixture* const one : daemons.all) {
+        one->daemon.reset();
+        one->start();
+        REQUIRE(daemon_fixture::wait_until([&] { return has_learnt_deaths(*one); }));
+        CHECK(ask(*one, "after").starts_with("HTTP/1.1 503 "));
+    }
+    CHECK(engines.runs() == runs);
+}
+
+} // namespace ej::forward_tests
