serve: a request without output reports the death that it saw itself

Seen: "a prompt that crashes engines kills at most two and concurrent generations still complete" failed once beside load (three engines lost), in one of two runs of all tests on. Cause, by reading: since deaths after output count, a stream with output that stood on the engine could record the death for the crashing prompt as well. The prompt's own session then found it known, and did not wait until the other daemons were told before it went on; a repeat at another daemon came before. Change: a request after output reports only the requests after output; begin() takes had_output, so that a resumed request never counts as one without.

--- a/libs/runtime/src/crash_tracker.cpp
+++ b/libs/runtime/src/crash_tracker.cpp
@@ -62,10 +62,7 @@
 {
     end_attempt();
     engine_ = engine;
-    shared_->suspects.begin(engine.name, request_);
-    if (had_output) {
-        record_output();
-    }
+    shared_->suspects.begin(engine.name, request_, had_output);
 }
 
 void crash_tracker::record_output()
--- a/libs/runtime/src/suspect_tracker.cpp
+++ b/libs/runtime/src/suspect_tracker.cpp
@@ -38,9 +38,13 @@
 {
 }
 
-void suspect_tracker::begin(const core::endpoint_id& engine, suspects::request_digest request)
+void suspect_tracker::begin(const core::endpoint_id& engine, suspects::request_digest request,
+                            bool had_output)
 {
-    requests_.with(engine, [&](auto& engines) { engines[engine].without_output.insert(request); });
+    requests_.with(engine, [&](auto& engines) {
+        auto& running = engines[engine];
+        (had_output ? running.after_output : running.without_output).insert(request);
+    });
 }
 
 void suspect_tracker::record_output(const core::endpoint_id& engine,
@@ -77,15 +81,22 @@
                                                      suspects::request_digest request,
                                                      core::instant now)
 {
+    // A request after output leaves those without to report themselves: each is sent on only once
+    // its own report has reached the other daemons.
     suspects::death_record seen{{engine.name, engine.incarnation}, {}, {}};
     requests_.with(engine.name, [&](auto& engines) {
-        if (const auto found = engines.find(engine.name); found != engines.end()) {
-            seen.running = distinct(found->second.without_output);
+        const auto found = engines.find(engine.name);
+        if (found == engines.end()) {
+            return;
+        }
+        if (found->second.after_output.contains(request)) {
             seen.flowing = distinct(found->second.after_output);
         }
+        else {
+            seen.running = distinct(found->second.without_output);
+        }
     });
-    if (!std::ranges::binary_search(seen.running, request) &&
-        !std::ranges::binary_search(seen.flowing, request)) {
+    if (seen.flowing.empty() && !std::ranges::binary_search(seen.running, request)) {
         seen.running.insert(std::ranges::lower_bound(seen.running, request), request);
     }
     table_.expire(now);
--- a/libs/runtime/src/suspect_tracker.h
+++ b/libs/runtime/src/suspect_tracker.h
@@ -19,8 +19,9 @@
 public:
     suspect_tracker();
 
-    /// Reports that `request` starts at `engine`.
-    void begin(const core::endpoint_id& engine, suspects::request_digest request);
+    /// Reports that `request` starts at `engine`; `had_output`: it is resumed there.
+    void begin(const core::endpoint_id& engine, suspects::request_digest request,
+               bool had_output = false);
 
     /// Reports that `request`, which runs at `engine`, has had output.
     void record_output(const core::endpoint_id& engine, suspects::request_digest request);
--- a/libs/runtime/tests/suspect_tracker_test.cpp
+++ b/libs/runtime/tests/suspect_tracker_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <vector>
+
 namespace ej::runtime {
 
 namespace {
@@ -74,6 +76,15 @@
     CHECK(watch.evaluate(crashing, now) == verdict::refuse);
 }
 
+TEST_CASE("a request after output does not report one without output before that does itself")
+{
+    suspect_tracker watch;
+    watch.begin(engine("e1").name, bystander, true);
+    watch.begin(engine("e1").name, crashing);
+    CHECK(watch.record_death(engine("e1"), bystander, now).running.empty());
+    CHECK(watch.record_death(engine("e1"), crashing, now).running == std::vector{crashing});
+}
+
 TEST_CASE("two requests at the same two engine deaths are isolated and not refused")
 {
     suspect_tracker watch;
