Read as a newcomer: queries have tests of their own, one check as strict as before, plainer words

Change: tests of asking, asking again after a loss and among daemons that start together; the bystander may run until it reports itself, and is not refused then; a chunk size beyond 64 bits; names and comments. No behaviour of the product changes.

--- a/libs/caller_front/src/death_check.cpp
+++ b/libs/caller_front/src/death_check.cpp
@@ -30,9 +30,10 @@
             log_death(request, endpoint);
             context.metrics.count("deaths_seen_total", {});
             const suspects::death_id death{endpoint.name, endpoint.incarnation};
-            suspects::death_record ran{death, {}, {}};
-            (suspect.had_output ? ran.flowing : ran.running).push_back(suspect.digest);
-            const auto seen = context.suspects.record_death(ran, now());
+            suspects::death_record observed{death, {}, {}};
+            auto& requests = suspect.had_output ? observed.flowing : observed.running;
+            requests.push_back(suspect.digest);
+            const auto seen = context.suspects.record_death(observed, now());
             if (!seen.empty()) {
                 context.death_seen(seen);
             }
--- a/libs/caller_front/src/evidence_exchange.cpp
+++ b/libs/caller_front/src/evidence_exchange.cpp
@@ -17,7 +17,7 @@
 
 using suspects::aged_death;
 
-// Queries go to so many daemons at a time, since some may be down or have just started as well.
+// Daemons asked at a time: some may be down or have just started as well.
 constexpr std::size_t asked_at_once = 3;
 // The pause after the first query; each further one is twice as long.
 constexpr std::chrono::milliseconds query_interval{200};
@@ -67,7 +67,7 @@
     for (std::size_t count = std::min(peers->size(), asked_at_once); count > 0; --count) {
         send_(suspects::evidence_query(), (*peers)[asked_++ % peers->size()]);
     }
-    // The others are known once the store has been read.
+    // Until the store has been read, there is nobody to ask.
     const auto next = peers->empty() ? pause : 2 * pause;
     timer_.expires_after(pause);
     timer_.async_wait([this, next](const error_code& error) {
@@ -92,7 +92,7 @@
     if (deaths.empty()) {
         return;
     }
-    // All daemons get each part in time: the next part begins once all have got this one.
+    // The next part begins once this one has been sent to all.
     const auto parts = (deaths.size() + deaths_per_report - 1) / deaths_per_report;
     const auto part = repeated_ / peers->size() % parts;
     const auto& to = (*peers)[repeated_ % peers->size()];
--- a/libs/caller_front/src/evidence_exchange.h
+++ b/libs/caller_front/src/evidence_exchange.h
@@ -16,7 +16,7 @@
 
 /// Hands on the evidence against requests that crash endpoints, which a daemon that has just
 /// started lacks and a lost datagram may have withheld from any other. A daemon that starts asks a
-/// few others until one is informed; each tells a part of its evidence to one other daemon a
+/// few others until one is informed; each sends a part of its evidence to one other daemon a
 /// second, in turn. Used on the loop.
 class evidence_exchange {
 public:
@@ -29,14 +29,14 @@
     /// Begins to ask for evidence.
     void start();
 
-    /// Tells a part of the evidence to the next daemon; called each second.
+    /// Sends a part of the evidence to the next daemon; called each second.
     void repeat();
 
     /// Answers a query of the daemon at `asker`.
     void answer(const core::address& asker);
 
-    /// Applies a report of the daemon at `sender`, which is told of the requests that have
-    /// completed since.
+    /// Applies a report of the daemon at `sender`, and answers which of its requests have completed
+    /// since.
     void apply(const suspects::evidence_report& report, const core::address& sender);
 
 private:
--- a/libs/caller_front/tests/evidence_exchange_test.cpp
+++ b/libs/caller_front/tests/evidence_exchange_test.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -32,7 +33,7 @@
         }
     }
 
-    /// Starts the daemon `number` anew, without evidence. Only `start` sends queries.
+    /// Starts the daemon `number` anew, without evidence. It does not ask for any.
     void start(int number)
     {
         auto& one = members_.at(static_cast<std::size_t>(number));
@@ -63,6 +64,18 @@
         return *members_.at(static_cast<std::size_t>(number)).exchange;
     }
 
+    /// Drops the messages that are under way.
+    void lose_messages() { messages_.clear(); }
+
+    /// Runs what daemons do later, until `done` returns true or nothing is left to do.
+    void run_until(const std::function<bool()>& done)
+    {
+        deliver();
+        while (!done() && loop_.run_one() > 0) {
+            deliver();
+        }
+    }
+
     /// Records at the daemon `number` as many deaths as refuse `request`.
     void crash(int number, request_digest request)
     {
@@ -145,18 +158,51 @@
 
 } // namespace
 
-TEST_CASE("a daemon that starts learns from the others which requests they refuse")
+TEST_CASE("a daemon that starts asks the others which requests they refuse")
 {
     exchanging_fleet fleet(0);
-    for (std::uint64_t request = 0; request < requests; ++request) {
-        fleet.crash(0, request_digest(request));
+    for (int number = 1; number < daemons; ++number) {
+        for (std::uint64_t request = 0; request < requests; ++request) {
+            fleet.crash(number, request_digest(request));
+        }
     }
-    fleet.start(1);
-    fleet.exchange(0).answer({"127.0.0.1", 1});
+    fleet.exchange(0).start();
     fleet.deliver();
     for (std::uint64_t request = 0; request < requests; ++request) {
-        CHECK(fleet.refuses(1, request_digest(request)));
+        CHECK(fleet.refuses(0, request_digest(request)));
+    }
+}
+
+TEST_CASE("a daemon asks again if its queries are lost")
+{
+    exchanging_fleet fleet(0);
+    const request_digest request(7);
+    for (int number = 1; number < daemons; ++number) {
+        fleet.crash(number, request);
     }
+    fleet.exchange(0).start();
+    fleet.lose_messages();
+    fleet.run_until([&] { return fleet.refuses(0, request); });
+    CHECK(fleet.refuses(0, request));
+}
+
+TEST_CASE("daemons that start together ask until they reach one that was there before")
+{
+    exchanging_fleet fleet(0);
+    const request_digest request(7);
+    fleet.crash(0, request);
+    for (int number = 1; number < daemons; ++number) {
+        fleet.exchange(number).start();
+    }
+    const auto all_refuse = [&] {
+        bool all = true;
+        for (int number = 0; number < daemons; ++number) {
+            all = all && fleet.refuses(number, request);
+        }
+        return all;
+    };
+    fleet.run_until(all_refuse);
+    CHECK(all_refuse());
 }
 
 TEST_CASE("all daemons come to refuse a request although messages are lost and daemons restart")
@@ -197,7 +243,7 @@
     }
 }
 
-TEST_CASE("a daemon sends at most one report a second unasked, whatever it knows")
+TEST_CASE("a daemon that knows many deaths sends one report at a time unasked")
 {
     exchanging_fleet fleet(0);
     for (std::uint64_t request = 0; request < 10 * requests; ++request) {
--- a/libs/http/src/framing_check.cpp
+++ b/libs/http/src/framing_check.cpp
@@ -37,7 +37,7 @@
 
 bool is_length(std::string_view value)
 {
-    // The parser for signed numbers would accept a minus sign, so it must be an unsigned one.
+    // A signed type would accept a minus sign.
     return core::parse_number<std::uint64_t>(value).has_value();
 }
 
@@ -103,7 +103,7 @@
     }
     const auto value = core::trimmed(line.substr(name.size() + 1));
     if (core::equal_ignoring_case(name, "Content-Length")) {
-        // A list of equal lengths and a repeated field are also refused: recipients differ in them.
+        // Recipients differ in a list of equal lengths and in a repeated field.
         if (!is_length(value) || ++lengths_ > 1) {
             fault_ = framing_fault::malformed;
         }
--- a/libs/runtime/tests/suspect_tracker_test.cpp
+++ b/libs/runtime/tests/suspect_tracker_test.cpp
@@ -72,8 +72,12 @@
         watch.record_output(engine(name).name, bystander);
         watch.record_death(engine(name), crashing, now);
     }
-    CHECK(watch.evaluate(bystander, now) != verdict::refuse);
+    CHECK(watch.evaluate(bystander, now) == verdict::run);
     CHECK(watch.evaluate(crashing, now) == verdict::refuse);
+    for (const auto* const name : {"e1", "e2", "e3"}) {
+        watch.record_death(engine(name), bystander, now);
+    }
+    CHECK(watch.evaluate(bystander, now) != verdict::refuse);
 }
 
 TEST_CASE("a request after output does not report one without output before that does itself")
--- a/libs/suspects/include/suspects/suspect_table.h
+++ b/libs/suspects/include/suspects/suspect_table.h
@@ -65,7 +65,7 @@
     [[nodiscard]] bool is_suspect(request_digest request);
     [[nodiscard]] known_death death_of(const death_id& death);
     [[nodiscard]] bool ran_alone(request_digest request, const death_id& death);
-    [[nodiscard]] bool died_beside(request_digest request, core::instant at);
+    [[nodiscard]] bool other_endpoint_died(request_digest request, core::instant at);
 
     std::unique_ptr<const suspicion_policy> policy_;
     concurrency::sharded<death_id, known_death> deaths_;
--- a/libs/suspects/src/suspect_table.cpp
+++ b/libs/suspects/src/suspect_table.cpp
@@ -91,8 +91,8 @@
 
 std::vector<aged_death> suspect_table::deaths_against_requests(std::size_t count, core::instant now)
 {
-    // Only one lock is held at a time, so that a request may be cleared meanwhile. Its deaths are
-    // told nevertheless, and answered with its completion.
+    // Only one lock is held at a time. A request that is cleared meanwhile is returned
+    // nevertheless; a daemon that has heard of its completion answers the report with it.
     std::vector<counted_death> against;
     histories_.for_each_shard([&](const auto& histories) {
         for (const auto& [request, known] : histories) {
@@ -187,11 +187,11 @@
     if (!known.record.running.empty()) {
         return is_only(known.record.running, request);
     }
-    return is_only(known.record.flowing, request) && !died_beside(request, known.seen);
+    return is_only(known.record.flowing, request) && !other_endpoint_died(request, known.seen);
 }
 
 /// True if another endpoint, which did not run the request, died at the time `at`.
-bool suspect_table::died_beside(request_digest request, core::instant at)
+bool suspect_table::other_endpoint_died(request_digest request, core::instant at)
 {
     bool found = false;
     deaths_.for_each_shard([&](auto& deaths) {
--- a/tests/forward/odd_framing_test.cpp
+++ b/tests/forward/odd_framing_test.cpp
@@ -105,6 +105,24 @@
     CHECK(endpoint.requests().empty());
 }
 
+// UNASKED: a size that wraps around would end the chunk within the body.
+TEST_CASE("a request with a chunk size beyond 64 bits is refused, and nothing behind its header "
+          "runs")
+{
+    daemon_fixture fixture;
+    const endpoint_stand_in endpoint(serve);
+    fixture.add("a1", "app", endpoint);
+    fixture.configure_and_start(1);
+    caller connection(fixture.listen_address());
+    const auto head = request("POST", "/act/x", "outer", "", "Transfer-Encoding: chunked\r\n");
+    connection.send(head + "10000000000000004\r\nbody\r\n0\r\n\r\n" +
+                    request("POST", "/act/x", "inner", "smuggled"));
+    const auto received = connection.read_to_end();
+    CHECK(received.starts_with("HTTP/1.1 400 "));
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(endpoint.requests().empty());
+}
+
 // UNASKED: the same header at the port for health checks, whose server `serve` uses for callers.
 TEST_CASE("a health check without a certain end is refused, and nothing behind its header is "
           "answered")
