Log each failed query to the store and each hint of newer state

After the first failure of an outage the log was silent: it could not tell a query that is waited for in vain from the pause after it, or from a hint that is not followed. One line for each failed query (kind, time, error) and one for each newer revision that a peer tells of.

--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -32,6 +32,18 @@
 // was suspended, and is not shared with peers.
 constexpr milliseconds longest_delay{400};
 
+void log_if_failed(store_query what, const absl::Status& status, core::duration took)
+{
+    if (status.ok()) {
+        return;
+    }
+    const auto took_ms = std::chrono::duration_cast<milliseconds>(took).count();
+    logging::log(logging::level::info, "query to the store failed",
+                 {{"query", what == store_query::changes ? "changes" : "listing"},
+                  {"took_ms", std::to_string(took_ms)},
+                  {"error", std::string(status.message())}});
+}
+
 } // namespace
 
 store_follower::store_follower(front_context& context, platform::store& store,
@@ -86,7 +98,9 @@
     std::string prefix = layout_.followed_prefix();
     const auto began = since_boot();
     const auto listing = co_await store_.scan(std::move(prefix), plan_.answer_within());
-    plan_ = plan_.after(store_result_of(listing.status()), since_boot() - began);
+    const auto took = since_boot() - began;
+    log_if_failed(store_query::listing, listing.status(), took);
+    plan_ = plan_.after(store_result_of(listing.status()), took);
     if (!listing.ok()) {
         co_return listing.status();
     }
@@ -116,6 +130,7 @@
     const auto changes =
         co_await store_.poll_changes(std::move(prefix), since, wait, plan_.answer_within());
     const auto took = since_boot() - began;
+    log_if_failed(store_query::changes, changes.status(), took);
     const bool waited = changes.ok() && changes->items.empty();
     const auto result = store_result_of(changes.status());
     plan_ = plan_.after(result, waited ? took - wait : took);
@@ -159,6 +174,7 @@
         if (update.as_of > as_of_) {
             pace_.request_early_poll();
             due_timer_.cancel();
+            note_hint(update.as_of);
         }
         return;
     }
@@ -179,6 +195,17 @@
     publish();
 }
 
+// Each later update tells of the same gap again; only the first time says more than before.
+void store_follower::note_hint(core::revision told)
+{
+    if (told > hinted_) {
+        hinted_ = told;
+        logging::log(logging::level::info, "newer state at a peer",
+                     {{"as_of", std::to_string(as_of_.value())},
+                      {"newer", std::to_string(told.value())}});
+    }
+}
+
 void store_follower::note_result(const absl::Status& status, store_query asked_for)
 {
     const auto result = store_result_of(status);
--- a/libs/caller_front/src/store_follower.h
+++ b/libs/caller_front/src/store_follower.h
@@ -56,6 +56,7 @@
     void share_changes(core::revision since, core::revision as_of,
                        std::vector<platform::store_item> items);
     void note_result(const absl::Status& status, forwarding::store_query asked_for);
+    void note_hint(core::revision told);
     void publish();
     void publish_daemons();
 
@@ -68,6 +69,7 @@
     forwarding::endpoint_registry log_;
     std::map<std::string, daemon_record> daemons_; // The other daemons, by their keys.
     core::revision as_of_;
+    core::revision hinted_; // The newest one that a peer told of without all of its changes.
     bool listed_ = false;  // The state is that of the store at `as_of_`, or later.
     bool changed_ = false; // The endpoints have changed since the last `publish`.
     bool peers_changed_ = false;
