--- a/stand_ins/fleet/include/fleet/store_stand_in.h
+++ b/stand_ins/fleet/include/fleet/store_stand_in.h
@@ -37,6 +37,9 @@
     /// While set, every call is answered with status 503.
     void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
 
+    /// While set, calls are received but never answered, not even afterwards.
+    void set_silent(bool silent) { silent_ = silent; }
+
     /// Sends each answer `delay` later than it could be sent; 0: at once.
     void set_answer_delay(std::chrono::milliseconds delay) { answer_delay_ = delay; }
 
@@ -65,6 +68,7 @@
     http::response commit(const std::string& body);
 
     std::atomic<bool> unavailable_{false};
+    std::atomic<bool> silent_{false};
     std::atomic<std::uint64_t> calls_{0};
     std::atomic<std::chrono::milliseconds> answer_delay_{std::chrono::milliseconds(0)};
     std::atomic<std::size_t> part_bytes_{0};
--- a/stand_ins/fleet/src/store_stand_in.cpp
+++ b/stand_ins/fleet/src/store_stand_in.cpp
@@ -23,6 +23,7 @@
 constexpr unsigned status_conflict = 412;
 constexpr unsigned status_unavailable = 503;
 constexpr std::chrono::milliseconds watch_poll_interval{5};
+constexpr std::chrono::hours forever{24};
 constexpr std::size_t max_page_items = 500;
 constexpr std::size_t max_page_bytes = 1'000'000;
 
@@ -165,6 +166,7 @@
     ++calls_;
     const auto& target = call->received().target;
     http::response result{status_not_found, {}, ""};
+    bool heard = !silent_;
     if (unavailable_) {
         result.status = status_unavailable;
     }
@@ -181,6 +183,7 @@
                 break;
             }
             co_await http::pause_for(watch_poll_interval);
+            heard = heard && !silent_;
         }
     }
     else if (target == "/v1/kv-txn") {
@@ -189,6 +192,9 @@
     else if (target == "/v1/kv-lease" || target.starts_with("/v1/kv-keep")) {
         result = reply({{"lease", 7}, {"ttlMs", 10'000}});
     }
+    if (!heard || silent_) {
+        co_await http::pause_for(forever);
+    }
     if (answer_delay_.load() > std::chrono::milliseconds(0)) {
         co_await http::pause_for(answer_delay_.load());
     }
