Ask the store again as soon as there is a sign that it is back

A neighbour's hint woke only the pause before a query, neither a query that hangs nor the pause after a failure.

A query that is 0.3 s late counts as hung (query_watchdog). The store is then probed each 0.4 s over new connections by a stale read, which costs a tenth and gives nothing to list; daemons differ in the phase. An answered probe, or a peer's newer revision, sends the query again; the first answer ends the race (store_race), a later one is not applied. There is no pause after a query that was waited for to its end. A hint ends the pause after a failure, once for each newer revision. A daemon that has listed the store tells its peers the revision.

--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include "clock.h"
+#include "draw_of.h"
 #include "store_result.h"
 
 #include <logging/log.h>
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -28,29 +30,20 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{800};
 
-// An answer that took longer than this beyond its wait is out of date, for example after the daemon
-// was suspended, and is not shared with peers.
-constexpr milliseconds longest_delay{400};
-
-void log_if_failed(store_query what, const absl::Status& status, core::duration took)
+/// A number in [0, 1) that differs between VMs.
+double draw_in_unit(const std::string& vm)
 {
-    if (status.ok()) {
-        return;
-    }
-    const auto took_ms = std::chrono::duration_cast<milliseconds>(took).count();
-    logging::log(logging::level::info, "query to the store failed",
-                 {{"query", what == store_query::changes ? "changes" : "listing"},
-                  {"took_ms", std::to_string(took_ms)},
-                  {"error", std::string(status.message())}});
+    constexpr std::uint64_t steps = 1'000;
+    return static_cast<double>(draw_of(vm) % steps) / static_cast<double>(steps);
 }
 
 } // namespace
 
 store_follower::store_follower(front_context& context, platform::store& store,
                                const store_layout& layout, asio::io_context& loop)
-    : context_(context), store_(store), layout_(layout), due_timer_(loop),
-      pace_(context.settings.apply_within), plan_(context.settings.store_deadline),
-      log_(context.endpoints)
+    : context_(context), store_(store), layout_(layout), loop_(loop), due_timer_(loop),
+      pace_(context.settings.apply_within), watchdog_(draw_in_unit(context.settings.vm.text())),
+      plan_(context.settings.store_deadline), log_(context.endpoints)
 {
 }
 
@@ -58,100 +51,42 @@
 {
     core::duration pause = first_pause;
     for (;;) {
-        absl::Status status;
         const auto asked_for = plan_.next();
-        pace_.record_poll(now());
-        if (asked_for == store_query::changes) {
-            status = co_await poll_changes();
-        }
-        else {
-            status = co_await list();
-        }
+        const auto status = co_await ask(asked_for);
         note_result(status, asked_for);
         publish();
-        if (status.ok()) {
+        const auto result = store_result_of(status);
+        if (result == store_result::complete) {
             pause = first_pause;
             pace_.record_up_to_date(now());
             co_await wait_until_due(core::duration::zero());
         }
-        else if (plan_.next() == asked_for) {
+        else if (result != store_result::late && plan_.next() == asked_for) {
             co_await wait_until_due(pause);
             pause = std::min<core::duration>(2 * pause, longest_pause);
         }
     }
 }
 
-/// Waits until the next query to the store is due, at least for `min_wait`.
+/// Waits until the next query to the store is due, at least for `min_wait` unless a peer has told
+/// of newer state since the last query.
 asio::awaitable<void> store_follower::wait_until_due(core::duration min_wait)
 {
     const auto earliest = now() + min_wait;
-    for (auto until = std::max(earliest, pace_.next_poll()); until > now();
-         until = std::max(earliest, pace_.next_poll())) {
-        due_timer_.expires_at(until);
-        error_code cancelled; // Cancelled when the due time has changed: the loop reads it again.
-        co_await due_timer_.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    const auto due = [&] {
+        return hint_pending_ ? pace_.next_poll() : std::max(earliest, pace_.next_poll());
+    };
+    while (due() > now()) {
+        co_await sleep_until(due());
     }
 }
 
-asio::awaitable<absl::Status> store_follower::list()
+/// Waits until that time or until `due_timer_` is cancelled.
+asio::awaitable<void> store_follower::sleep_until(core::instant until)
 {
-    std::string prefix = layout_.followed_prefix();
-    const auto began = since_boot();
-    const auto listing = co_await store_.scan(std::move(prefix), plan_.answer_within());
-    const auto took = since_boot() - began;
-    log_if_failed(store_query::listing, listing.status(), took);
-    plan_ = plan_.after(store_result_of(listing.status()), took);
-    if (!listing.ok()) {
-        co_return listing.status();
-    }
-    std::set<core::endpoint_id> present;
-    daemons_.clear();
-    context_.holds_in_store.clear();
-    peers_changed_ = true;
-    for (const platform::store_item& item : listing->items) {
-        apply(item);
-        if (auto name = layout_.endpoint_of(item.key)) {
-            present.insert(*std::move(name));
-        }
-    }
-    log_.answered(now());
-    log_.retain(present, listing->as_of, now());
-    as_of_ = listing->as_of;
-    listed_ = changed_ = true;
-    co_return absl::OkStatus();
-}
-
-asio::awaitable<absl::Status> store_follower::poll_changes()
-{
-    std::string prefix = layout_.followed_prefix();
-    const auto since = as_of_;
-    const auto began = since_boot();
-    const auto wait = std::chrono::duration_cast<milliseconds>(pace_.interval());
-    const auto changes =
-        co_await store_.poll_changes(std::move(prefix), since, wait, plan_.answer_within());
-    const auto took = since_boot() - began;
-    log_if_failed(store_query::changes, changes.status(), took);
-    const bool waited = changes.ok() && changes->items.empty();
-    const auto result = store_result_of(changes.status());
-    plan_ = plan_.after(result, waited ? took - wait : took);
-    if (!changes.ok()) {
-        listed_ = result != store_result::compacted;
-        co_return changes.status();
-    }
-    log_.answered(now());
-    // Updates from peers may have been applied in the meantime and may be newer than this answer.
-    const bool overtaken = as_of_ != since;
-    std::vector<platform::store_item> update;
-    for (const platform::store_item& item : changes->items) {
-        if (item.revision > as_of_ && apply(item)) {
-            update.push_back(item);
-        }
-    }
-    as_of_ = std::max(as_of_, changes->as_of);
-    if (!overtaken && took < wait + longest_delay) {
-        share_changes(since, changes->as_of, std::move(update));
-    }
-    co_return absl::OkStatus();
+    due_timer_.expires_at(until);
+    error_code cancelled;
+    co_await due_timer_.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
 }
 
 void store_follower::share_changes(core::revision since, core::revision as_of,
@@ -173,7 +108,6 @@
         context_.metrics.count("store_news_total", {{"use", update.query_store ? "hint" : "gap"}});
         if (update.as_of > as_of_) {
             pace_.request_early_poll();
-            due_timer_.cancel();
             note_hint(update.as_of);
         }
         return;
@@ -200,10 +134,13 @@
 {
     if (told > hinted_) {
         hinted_ = told;
-        logging::log(logging::level::info, "newer state at a peer",
-                     {{"as_of", std::to_string(as_of_.value())},
-                      {"newer", std::to_string(told.value())}});
+        hint_pending_ = true;
+        watchdog_.record_sign_of_life();
+        logging::log(
+            logging::level::info, "newer state at a peer",
+            {{"as_of", std::to_string(as_of_.value())}, {"newer", std::to_string(told.value())}});
     }
+    due_timer_.cancel();
 }
 
 void store_follower::note_result(const absl::Status& status, store_query asked_for)
--- a/libs/platform/include/platform/store.h
+++ b/libs/platform/include/platform/store.h
@@ -49,6 +49,9 @@
     poll_changes(std::string prefix, core::revision after, std::chrono::milliseconds wait,
                  core::duration within);
 
+    /// Asks over a new connection whether the store answers at all; `key` may be absent.
+    boost::asio::awaitable<absl::Status> probe(std::string key, core::duration within);
+
     /// Applies all of `writes` or none.
     boost::asio::awaitable<absl::StatusOr<core::revision>> commit(std::vector<store_write> writes);
 
@@ -62,7 +65,7 @@
 private:
     boost::asio::awaitable<absl::StatusOr<http::response>>
     call(call_kind kind, http::request outgoing, core::duration deadline,
-         std::optional<http::body_pace> pace = std::nullopt);
+         std::optional<http::body_pace> pace = std::nullopt, bool reuse_connection = true);
 
     http::client& transport_;
     client_settings settings_;
--- a/libs/platform/include/platform/store_protocol.h
+++ b/libs/platform/include/platform/store_protocol.h
@@ -45,6 +45,10 @@
     [[nodiscard]] virtual absl::StatusOr<store_listing>
     parse_changes(const http::response& answer) const = 0;
 
+    /// The cheapest read of `key`, whose answer may be out of date.
+    [[nodiscard]] virtual http::request probe(const std::string& key) const = 0;
+    [[nodiscard]] virtual absl::Status parse_probe(const http::response& answer) const = 0;
+
     /// Applies all of `writes` or none; the answer holds their revision.
     [[nodiscard]] virtual http::request commit(const std::vector<store_write>& writes) const = 0;
     /// Errors: Aborted when a condition does not hold, NotFound when the lease has expired.
--- a/libs/platform/src/store.cpp
+++ b/libs/platform/src/store.cpp
@@ -17,12 +17,14 @@
 
 asio::awaitable<absl::StatusOr<http::response>> store::call(call_kind kind, http::request outgoing,
                                                             core::duration deadline,
-                                                            std::optional<http::body_pace> pace)
+                                                            std::optional<http::body_pace> pace,
+                                                            bool reuse_connection)
 {
     counts_.begin(kind);
     http::call_options options;
     options.deadline = deadline;
     options.pace = pace;
+    options.reuse_connection = reuse_connection;
     options.connect_timeout = settings_.deadline;
     options.max_body_bytes = max_answer_bytes;
     absl::StatusOr<http::response> answer =
@@ -81,6 +83,17 @@
     co_return changes;
 }
 
+asio::awaitable<absl::Status> store::probe(std::string key, core::duration within)
+{
+    http::request outgoing = protocol_->probe(key);
+    const auto answer =
+        co_await call(call_kind::read, std::move(outgoing), within, std::nullopt, false);
+    if (!answer.ok()) {
+        co_return answer.status();
+    }
+    co_return protocol_->parse_probe(*answer);
+}
+
 asio::awaitable<absl::StatusOr<core::revision>> store::commit(std::vector<store_write> writes)
 {
     http::request outgoing = protocol_->commit(writes);
