Deny a route or key only by rules that the store has confirmed

The follower records when the store's rules were last known to be those in force: when the answered query was sent, or, for a peer's update, when its sender's query can have begun at the earliest. An unknown route or key is denied only within the time in which a change must be in force; beyond it the answer is 503 with Retry-After and 'unconfirmed_configuration': it has not run. Known routes are served as before.

--- a/endivejunction/src/parse_forward_settings.cpp
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -119,6 +119,7 @@
     front.store_deadline = read.milliseconds("store-deadline-ms", max_interval_ms);
     front.apply_within = std::min(read.milliseconds("apply-ms", max_interval_ms),
                                   read.milliseconds("drain-ms", max_interval_ms));
+    front.confirmed_within = read.milliseconds("apply-ms", max_interval_ms);
     front.grace = seconds_of(read.fraction("grace-s", max_grace_ms / ms_per_second));
     front.lease = read.milliseconds("lease-ms", max_interval_ms);
     front.choice = read.text("choice");
--- a/libs/caller_front/include/caller_front/front_settings.h
+++ b/libs/caller_front/include/caller_front/front_settings.h
@@ -31,6 +31,8 @@
     core::duration store_deadline = std::chrono::seconds(1);
     /// Upper bound on the delay until a change in the store takes effect; > 0.
     core::duration apply_within = std::chrono::milliseconds(2'000);
+    /// Only rules that the store confirmed within this time reject a request as unknown; > 0.
+    core::duration confirmed_within = std::chrono::milliseconds(2'000);
     core::duration grace = std::chrono::seconds(8);  ///< From SIGTERM to the end; > 0.
     core::duration lease = std::chrono::seconds(10); ///< Of this daemon's registration; > 0.
     core::duration write_timeout = std::chrono::seconds(15); ///< Without progress; > 0.
--- a/libs/caller_front/src/call_admission.cpp
+++ b/libs/caller_front/src/call_admission.cpp
@@ -15,6 +15,7 @@
 #include "stream_call.h"
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -44,6 +45,9 @@
     std::optional<core::duration> retry_after; // Unset: the usual one of a refusal.
 };
 
+// A daemon that can reach the store again, or a peer that can, knows the rules within this time.
+constexpr std::chrono::milliseconds confirmation_delay{500};
+
 class admission_check {
 public:
     admission_check(front_context& context, caller_request& request,
@@ -69,12 +73,12 @@
         const auto host = request_.message.header_value("Host").value_or("");
         const auto* const matched_route = rules_->find_route(host, request_.path());
         if (matched_route == nullptr) {
-            send_rejection({status_not_found, "no_route", {}});
+            reject_unknown({status_not_found, "no_route", {}});
             return nullptr;
         }
         const auto* const holder = rules_->find_holder(key_of(request_, context_.headers));
         if (holder == nullptr && rules_->requires_key(*matched_route)) {
-            send_rejection({status_unauthorized, "unauthenticated", {}});
+            reject_unknown({status_unauthorized, "unauthenticated", {}});
             return nullptr;
         }
         if (is_closed_to(*matched_route)) {
@@ -120,6 +124,17 @@
         return shared_parts_of(listed);
     }
 
+    /// Rejects a request that the rules do not allow. Rules that may be out of date allow no final
+    /// answer: the route or key may have been added since.
+    void reject_unknown(const rejection& why)
+    {
+        const bool confirmed =
+            context_.rules_confirmed_at.load() + context_.settings.confirmed_within >= now();
+        send_rejection(confirmed ? why
+                                 : rejection{status_unavailable, "unconfirmed_configuration",
+                                             confirmation_delay});
+    }
+
     void send_rejection(const rejection& why)
     {
         const auto id = request_.message.header_value(context_.headers.request_id).value_or("");
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -20,6 +20,7 @@
 #include <core/address.h>
 #include <core/endpoint.h>
 #include <core/failure_domain_id.h>
+#include <core/instant.h>
 #include <metrics/registry.h>
 #include <overload/copy_gate.h>
 #include <overload/placement_policy.h>
@@ -63,6 +64,8 @@
     const std::unique_ptr<const overload::placement_policy> placement;
     /// Null until the first configuration has been read.
     concurrency::snapshot<std::shared_ptr<const forwarding::indexed_ruleset>> rules{nullptr};
+    /// `rules` were those of the store at that time, or newer ones.
+    std::atomic<core::instant> rules_confirmed_at{core::instant::min()};
     forwarding::endpoint_directory endpoints;
     forwarding::endpoint_stats_table stats;
     forwarding::retry_budget budget;
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -125,6 +125,7 @@
         }
     }
     as_of_ = update.as_of;
+    confirm_rules(now() - pace_.interval() - longest_delay); // The sender's query began after that.
     pace_.record_up_to_date(now());
     publish();
 }
--- a/libs/caller_front/src/store_follower.h
+++ b/libs/caller_front/src/store_follower.h
@@ -65,6 +65,7 @@
     boost::asio::awaitable<void> wait_until_due(core::duration min_wait);
     boost::asio::awaitable<void> sleep_until(core::instant until);
     void apply_listing(const platform::store_listing& listing);
+    void confirm_rules(core::instant as_of);
     void note_hint(core::revision told);
     bool apply(const platform::store_item& item);
     void apply_rules(const std::string& value);
--- a/libs/caller_front/src/store_follower_query.cpp
+++ b/libs/caller_front/src/store_follower_query.cpp
@@ -101,9 +101,16 @@
     }
 }
 
+/// Records that the rules in force were those of the store at `as_of`.
+void store_follower::confirm_rules(core::instant as_of)
+{
+    context_.rules_confirmed_at = std::max(context_.rules_confirmed_at.load(), as_of);
+}
+
 asio::awaitable<absl::Status> store_follower::list(race_ptr race)
 {
     std::string prefix = layout_.followed_prefix();
+    const auto sent_at = now();
     const auto began = since_boot();
     const auto listing = co_await store_.scan(std::move(prefix), plan_.answer_within());
     const auto took = since_boot() - began;
@@ -116,6 +123,7 @@
         co_return listing.status();
     }
     apply_listing(*listing);
+    confirm_rules(sent_at);
     if (took < longest_delay) {
         // Without the changes that led here: a peer that lacks them queries the store.
         share_changes(as_of_, as_of_, {});
@@ -145,6 +153,7 @@
 {
     std::string prefix = layout_.followed_prefix();
     const auto since = as_of_;
+    const auto sent_at = now();
     const auto began = since_boot();
     const auto wait = std::chrono::duration_cast<milliseconds>(pace_.interval());
     const auto changes =
@@ -171,6 +180,7 @@
         }
     }
     as_of_ = std::max(as_of_, changes->as_of);
+    confirm_rules(sent_at);
     if (!overtaken && took < wait + longest_delay) {
         share_changes(since, changes->as_of, std::move(update));
     }
--- a/libs/caller_front/tests/connection_fixture.cpp
+++ b/libs/caller_front/tests/connection_fixture.cpp
@@ -32,6 +32,7 @@
     forwarding::ruleset rules;
     rules.limits.idle_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(idle_timeout);
     context.rules.store(std::make_shared<const forwarding::indexed_ruleset>(std::move(rules)));
+    context.rules_confirmed_at = core::instant::clock::now();
 }
 
 void connection_fixture::send(const std::string& text)
