Renew a daemon's registration as soon as the store answers again

The follower tells the registration when an outage has ended. A renewal that was under way at that moment is repeated once if it fails.

--- a/libs/caller_front/src/daemon_registration.cpp
+++ b/libs/caller_front/src/daemon_registration.cpp
@@ -2,10 +2,11 @@
 
 #include "daemon_record.h"
 
-#include <http/pause_for.h>
-
 #include <logging/log.h>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -20,14 +21,21 @@
 } // namespace
 
 daemon_registration::daemon_registration(front_context& context, platform::store& store,
-                                         const store_layout& layout)
-    : context_(context), store_(store), layout_(layout)
+                                         const store_layout& layout, asio::io_context& loop)
+    : context_(context), store_(store), layout_(layout), timer_(loop)
+{
+}
+
+void daemon_registration::renew_now()
 {
+    renewal_due_ = true;
+    timer_.cancel();
 }
 
 asio::awaitable<void> daemon_registration::run()
 {
     for (;;) {
+        renewal_due_ = false;
         absl::Status status;
         if (lease_.empty()) {
             status = co_await register_daemon();
@@ -39,7 +47,12 @@
             logging::log(logging::level::info, "daemon entry not written or renewed",
                          {{"error", std::string(status.message())}});
         }
-        co_await http::pause_for(context_.settings.lease / renewals_per_lease);
+        if (!status.ok() && renewal_due_) {
+            continue; // The call may have been sent before the store was back.
+        }
+        timer_.expires_after(context_.settings.lease / renewals_per_lease);
+        error_code cancelled; // By `renew_now`.
+        co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     }
 }
 
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -102,6 +102,8 @@
     /// Applies changes received from a peer of the failure domain. Called on the control loop; set
     /// before it runs.
     std::function<void(const store_update&)> apply_store_update = [](const store_update&) {};
+    /// Called on the control loop when the store answers again after an outage; set before it runs.
+    std::function<void()> store_returned = [] {};
     /// Called on any thread when a suspect request has completed; set before the lanes run.
     std::function<void(const suspects::cleared_request&)> suspect_cleared =
         [](const suspects::cleared_request&) {};
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -54,8 +54,9 @@
           transport(asio::make_strand(loop)),
           store(transport, store_settings(context.settings), where.protocol),
           follower(context, store, *where.layout, loop),
-          registration(context, store, *where.layout), keeper(context, store, *where.layout, loop),
-          ready(context, store.counts()), peers(context, loop)
+          registration(context, store, *where.layout, loop),
+          keeper(context, store, *where.layout, loop), ready(context, store.counts()),
+          peers(context, loop)
     {
         context.load_changed = [this](const core::endpoint& one) { peers.queue_load_change(one); };
         context.death_seen = [this](const suspects::death_record& one) {
@@ -73,6 +74,7 @@
         context.send_store_update = [this](const store_update& one) {
             peers.send_store_update(one);
         };
+        context.store_returned = [this] { registration.renew_now(); };
         context.apply_store_update = [this](const store_update& one) {
             follower.apply_update(one);
         };
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -157,6 +157,9 @@
         return;
     }
     context_.metrics.set("store_away", {}, lost ? 1 : 0);
+    if (!lost) {
+        context_.store_returned();
+    }
     logging::log(
         lost ? logging::level::warn : logging::level::info,
         lost ? "store unreachable" : "store reachable again",
--- a/stand_ins/fleet/include/fleet/store_stand_in.h
+++ b/stand_ins/fleet/include/fleet/store_stand_in.h
@@ -19,7 +19,7 @@
 namespace ej::fleet {
 
 /// An in-process version of the users' store: keys with revisions, ranges, watches, transactions
-/// and leases. Leases never expire. Thread-safe.
+/// and leases. Leases end only by `end_leases`. Thread-safe.
 class store_stand_in {
 public:
     store_stand_in();
@@ -33,6 +33,10 @@
 
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
+    [[nodiscard]] bool contains(const std::string& key);
+
+    /// Ends all leases granted so far; their keys stay.
+    void end_leases() { leases_ended_ = true; }
 
     /// While set, every call is answered with status 503.
     void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
@@ -69,6 +73,7 @@
 
     std::atomic<bool> unavailable_{false};
     std::atomic<bool> silent_{false};
+    std::atomic<bool> leases_ended_{false};
     std::atomic<std::uint64_t> calls_{0};
     std::atomic<std::chrono::milliseconds> answer_delay_{std::chrono::milliseconds(0)};
     std::atomic<std::size_t> part_bytes_{0};
--- a/stand_ins/fleet/src/store_stand_in.cpp
+++ b/stand_ins/fleet/src/store_stand_in.cpp
@@ -80,6 +80,13 @@
     items_[key] = {"", true, ++revision_};
 }
 
+bool store_stand_in::contains(const std::string& key)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = items_.find(key);
+    return found != items_.end() && !found->second.removed;
+}
+
 void store_stand_in::set_answer_pace(std::size_t part_bytes, std::chrono::milliseconds pause)
 {
     part_pause_ = pause;
@@ -189,7 +196,8 @@
     else if (target == "/v1/kv-txn") {
         result = commit(call->received().body);
     }
-    else if (target == "/v1/kv-lease" || target.starts_with("/v1/kv-keep")) {
+    else if (target == "/v1/kv-lease" || (target.starts_with("/v1/kv-keep") && !leases_ended_)) {
+        leases_ended_ = false;
         result = reply({{"lease", 7}, {"ttlMs", 10'000}});
     }
     if (!heard || silent_) {
