Report the end of an outage also after a peer has told of it

A daemon that heard of the store's return through a peer first ("store reachable through a peer") did not renew its registration when its own query was answered: one flag stood for both. The test failed before (not reported within 20 s) and passes; caller_front_tests 65 of 65, five times.

--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -153,13 +153,13 @@
     if (lost) {
         log_.outage();
     }
+    if (std::exchange(query_lost_, lost) && !lost) {
+        context_.store_returned();
+    }
     if (std::exchange(store_unreachable_, lost) == lost) {
         return;
     }
     context_.metrics.set("store_away", {}, lost ? 1 : 0);
-    if (!lost) {
-        context_.store_returned();
-    }
     logging::log(
         lost ? logging::level::warn : logging::level::info,
         lost ? "store unreachable" : "store reachable again",
--- a/libs/caller_front/src/store_follower.h
+++ b/libs/caller_front/src/store_follower.h
@@ -94,7 +94,8 @@
     bool listed_ = false;       // The state is that of the store at `as_of_`, or later.
     bool changed_ = false;      // The endpoints have changed since the last `publish`.
     bool peers_changed_ = false;
-    bool store_unreachable_ = false;
+    bool store_unreachable_ = false; // Neither this daemon nor a peer reaches it.
+    bool query_lost_ = false;        // The last query of this daemon had no answer.
 };
 
 } // namespace ej::front
--- a/libs/caller_front/tests/store_follower_test.cpp
+++ b/libs/caller_front/tests/store_follower_test.cpp
@@ -72,6 +72,20 @@
     CHECK(in.names() == std::set<std::string>{"i-2"});
 }
 
+TEST_CASE("the end of an outage is reported although a peer reached the store first")
+{
+    follower_fixture in(std::chrono::seconds(1));
+    int returns = 0;
+    in.context.store_returned = [&] { ++returns; };
+    in.store.set_unavailable(true);
+    const auto calls = in.store.calls();
+    REQUIRE(in.run_until([&] { return in.store.calls() > calls + 1; }));
+    in.follower.apply_update({core::revision(in.revision), core::revision(in.revision), false, {}});
+    CHECK(returns == 0);
+    in.store.set_unavailable(false);
+    CHECK(in.run_until([&] { return returns == 1; }));
+}
+
 TEST_CASE("an update is split into parts with contiguous revisions")
 {
     const bool holds = rc::check([] {
