A repeated query waits four times as long for its answer each time

By reading: a query without a whole answer within half a second was sent again with each answered probe, each 0.4 s, also while a long answer was arriving. A slow store or link would have carried up to seven listings of one daemon at a time.

A repeat that follows an answered probe multiplies the patience by four, so that a query is sent at 0, 0.5, 1.7 s; one that follows a peer's hint does not, since it says nothing of this daemon's way to the store.

--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -136,7 +136,7 @@
     if (told > hinted_) {
         hinted_ = told;
         hint_pending_ = true;
-        watchdog_.record_sign_of_life();
+        watchdog_.record_newer_state();
         logging::log(
             logging::level::info, "newer state at a peer",
             {{"as_of", std::to_string(as_of_.value())}, {"newer", std::to_string(told.value())}});
--- a/libs/caller_front/src/store_follower_query.cpp
+++ b/libs/caller_front/src/store_follower_query.cpp
@@ -42,11 +42,14 @@
 asio::awaitable<absl::Status> store_follower::ask(store_query what)
 {
     const auto race = std::make_shared<store_race>();
+    const bool waits = what == store_query::changes;
+    watchdog_.record_query(now(), waits ? pace_.interval() : core::duration::zero());
     start_query(race, what);
     while (!race->over()) {
         co_await sleep_until(std::min(watchdog_.next_probe(), watchdog_.next_query()));
         if (!race->over() && now() >= watchdog_.next_query()) {
             context_.metrics.count("store_queries_repeated_total", {});
+            watchdog_.record_repeat(now());
             start_query(race, what);
         }
         if (!race->over() && now() >= watchdog_.next_probe()) {
@@ -58,8 +61,6 @@
 
 void store_follower::start_query(const race_ptr& race, store_query what)
 {
-    const bool waits = what == store_query::changes;
-    watchdog_.record_query(now(), waits ? pace_.interval() : core::duration::zero());
     pace_.record_poll(now());
     hint_pending_ = false;
     race->record_query();
@@ -96,7 +97,7 @@
     const auto status = co_await store_.probe(std::move(key), context_.settings.store_deadline);
     context_.metrics.count("store_probes_total", {{"result", status.ok() ? "answered" : "none"}});
     if (status.ok()) {
-        watchdog_.record_sign_of_life();
+        watchdog_.record_probe_answer();
         due_timer_.cancel();
     }
 }
--- a/libs/forwarding/include/forwarding/query_watchdog.h
+++ b/libs/forwarding/include/forwarding/query_watchdog.h
@@ -23,12 +23,17 @@
     /// Records that a query was sent, which the store may hold for `wait`.
     void record_query(core::instant now, core::duration wait);
 
+    /// Records that the query was sent again.
+    void record_repeat(core::instant now);
+
     /// Records that a probe was sent.
     void record_probe(core::instant now);
 
-    /// Records that the store has something to answer: a probe was answered, or another daemon has
-    /// read newer state.
-    void record_sign_of_life() { sign_of_life_ = true; }
+    /// Records that a probe was answered.
+    void record_probe_answer() { probe_answered_ = true; }
+
+    /// Records that another daemon has read newer state from the store.
+    void record_newer_state() { newer_state_ = true; }
 
     /// Records that a query has been answered.
     void record_answer();
@@ -41,10 +46,12 @@
 
 private:
     core::duration first_pause_; // From the moment the query counts as hung to the first probe.
+    core::duration patience_ = patience;
     core::instant hung_at_ = core::instant::max();
     core::instant next_probe_ = core::instant::max();
     bool silent_ = false; // The store has been probed since the last answer.
-    bool sign_of_life_ = false;
+    bool probe_answered_ = false;
+    bool newer_state_ = false;
 };
 
 } // namespace ej::forwarding
--- a/libs/forwarding/src/query_watchdog.cpp
+++ b/libs/forwarding/src/query_watchdog.cpp
@@ -4,6 +4,13 @@
 
 namespace ej::forwarding {
 
+namespace {
+
+// Growth of the patience with each repeat that follows an answered probe.
+constexpr int slowdown = 4;
+
+} // namespace
+
 query_watchdog::query_watchdog(double draw)
     : first_pause_(std::chrono::duration_cast<core::duration>(draw * probe_interval))
 {
@@ -13,14 +20,26 @@
 // probes, and is given no time to wait for changes: the store may come back at any moment.
 void query_watchdog::record_query(core::instant now, core::duration wait)
 {
-    sign_of_life_ = false;
-    hung_at_ = now + patience;
+    probe_answered_ = newer_state_ = false;
+    patience_ = patience;
+    hung_at_ = now + patience_;
     if (!silent_) {
         hung_at_ += wait;
         next_probe_ = hung_at_ + first_pause_;
     }
 }
 
+// A store that answers probes but not the query may still be sending a long answer: more queries
+// would only delay it.
+void query_watchdog::record_repeat(core::instant now)
+{
+    if (probe_answered_) {
+        patience_ *= slowdown;
+    }
+    probe_answered_ = newer_state_ = false;
+    hung_at_ = now + patience_;
+}
+
 void query_watchdog::record_probe(core::instant now)
 {
     silent_ = true;
@@ -29,14 +48,13 @@
 
 void query_watchdog::record_answer()
 {
-    silent_ = false;
-    sign_of_life_ = false;
+    silent_ = probe_answered_ = newer_state_ = false;
     hung_at_ = next_probe_ = core::instant::max();
 }
 
 core::instant query_watchdog::next_query() const
 {
-    return sign_of_life_ ? hung_at_ : core::instant::max();
+    return probe_answered_ || newer_state_ ? hung_at_ : core::instant::max();
 }
 
 } // namespace ej::forwarding
--- a/libs/forwarding/tests/query_watchdog_test.cpp
+++ b/libs/forwarding/tests/query_watchdog_test.cpp
@@ -30,9 +30,13 @@
             return now - back_at;
         }
         if (probe_at >= back_at && now == probe_at + round_trip) {
-            watchdog.record_sign_of_life();
+            watchdog.record_probe_answer();
         }
-        if (now >= std::min(watchdog.next_query(), query_at + given_up_after)) {
+        if (now >= watchdog.next_query()) {
+            query_at = now;
+            watchdog.record_repeat(now);
+        }
+        if (now >= query_at + given_up_after) {
             query_at = now;
             watchdog.record_query(now, wait_for_changes);
         }
@@ -60,12 +64,30 @@
 {
     query_watchdog watchdog(0.5);
     watchdog.record_query(start, wait_for_changes);
-    watchdog.record_sign_of_life();
+    watchdog.record_newer_state();
     CHECK(watchdog.next_query() == start + wait_for_changes + query_watchdog::patience);
-    watchdog.record_query(watchdog.next_query(), wait_for_changes);
+    watchdog.record_repeat(watchdog.next_query());
     CHECK(watchdog.next_query() == core::instant::max());
 }
 
+TEST_CASE("a long answer of a store that answers probes is asked for three times in six seconds")
+{
+    query_watchdog watchdog(0);
+    watchdog.record_query(start, 0s);
+    int queries = 1;
+    for (auto now = start; now < start + 6s; now += 1ms) {
+        if (now >= watchdog.next_probe()) {
+            watchdog.record_probe(now);
+            watchdog.record_probe_answer();
+        }
+        if (now >= watchdog.next_query()) {
+            watchdog.record_repeat(now);
+            ++queries;
+        }
+    }
+    CHECK(queries == 3);
+}
+
 TEST_CASE("probes of daemons that lost the store together are spread over an interval")
 {
     query_watchdog first(0);
