--- a/libs/forwarding/include/forwarding/query_watchdog.h
+++ b/libs/forwarding/include/forwarding/query_watchdog.h
@@ -46,7 +46,7 @@
 
 private:
     core::duration first_pause_; // From the moment the query counts as hung to the first probe.
-    core::duration patience_ = patience;
+    core::duration patience_ = patience; // Grows with each repeat beside an answered probe.
     core::instant hung_at_ = core::instant::max();
     core::instant next_probe_ = core::instant::max();
     bool silent_ = false; // The store has been probed since the last answer.
