--- a/cmake/ej.cmake
+++ b/cmake/ej.cmake
@@ -20,14 +20,15 @@
 endfunction()
 
 # Declares a Catch2 test program and registers each of its test cases with CTest.
-# ej_test(name SOURCES file... DEPS target...)
+# With SERIAL, no other test runs beside one of this program.
+# ej_test(name [SERIAL] SOURCES file... DEPS target...)
 function(ej_test name)
   if(EJ_PRODUCT_ONLY)
     return()
   endif()
-  cmake_parse_arguments(arg "" "" "SOURCES;DEPS" ${ARGN})
+  cmake_parse_arguments(arg "SERIAL" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${name} ${arg_SOURCES})
   target_link_libraries(${name} PRIVATE ${arg_DEPS} rapidcheck Catch2::Catch2WithMain ej_options)
-  catch_discover_tests(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204"
+  catch_discover_tests(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" RUN_SERIAL ${arg_SERIAL}
                        DISCOVERY_MODE PRE_TEST)
 endfunction()
