Keep requests that a caller sends ahead in the kernel

What callers saw: a client that sends many requests ahead on one connection and reads no answers filled the daemon's memory until the process ended.

Cause: `handle` read 8 KB more for each request that it began, also when the buffer held more than the limit for requests sent ahead; the limit was only checked behind a read. A short request takes 170 bytes out of the buffer and brought 8 KB in. Each turn also queued one more wait for the socket's failure.

Evidence: "requests sent ahead to callers' address do not fill the memory" failed before with a peak of 222,032 kB (bound 52,428) and passes with this change alone.

The check now stands before each read, and one wait for a failure is queued at a time. The limit is 16 KB, the largest head of a request; what is beyond it stays in the kernel, which slows the client down.

--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -14,8 +14,9 @@
 namespace {
 
 constexpr std::size_t read_bytes = 8'192;
-// Limit for pipelined requests that are buffered while the current one is answered.
-constexpr std::size_t max_read_ahead_bytes = std::size_t{64} << 10;
+// Limit for pipelined requests that are buffered while the current one is answered. Further ones
+// stay in the kernel.
+constexpr std::size_t max_read_ahead_bytes = std::size_t{16} << 10;
 // Limit for discarded input, see `linger`.
 constexpr std::size_t max_lingered_bytes = std::size_t{64} << 20;
 
@@ -124,7 +125,15 @@
     else if (phase_ == phase::reading) {
         parse();
     }
-    else if (reader_.buffer().size() < max_read_ahead_bytes) {
+    else {
+        read_ahead();
+    }
+}
+
+/// Reads on while a request is served, unless enough of the following ones has been received.
+void caller_connection::read_ahead()
+{
+    if (reader_.buffer().size() < max_read_ahead_bytes) {
         read();
     }
     else {
@@ -161,7 +170,7 @@
     chunked_ = request.takes_chunks;
     head_only_ = request.message.method == "HEAD";
     request_id_ = request.message.header_value(context_.headers.request_id).value_or("");
-    read(); // Detects that the caller closes the connection while the request runs.
+    read_ahead(); // Detects that the caller closes the connection while the request runs.
     call_ = admit(context_, pool_, waiting_, std::move(request), shared_from_this());
     if (call_ != nullptr) {
         // The call may end, and be replaced, within `start`.
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -59,6 +59,7 @@
     void await_request();
     void begin_request();
     void read();
+    void read_ahead();
     void received(const error_code& error, std::size_t count);
     void parse();
     void handle(caller_request request);
@@ -103,6 +104,7 @@
     bool unframed_ = false;  // The end of the connection marks the end of the answer.
     bool head_only_ = false; // The request was HEAD.
     bool reading_ = false;
+    bool awaiting_failure_ = false; // See `stay_open`.
     bool serving_ = true; // Included in `callers_active`.
     caller_output output_;
     byte_share output_memory_;
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -61,6 +61,9 @@
 /// Owns the connection while it does not read; without a pending operation it would be destroyed.
 void caller_connection::stay_open()
 {
+    if (std::exchange(awaiting_failure_, true)) {
+        return;
+    }
     socket_.async_wait(tcp::socket::wait_error,
                        [self = shared_from_this()](const error_code& error) {
                            if (!error && self->phase_ != phase::closed) {
