Bound the connections and the memory of callers together

What callers saw: in a trial, clients outside the limits ended a process, which ran out of memory. Many unfinished bodies, each within the limit, exceeded the memory of the VM together; each idle connection held a descriptor that the store's and the endpoints' connections need as well.

Cause: every limit applied to one connection. Nothing counted what all of them held. A body was copied for each send and each digest, and its buffer had the length that its caller announced.

Change: - libs/pressure decides, without I/O, which connection is closed when connections or bytes exceed a limit: the one that has waited longest for its client, never one whose request is being served, and for its memory never one that holds little. - `caller_table` applies it to callers of `forward`, `connection_table` to the connections of http::server (health checks and metrics of `forward`, callers of `serve`). An unfinished request is refused with 503 and Retry-After, as it has not run; surplus connections are closed. - `max-callers`: by default half of the descriptors and one for 64 KB of a quarter of the memory. A single request of the largest size always fits. Health checks: 64 connections, bodies of 4 KB. - Requests are parsed into buffers that grow with what was received; sends share one body; digests are computed in parts. - Gauges `callers_bytes`, `callers_bytes_limit`, `callers_open_limit`, counter `caller_connections_shed_total{limit}`, and one line a second at most in the log.

--- a/endivejunction/src/parse_forward_settings.cpp
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -1,5 +1,6 @@
 #include "parse_forward_settings.h"
 
+#include "descriptor_limit.h"
 #include "settings_reader.h"
 
 #include <forwarding/endpoint_choice.h>
@@ -26,6 +27,11 @@
 constexpr std::size_t bytes_per_mb = std::size_t{1} << 20;
 // A buffer takes up to twice its size as it grows, and an answer is copied as it is sent.
 constexpr std::size_t answer_memory_divisor = 8;
+// Requests are held once and small ones may take half as much again, so that answers and the daemon
+// itself fit beside them.
+constexpr std::size_t caller_memory_divisor = 4;
+constexpr std::size_t bytes_per_caller = std::size_t{64} << 10;
+constexpr std::size_t max_callers = 1'000'000;
 constexpr unsigned max_interval_ms = 60'000;
 constexpr unsigned max_grace_ms = 3'600'000;
 constexpr double max_ratio = 100;
@@ -69,7 +75,11 @@
     add("backups", options::value<bool>()->default_value(true),
         "ask engines to keep copies of running requests at other engines");
     add("memory-mb", options::value<std::size_t>()->default_value(default_memory_mb),
-        "memory of this VM in MB; buffered answers may take an eighth");
+        "memory of this VM in MB; buffered answers may take an eighth, callers' requests a "
+        "quarter");
+    add("max-callers", options::value<std::size_t>()->default_value(0),
+        "most connections of callers; 0: half of the descriptors, and one for 64 KB of a quarter "
+        "of the memory");
     add("lanes", options::value<std::size_t>()->default_value(front::default_lanes),
         "threads that serve callers, 1 to 64");
     add("budget-ratio", number(0.2), "repeated sends per request, all daemons together");
@@ -106,6 +116,19 @@
     return true;
 }
 
+std::size_t read_max_callers(const options::variables_map& values, std::size_t caller_memory,
+                             core::findings& faults)
+{
+    const auto given = values["max-callers"].as<std::size_t>();
+    if (given > max_callers) {
+        faults.add("--max-callers", "must be 0 to " + std::to_string(max_callers));
+    }
+    // The other half is left for endpoints, the store and the health check.
+    return given > 0 ? given
+                     : std::max<std::size_t>(
+                           std::min(descriptor_limit() / 2, caller_memory / bytes_per_caller), 1);
+}
+
 void read_front(settings_reader& read, const options::variables_map& values,
                 front::front_settings& front, core::findings& faults)
 {
@@ -131,8 +154,10 @@
         faults.add("--placement", "'" + front.placement + "' is unknown");
     }
     front.backups = values["backups"].as<bool>();
-    front.answer_memory = read.number<std::size_t>("memory-mb", max_memory_mb) *
-                          (bytes_per_mb / answer_memory_divisor);
+    const auto memory = read.number<std::size_t>("memory-mb", max_memory_mb) * bytes_per_mb;
+    front.answer_memory = memory / answer_memory_divisor;
+    front.caller_memory = memory / caller_memory_divisor;
+    front.max_callers = read_max_callers(values, front.caller_memory, faults);
     front.lanes = read.number<std::size_t>("lanes", max_lanes);
     front.budget = {read.fraction("budget-ratio", max_ratio),
                     read.fraction("budget-allowance", max_allowance),
--- a/libs/caller_front/include/caller_front/front_settings.h
+++ b/libs/caller_front/include/caller_front/front_settings.h
@@ -16,6 +16,8 @@
 
 inline constexpr std::size_t default_lanes = 1;
 inline constexpr std::size_t default_answer_memory = std::size_t{64} << 20;
+inline constexpr std::size_t default_caller_memory = std::size_t{128} << 20;
+inline constexpr std::size_t default_max_callers = 512;
 
 /// Settings of a forwarding daemon.
 struct front_settings {
@@ -40,7 +42,10 @@
     std::string placement = "memory";    ///< Name of the placement policy for generations.
     bool backups = true;                 ///< Asks engines to keep copies of running requests.
     std::size_t answer_memory = default_answer_memory; ///< Bytes for buffered answers; > 0.
-    std::size_t lanes = default_lanes;                 ///< Threads that serve callers; from 1.
+    /// Bytes for callers' requests and unread answers together; > 0. One request always fits.
+    std::size_t caller_memory = default_caller_memory;
+    std::size_t max_callers = default_max_callers; ///< Callers' connections, all lanes; from 1.
+    std::size_t lanes = default_lanes;             ///< Threads that serve callers; from 1.
     forwarding::retry_budget_settings budget;
 
     friend auto operator<=>(const front_settings&, const front_settings&) = default;
--- a/libs/caller_front/src/caller_connection.cpp
+++ b/libs/caller_front/src/caller_connection.cpp
@@ -23,8 +23,10 @@
 } // namespace
 
 caller_connection::caller_connection(tcp::socket socket, front_context& context,
-                                     upstream_pool& pool, waiting_calls& waiting)
+                                     upstream_pool& pool, waiting_calls& waiting,
+                                     std::shared_ptr<caller_table> callers)
     : socket_(std::move(socket)), context_(context), pool_(pool), waiting_(waiting),
+      callers_(std::move(callers)),
       output_(socket_, [this](const error_code& error) { written(error); }),
       output_memory_(context.answer_bytes)
 {
@@ -35,6 +37,7 @@
 caller_connection::~caller_connection()
 {
     stop_serving();
+    callers_->remove(number_);
     error_code ignored; // The destructor of a socket would drop `reset_on_close`.
     socket_.close(ignored);
     --context_.callers_open;
@@ -55,6 +58,7 @@
             self->timed_out();
         }
     });
+    number_ = callers_->add(weak_from_this());
     await_request();
     if (!accepts_requests()) {
         close_if_idle();
@@ -65,6 +69,7 @@
 {
     phase_ = phase::idle;
     idle_since_ = now();
+    report_holding();
     timer_->set(idle_since_ + limits().idle_timeout);
     if (reader_.buffer().size() > 0) {
         begin_request();
@@ -77,8 +82,9 @@
 {
     const auto bounds = limits();
     phase_ = phase::reading;
+    reading_since_ = now();
     reader_.begin(bounds);
-    timer_->set(now() + bounds.header_timeout);
+    timer_->set(reading_since_ + bounds.header_timeout);
     parse();
 }
 
@@ -159,6 +165,7 @@
     case request_reader::progress::header:
         break;
     }
+    report_holding();
     read();
 }
 
@@ -170,6 +177,8 @@
     chunked_ = request.takes_chunks;
     head_only_ = request.message.method == "HEAD";
     request_id_ = request.message.header_value(context_.headers.request_id).value_or("");
+    call_bytes_ = request.message.body.capacity();
+    report_holding();
     read_ahead(); // Detects that the caller closes the connection while the request runs.
     call_ = admit(context_, pool_, waiting_, std::move(request), shared_from_this());
     if (call_ != nullptr) {
@@ -186,14 +195,21 @@
 }
 
 void caller_connection::send_rejection(unsigned status, std::string_view reason)
+{
+    reject_with(local_reply(status, reason, "", context_.headers), reason);
+}
+
+/// Answers a request that has not been received whole, and closes the connection.
+void caller_connection::reject_with(const http::response& answer, std::string_view reason)
 {
     phase_ = phase::answering;
     timer_->clear();
     keep_alive_ = false;
     head_only_ = false;
+    reader_.discard();
     context_.metrics.count("refusals_total", {{"reason", std::string(reason)}});
-    log_rejection("", "", reason, status, core::revision());
-    reply(local_reply(status, reason, "", context_.headers));
+    log_rejection("", "", reason, answer.status, core::revision());
+    reply(answer);
 }
 
 void caller_connection::abort()
@@ -204,6 +220,8 @@
     record_end(connection_end::call_aborted);
     phase_ = phase::aborting;
     call_.reset();
+    call_bytes_ = 0;
+    report_holding();
     if (!output_.busy()) {
         end_aborted();
     }
@@ -219,6 +237,7 @@
     progress_at_ = now();
     timer_->set(next_progress_check());
     output_.send(std::move(text), shared_from_this());
+    report_holding();
 }
 
 void caller_connection::written(const error_code& error)
@@ -228,6 +247,7 @@
     }
     timer_->clear();
     output_memory_.release();
+    report_holding();
     if (error) {
         disconnect(connection_end::write_failed);
     }
@@ -245,6 +265,7 @@
 void caller_connection::on_answer_sent()
 {
     call_.reset();
+    call_bytes_ = 0;
     ++answered_;
     if (!keep_alive_) {
         phase_ = phase::idle;
--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -2,6 +2,7 @@
 
 #include "byte_share.h"
 #include "caller_output.h"
+#include "caller_table.h"
 #include "connection_end.h"
 #include "connection_phase.h"
 #include "forwarded_call.h"
@@ -29,7 +30,7 @@
 public:
     /// `context`, `pool` and `waiting` outlive the connection.
     caller_connection(tcp::socket socket, front_context& context, upstream_pool& pool,
-                      waiting_calls& waiting);
+                      waiting_calls& waiting, std::shared_ptr<caller_table> callers);
     ~caller_connection() override;
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
@@ -47,6 +48,13 @@
     /// Ends the current call with its final answer now.
     void end_call();
 
+    /// Closes the connection unless its request is being served, since there are too many.
+    void close_surplus();
+
+    /// Frees what an unfinished request or an unread answer holds, since callers hold too much. The
+    /// request is refused.
+    void free_memory();
+
     void reply(const http::response& answer) override;
     void start_stream(const http::response& head) override;
     void write(const std::string& part) override;
@@ -65,6 +73,9 @@
     void handle(caller_request request);
     void reject(request_fault fault);
     void send_rejection(unsigned status, std::string_view reason);
+    void reject_with(const http::response& answer, std::string_view reason);
+    void report_holding();
+    [[nodiscard]] pressure::holding holding() const;
     void timed_out();
     void idle_limit_passed();
     void send(std::string text, bool last);
@@ -94,18 +105,22 @@
     front_context& context_;
     upstream_pool& pool_;
     waiting_calls& waiting_;
+    std::shared_ptr<caller_table> callers_;
+    std::uint64_t number_ = 0; // In `callers_`.
     request_reader reader_;
     std::shared_ptr<forwarded_call> call_;
     std::shared_ptr<lazy_timer> timer_;
     phase phase_ = phase::idle;
     core::instant idle_since_{};
+    core::instant reading_since_{};
+    std::size_t call_bytes_ = 0; // Of the request that is being served.
     bool keep_alive_ = true;
     bool chunked_ = true;    // The caller supports chunked answers.
     bool unframed_ = false;  // The end of the connection marks the end of the answer.
     bool head_only_ = false; // The request was HEAD.
     bool reading_ = false;
     bool awaiting_failure_ = false; // See `stay_open`.
-    bool serving_ = true; // Included in `callers_active`.
+    bool serving_ = true;           // Included in `callers_active`.
     caller_output output_;
     byte_share output_memory_;
     core::instant progress_at_{};    // Of the output.
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -96,6 +96,7 @@
     error_code ignored; // The caller may have closed already.
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     timer_->set(now() + linger_timeout);
+    report_holding();
 }
 
 /// Closes the sending half and keeps reading for a while: closing a socket with unread bytes resets
@@ -194,6 +195,7 @@
 {
     phase_ = phase::closed;
     stop_serving();
+    callers_->remove(number_);
     timer_->stop();
     error_code ignored; // The connection is discarded anyway.
     socket_.close(ignored);
--- a/libs/caller_front/src/connection_end.cpp
+++ b/libs/caller_front/src/connection_end.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::array<std::string_view, connection_end_count> names{
-    "caller_closed", "read_failed",   "idle_timeout", "leaving",     "answer_sent",
-    "write_failed",  "write_timeout", "output_limit", "call_aborted"};
+    "caller_closed", "read_failed",   "idle_timeout", "leaving",      "answer_sent",
+    "write_failed",  "write_timeout", "output_limit", "call_aborted", "overload"};
 
 } // namespace
 
--- a/libs/caller_front/src/connection_end.h
+++ b/libs/caller_front/src/connection_end.h
@@ -15,10 +15,11 @@
     write_failed,  ///< An answer could not be sent.
     write_timeout, ///< The caller did not read its answer.
     output_limit,  ///< The caller read its stream too slowly.
-    call_aborted   ///< The call broke off its answer.
+    call_aborted,  ///< The call broke off its answer.
+    overload       ///< Callers exceeded a limit together, see `caller_table`.
 };
 
-inline constexpr std::size_t connection_end_count = 9;
+inline constexpr std::size_t connection_end_count = 10;
 
 /// The name used in logs and metrics.
 [[nodiscard]] std::string_view to_string(connection_end end);
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -41,6 +41,7 @@
       size_(size_of(request_, environment_.context.headers)),
       service_(draw_service(environment_.matched_route, draw_of(request_id_))),
       digest_(request_digest_of(environment_.workspace, request_)),
+      body_(std::make_shared<const std::string>(std::move(request_.message.body))),
       deadline_(deadline_for(request_, environment_.context.headers, environment_.matched_route)),
       sink_(std::move(sink))
 {
@@ -132,8 +133,10 @@
     }
     report_load_change(endpoint);
     counted_.insert(attempt.get());
-    attempt->start(weak_from_this(), encode(request_, head, environment_.context.headers),
-                   request_.message.method == "HEAD", connect_timeout);
+    attempt->start(
+        weak_from_this(),
+        {encode_head(request_, body_->size(), head, environment_.context.headers), body_},
+        request_.message.method == "HEAD", connect_timeout);
     return attempt;
 }
 
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -195,12 +195,13 @@
     [[nodiscard]] std::shared_ptr<reply_sink> sink() const { return sink_.lock(); }
 
     call_environment environment_;
-    caller_request request_;
+    caller_request request_; // Without its body.
     std::string request_id_;
     forwarding::call_size size_;
     forwarding::call_progress progress_;
     core::service_id service_;
-    suspects::request_digest digest_; // Equal for repeated sends of the same request.
+    suspects::request_digest digest_;         // Equal for repeated sends of the same request.
+    std::shared_ptr<const std::string> body_; // Of the request.
     core::instant deadline_;
     std::set<core::endpoint_id> tried_;
     std::uint64_t tokens_unread_ = 0; // Of the latest attempt, until its first output.
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -111,6 +111,7 @@
     std::atomic<std::uint64_t> choices_made{0}; ///< Breaks ties between equal endpoints in turn.
     std::atomic<std::size_t> calls_open{0};     ///< Requests that have no final answer yet.
     std::atomic<std::size_t> callers_open{0};   ///< Callers' connections.
+    std::atomic<std::size_t> callers_bytes{0};  ///< Held for callers, see `caller_table`.
     /// Callers' connections on which a request may still be answered.
     std::atomic<std::size_t> callers_active{0};
     std::atomic<bool> leaving{false}; ///< SIGTERM was received.
--- a/libs/caller_front/src/lane.cpp
+++ b/libs/caller_front/src/lane.cpp
@@ -1,12 +1,12 @@
 #include "lane.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace ej::front {
 
 lane::lane(front_context& context)
-    : context_(context), work_(asio::make_work_guard(loop_)), pool_(loop_), waiting_(context, loop_)
+    : context_(context), work_(asio::make_work_guard(loop_)), pool_(loop_),
+      waiting_(context, loop_), callers_(std::make_shared<caller_table>(context, loop_))
 {
 }
 
@@ -32,16 +32,8 @@
 {
     // The socket is already bound to this lane's loop: the listener accepted it for that loop.
     auto connection =
-        std::make_shared<caller_connection>(std::move(socket), context_, pool_, waiting_);
-    asio::post(loop_, [this, connection = std::move(connection)] {
-        if (callers_.size() >= swept_at_) {
-            std::erase_if(callers_, [](const auto& one) { return one.expired(); });
-            constexpr std::size_t least = 64;
-            swept_at_ = std::max(least, 2 * callers_.size());
-        }
-        callers_.push_back(connection);
-        connection->start();
-    });
+        std::make_shared<caller_connection>(std::move(socket), context_, pool_, waiting_, callers_);
+    asio::post(loop_, [connection = std::move(connection)] { connection->start(); });
 }
 
 void lane::close_idle()
@@ -61,13 +53,7 @@
 
 void lane::for_each_caller(void (caller_connection::*action)())
 {
-    asio::post(loop_, [this, action] {
-        for (const auto& one : callers_) {
-            if (const auto connection = one.lock()) {
-                (connection.get()->*action)();
-            }
-        }
-    });
+    asio::post(loop_, [this, action] { callers_->for_each(action); });
 }
 
 } // namespace ej::front
--- a/libs/caller_front/src/lane.h
+++ b/libs/caller_front/src/lane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_connection.h"
+#include "caller_table.h"
 #include "front_context.h"
 #include "net.h"
 #include "upstream_pool.h"
@@ -8,7 +9,6 @@
 
 #include <memory>
 #include <thread>
-#include <vector>
 
 namespace ej::front {
 
@@ -54,8 +54,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     upstream_pool pool_;
     waiting_calls waiting_;
-    std::vector<std::weak_ptr<caller_connection>> callers_;
-    std::size_t swept_at_ = 64; // Size of `callers_` at which ended connections are removed.
+    std::shared_ptr<caller_table> callers_;
     std::thread thread_;
 };
 
--- a/libs/caller_front/src/ready_api.cpp
+++ b/libs/caller_front/src/ready_api.cpp
@@ -5,6 +5,8 @@
 #include <logging/log.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <string>
 #include <utility>
 
@@ -15,6 +17,19 @@
 constexpr unsigned status_ok = 200;
 constexpr std::string_view metrics_path = "/metrics";
 
+/// Limits of health checks, which have no body, and of the readers of metrics.
+http::server_options limits()
+{
+    constexpr std::size_t max_body_bytes = 4'096;
+    constexpr std::size_t request_memory = std::size_t{4} << 20;
+    constexpr std::size_t max_connections = 64;
+    constexpr std::chrono::seconds request_timeout{5};
+    constexpr std::chrono::seconds idle_timeout{60};
+    constexpr std::chrono::seconds write_timeout{5};
+    return {max_body_bytes,  request_memory, max_connections,
+            request_timeout, idle_timeout,   write_timeout};
+}
+
 } // namespace
 
 ready_api::ready_api(front_context& context, const platform::call_counts& store_calls)
@@ -24,10 +39,9 @@
 
 absl::Status ready_api::start(const asio::any_io_executor& executor, const core::address& where)
 {
-    auto started =
-        http::server::start(executor, where, {}, [this](std::shared_ptr<http::exchange> incoming) {
-            return answer(std::move(incoming));
-        });
+    auto started = http::server::start(
+        executor, where, limits(),
+        [this](std::shared_ptr<http::exchange> incoming) { return answer(std::move(incoming)); });
     if (!started.ok()) {
         return started.status();
     }
@@ -68,6 +82,9 @@
     auto& registry = context_.metrics;
     registry.set("calls_open", {}, double(context_.calls_open));
     registry.set("callers_open", {}, double(context_.callers_open));
+    registry.set("callers_open_limit", {}, double(context_.settings.max_callers));
+    registry.set("callers_bytes", {}, double(context_.callers_bytes));
+    registry.set("callers_bytes_limit", {}, double(context_.settings.caller_memory));
     registry.set("endpoints", {}, double(context_.endpoints.load()->size()));
     registry.set("endpoints_leaving_known", {}, double(context_.endpoints.leaving()));
     registry.set("daemons", {}, double(context_.daemons));
--- a/libs/caller_front/src/request_head.cpp
+++ b/libs/caller_front/src/request_head.cpp
@@ -69,8 +69,8 @@
 
 } // namespace
 
-std::string encode(const caller_request& incoming, const request_head& added,
-                   const header_names& names)
+std::string encode_head(const caller_request& incoming, std::size_t body_bytes,
+                        const request_head& added, const header_names& names)
 {
     const http::request& message = incoming.message;
     std::string text = absl::StrCat(message.method, " ", message.target, " HTTP/1.1\r\n");
@@ -96,10 +96,10 @@
         add(text, names.memory_from, added.memory_from);
     }
     const bool may_have_no_body = message.method == "GET" || message.method == "HEAD";
-    if (!message.body.empty() || !may_have_no_body) {
-        add(text, "Content-Length", absl::StrCat(message.body.size()));
+    if (body_bytes > 0 || !may_have_no_body) {
+        add(text, "Content-Length", absl::StrCat(body_bytes));
     }
-    return absl::StrCat(text, "\r\n", message.body);
+    return text + "\r\n";
 }
 
 forwarding::call_size size_of(const caller_request& incoming, const header_names& names)
@@ -137,8 +137,7 @@
                                            const caller_request& incoming)
 {
     // A target contains no line break, so different targets and bodies never yield the same input.
-    return suspects::digest_of(workspace,
-                               absl::StrCat(incoming.message.target, "\n", incoming.message.body));
+    return suspects::digest_of(workspace, {incoming.message.target, "\n", incoming.message.body});
 }
 
 std::optional<std::chrono::milliseconds> deadline_of(const caller_request& incoming,
--- a/libs/caller_front/src/request_head.h
+++ b/libs/caller_front/src/request_head.h
@@ -30,10 +30,10 @@
     std::string memory_from;                   ///< Empty: the engine reads the prompt.
 };
 
-/// Encodes the request for an endpoint: `incoming` without hop-by-hop fields, the caller's key, and
-/// fields that only the daemon may set.
-[[nodiscard]] std::string encode(const caller_request& incoming, const request_head& added,
-                                 const header_names& names);
+/// Encodes the head of the request for an endpoint, which a body of `body_bytes` follows: that of
+/// `incoming` without hop-by-hop fields, the caller's key, and fields that only the daemon may set.
+[[nodiscard]] std::string encode_head(const caller_request& incoming, std::size_t body_bytes,
+                                      const request_head& added, const header_names& names);
 
 /// Size of the generation as declared by the caller; zeros when it is absent or malformed.
 [[nodiscard]] forwarding::call_size size_of(const caller_request& incoming,
--- a/libs/caller_front/src/request_reader.cpp
+++ b/libs/caller_front/src/request_reader.cpp
@@ -2,10 +2,9 @@
 
 #include "clock.h"
 
-#include <algorithm>
+#include <core/text.h>
+
 #include <cstddef>
-#include <cstdint>
-#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -13,7 +12,7 @@
 
 namespace {
 
-constexpr unsigned http_1_1 = 11;
+constexpr int http_1_1 = 11;
 
 // Limit for received bytes that the parser cannot consume yet, besides the header. The parser
 // limits that itself, but neither chunk extensions nor trailers.
@@ -32,13 +31,11 @@
 
 void request_reader::begin(const forwarding::caller_limits& limits)
 {
-    continued_ = false;
+    waits_for_continue_ = false;
     check_ = {};
     max_unparsed_bytes_ = limits.max_header_bytes + max_framing_bytes;
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-    parser_->body_limit(limits.max_body_bytes);
-    // The parser adds trailer fields to those of the header, which are taken before.
+    parser_.emplace(limits.max_header_bytes, limits.max_body_bytes);
+    // Until the header is complete, no byte of the body is consumed with it.
     parser_->eager(false);
 }
 
@@ -88,31 +85,30 @@
 void request_reader::take_header()
 {
     parser_->eager(true);
-    const auto& message = parser_->get();
     request_ = {};
     request_.arrived = now();
-    request_.keep_alive = message.keep_alive();
-    request_.takes_chunks = message.version() >= http_1_1;
-    request_.message.method = std::string(message.method_string());
-    request_.message.target = std::string(message.target());
-    std::ranges::transform(
-        message, std::back_inserter(request_.message.headers), [](const auto& field) {
-            return http::header{std::string(field.name_string()), std::string(field.value())};
-        });
+    request_.keep_alive = parser_->keep_alive();
+    request_.takes_chunks = parser_->version() >= http_1_1;
+    waits_for_continue_ =
+        core::equal_ignoring_case(core::trimmed(parser_->header("Expect")), "100-continue");
 }
 
 bool request_reader::wants_continue()
 {
-    const bool waits = parser_->is_header_done() &&
-                       beast::iequals(parser_->get()[wire::field::expect], "100-continue");
-    return waits && !std::exchange(continued_, true);
+    return std::exchange(waits_for_continue_, false);
 }
 
 caller_request request_reader::take()
 {
-    request_.message.body = std::move(parser_->get().body());
+    request_.message = {parser_->method(), parser_->target(), std::move(parser_->headers()),
+                        std::move(parser_->body())};
     parser_.reset();
     return std::exchange(request_, {});
 }
 
+std::size_t request_reader::allocated() const
+{
+    return buffer_.capacity() + (parser_ ? parser_->allocated() : 0);
+}
+
 } // namespace ej::front
--- a/libs/caller_front/src/request_reader.h
+++ b/libs/caller_front/src/request_reader.h
@@ -3,6 +3,7 @@
 #include "caller_request.h"
 #include "net.h"
 #include "request_fault.h"
+#include "request_parser.h"
 
 #include <forwarding/caller_limits.h>
 
@@ -39,6 +40,12 @@
     /// The request, after `progress::complete`.
     [[nodiscard]] caller_request take();
 
+    /// Frees what was received of the current request.
+    void discard() { parser_.reset(); }
+
+    /// Bytes allocated for received bytes and for the current request.
+    [[nodiscard]] std::size_t allocated() const;
+
 private:
     [[nodiscard]] progress fail(request_fault fault);
     void take_header();
@@ -46,10 +53,10 @@
     beast::flat_buffer buffer_;
     http::framing_check check_;
     std::size_t max_unparsed_bytes_ = 0;
-    std::optional<wire::request_parser<wire::string_body>> parser_;
+    std::optional<request_parser> parser_;
     request_fault fault_ = request_fault::malformed;
-    caller_request request_; // Without its body until it is complete.
-    bool continued_ = false;
+    caller_request request_; // Without its message until it is complete.
+    bool waits_for_continue_ = false;
 };
 
 } // namespace ej::front
--- a/libs/caller_front/src/stream_call_placement.cpp
+++ b/libs/caller_front/src/stream_call_placement.cpp
@@ -121,7 +121,7 @@
     }
     else {
         const auto self = std::static_pointer_cast<stream_call>(shared_from_this());
-        const auto ticket = environment_.waiting.add(self, demand(), request_.message.body.size());
+        const auto ticket = environment_.waiting.add(self, demand(), body_->size());
         if (!over()) {
             ticket_ = ticket;
         }
--- a/libs/caller_front/src/upstream_attempt.cpp
+++ b/libs/caller_front/src/upstream_attempt.cpp
@@ -3,7 +3,9 @@
 #include "clock.h"
 #include "unacknowledged_bytes.h"
 
+#include <array>
 #include <chrono>
+#include <memory>
 #include <utility>
 
 namespace ej::front {
@@ -34,7 +36,7 @@
 {
 }
 
-void upstream_attempt::start(std::weak_ptr<attempt_listener> listener, std::string message,
+void upstream_attempt::start(std::weak_ptr<attempt_listener> listener, outgoing_message message,
                              bool head_only, core::duration connect_timeout)
 {
     listener_ = std::move(listener);
@@ -107,8 +109,12 @@
         }
     });
     probe_timer_->set(now() + probe_after);
-    asio::async_write(connection_->socket, asio::buffer(message_),
-                      [self = shared_from_this()](const error_code& error, std::size_t) {
+    // Owned by the handler, since a cancelled write may still use it.
+    const auto message = std::make_shared<const outgoing_message>(std::move(message_));
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(message->head),
+                                                  asio::buffer(*message->body)};
+    asio::async_write(connection_->socket, parts,
+                      [self = shared_from_this(), message](const error_code& error, std::size_t) {
                           // A failed write also fails the read, after any early answer has been
                           // read.
                           self->written_ = !error;
--- a/libs/caller_front/src/upstream_attempt.h
+++ b/libs/caller_front/src/upstream_attempt.h
@@ -4,6 +4,7 @@
 #include "attempt_listener.h"
 #include "lazy_timer.h"
 #include "net.h"
+#include "outgoing_message.h"
 #include "upstream_connection.h"
 #include "upstream_pool.h"
 
@@ -25,7 +26,7 @@
                      std::string request_id);
 
     /// Sends `message`; `listener` is notified of the progress until `cancel`.
-    void start(std::weak_ptr<attempt_listener> listener, std::string message, bool head_only,
+    void start(std::weak_ptr<attempt_listener> listener, outgoing_message message, bool head_only,
                core::duration connect_timeout);
 
     /// Closes the connection; the listener is not notified any more.
@@ -69,7 +70,7 @@
     std::string echo_field_;
     std::string request_id_;
     std::weak_ptr<attempt_listener> listener_;
-    std::string message_;
+    outgoing_message message_; // Until it is sent.
     upstream_connection_ptr connection_;
     std::unique_ptr<answer_parser> parser_;
     std::shared_ptr<lazy_timer> connect_timer_;
--- a/libs/caller_front/tests/connection_fixture.cpp
+++ b/libs/caller_front/tests/connection_fixture.cpp
@@ -22,7 +22,8 @@
 {
     configure(idle_timeout);
     caller.connect(acceptor_.local_endpoint());
-    connection = std::make_shared<caller_connection>(acceptor_.accept(), context, pool, waiting);
+    connection =
+        std::make_shared<caller_connection>(acceptor_.accept(), context, pool, waiting, callers);
     connection->start();
     run_ready();
 }
--- a/libs/caller_front/tests/connection_fixture.h
+++ b/libs/caller_front/tests/connection_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_connection.h"
+#include "caller_table.h"
 #include "front_context.h"
 #include "upstream_pool.h"
 #include "waiting_calls.h"
@@ -44,6 +45,7 @@
     asio::io_context lane{1};
     upstream_pool pool{lane};
     waiting_calls waiting{context, lane};
+    std::shared_ptr<caller_table> callers = std::make_shared<caller_table>(context, lane);
     tcp::socket caller{lane};
     std::shared_ptr<caller_connection> connection;
 
--- a/libs/caller_front/tests/parsers_test.cpp
+++ b/libs/caller_front/tests/parsers_test.cpp
@@ -126,7 +126,7 @@
                 RC_ASSERT(std::stoull(*length) == one.message.body.size());
             }
             // The forwarded request has one header and exactly the body that was parsed.
-            const auto sent = encode(one, {}, {});
+            const auto sent = encode_head(one, one.message.body.size(), {}, {}) + one.message.body;
             const auto head_end = sent.find("\r\n\r\n");
             RC_ASSERT(sent.substr(head_end + 4) == one.message.body);
             auto head = sent.substr(0, head_end);
--- a/libs/caller_front/tests/prompt_parts_test.cpp
+++ b/libs/caller_front/tests/prompt_parts_test.cpp
@@ -168,7 +168,7 @@
 TEST_CASE("the list of prompt parts is forwarded unchanged, well-formed or not")
 {
     for (const std::string text : {"5C1E07a2:0800, 91bd3f06:410", "no list", ",,:"}) {
-        const auto sent = encode(with_fields({{"EJ-Prompt-Parts", text}}), {}, {});
+        const auto sent = encode_head(with_fields({{"EJ-Prompt-Parts", text}}), 0, {}, {});
         INFO(sent);
         CHECK(sent.find("\r\nEJ-Prompt-Parts: " + text + "\r\n") != std::string::npos);
     }
--- a/libs/caller_front/tests/upstream_attempt_test.cpp
+++ b/libs/caller_front/tests/upstream_attempt_test.cpp
@@ -46,7 +46,8 @@
     endpoint.where = {"127.0.0.1", acceptor.local_endpoint().port()};
     const auto listener = std::make_shared<refusing_listener>();
     const auto attempt = std::make_shared<upstream_attempt>(pool, endpoint, "EJ-Request-Id", "id1");
-    attempt->start(listener, "GET / HTTP/1.1\r\n\r\n", false, long_time);
+    attempt->start(listener, {"GET / HTTP/1.1\r\n\r\n", std::make_shared<const std::string>()},
+                   false, long_time);
     while (!listener->ended && lane.run_one_for(long_time) > 0) {
     }
     CHECK(listener->ended == forwarding::attempt_end::not_sent);
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -1,7 +1,10 @@
 #include "beast.h"
+#include "connection_table.h"
+#include "parse_limits.h"
 #include "server_connection.h"
 
 #include <http/server.h>
+#include <pressure/share_of_memory.h>
 
 #include <string>
 
@@ -10,6 +13,9 @@
 struct server::listener : std::enable_shared_from_this<listener> {
     listener(const asio::any_io_executor& executor, server_options bounds, handler action)
         : base(executor), strand(asio::make_strand(executor)), acceptor(strand), options(bounds),
+          table(std::make_shared<connection_table>(
+              pressure::share_of_memory(bounds.request_memory, bounds.max_connections, 1,
+                                        bounds.max_body_bytes + 2 * max_unparsed_bytes))),
           handle(std::move(action))
     {
     }
@@ -55,7 +61,8 @@
                 co_await pause();
                 continue;
             }
-            auto connection = std::make_shared<server_connection>(std::move(socket), options);
+            auto connection =
+                std::make_shared<server_connection>(std::move(socket), own_strand, options, table);
             // The lambda holds the connection until its coroutine starts, which happens later.
             asio::co_spawn(
                 own_strand,
@@ -79,6 +86,7 @@
     asio::any_io_executor strand;
     tcp::acceptor acceptor;
     server_options options;
+    std::shared_ptr<connection_table> table;
     handler handle;
     core::address bound;
 };
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -14,6 +14,9 @@
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_implemented = 501;
+constexpr unsigned status_unavailable = 503;
+// The connection itself, its coroutines and its entries in tables.
+constexpr std::size_t connection_bytes = 8'192;
 constexpr std::size_t watch_buffer_bytes = 256;
 
 absl::Status write_status(const boost::system::error_code& error)
@@ -42,14 +45,23 @@
 
 } // namespace
 
-server_connection::server_connection(tcp::socket socket, server_options options)
-    : stream_(std::move(socket)), options_(options)
+server_connection::server_connection(tcp::socket socket, asio::any_io_executor strand,
+                                     server_options options,
+                                     std::shared_ptr<connection_table> table)
+    : strand_(std::move(strand)), stream_(std::move(socket)), options_(options),
+      table_(std::move(table))
 {
 }
 
+server_connection::~server_connection()
+{
+    table_->remove(number_);
+}
+
 asio::awaitable<void> server_connection::serve(server::handler handle)
 {
     const auto self = shared_from_this();
+    number_ = table_->add(self);
     boost::system::error_code error;
     stream_.socket().set_option(tcp::no_delay(true), error);
     do {
@@ -57,7 +69,7 @@
             co_return;
         }
         co_await handle(self);
-    } while (keep_alive_ && !streaming_ && !disconnected_);
+    } while (keep_alive_ && !streaming_ && !disconnected_ && !shed_);
     stream_.socket().shutdown(tcp::socket::shutdown_both, error);
     stream_.socket().close(error);
 }
@@ -65,6 +77,8 @@
 asio::awaitable<bool> server_connection::read_request()
 {
     boost::system::error_code error;
+    waiting_since_ = core::instant::clock::now();
+    report_holding(pressure::close_order::waiting, 0);
     if (buffer_.size() == 0) {
         stream_.expires_after(options_.idle_timeout);
         constexpr std::size_t first_read_bytes = 4096;
@@ -84,7 +98,7 @@
     if (!error) {
         headers = to_headers(parser.get()); // Before trailer fields are added.
         keep_alive_ = parser.keep_alive();
-        co_await wire::async_read(stream_, buffer_, parser, no_throw(error));
+        error = co_await read_body(parser);
     }
     if (error) {
         co_await refuse(error, check.fault());
@@ -93,16 +107,51 @@
     auto message = parser.release();
     received_ = request{std::string(message.method_string()), std::string(message.target()),
                         std::move(headers), std::move(message.body())};
+    report_holding(pressure::close_order::never, received_.body.capacity());
     co_return true;
 }
 
+asio::awaitable<boost::system::error_code>
+server_connection::read_body(wire::request_parser<wire::string_body>& parser)
+{
+    boost::system::error_code error;
+    while (!error && !parser.is_done() && !shed_) {
+        co_await wire::async_read_some(stream_, buffer_, parser, no_throw(error));
+        report_holding(pressure::close_order::waiting, parser.get().body().capacity());
+    }
+    if (shed_ && !parser.is_done()) {
+        error = asio::error::operation_aborted;
+    }
+    co_return error;
+}
+
+void server_connection::report_holding(pressure::close_order order, std::size_t request_bytes)
+{
+    order_ = order;
+    table_->update(number_,
+                   {connection_bytes + buffer_.capacity() + request_bytes, waiting_since_, order});
+}
+
+void server_connection::shed_later()
+{
+    asio::post(strand_, [self = shared_from_this()] {
+        if (self->order_ != pressure::close_order::never) {
+            self->shed_ = true;
+            self->stream_.cancel();
+        }
+    });
+}
+
 asio::awaitable<void> server_connection::refuse(boost::system::error_code error,
                                                 framing_fault fault)
 {
     keep_alive_ = false;
     response answer{status_bad_request, {}, "request is not HTTP\n"};
-    if (error == wire::error::body_limit || error == wire::error::header_limit ||
-        error == wire::error::buffer_overflow) {
+    if (shed_) {
+        answer = {status_unavailable, {{"Retry-After", "1"}}, "overload\n"};
+    }
+    else if (error == wire::error::body_limit || error == wire::error::header_limit ||
+             error == wire::error::buffer_overflow) {
         answer = {status_too_large, {}, "request is too large\n"};
     }
     else if (fault == framing_fault::unknown_coding) {
@@ -119,6 +168,8 @@
 {
     auto message = to_wire(answer, keep_alive_);
     boost::system::error_code error;
+    waiting_since_ = core::instant::clock::now();
+    report_holding(pressure::close_order::waiting, message.body().size());
     stream_.expires_after(options_.write_timeout);
     co_await wire::async_write(stream_, message, no_throw(error));
     if (error) {
--- a/libs/suspects/tests/suspects_test.cpp
+++ b/libs/suspects/tests/suspects_test.cpp
@@ -300,6 +300,7 @@
 {
     const core::workspace_id a("a");
     CHECK(digest_of(a, "x") == digest_of(a, "x"));
+    CHECK(digest_of(a, "/path\nbody") == digest_of(a, {"/path", "\n", "body"}));
     CHECK(digest_of(a, "x") != digest_of(core::workspace_id("b"), "x"));
     CHECK(digest_of(a, "x") != digest_of(a, "y"));
 }
--- a/tests/crowd/crowd.cpp
+++ b/tests/crowd/crowd.cpp
@@ -38,6 +38,9 @@
 int connect_to(const core::address& where)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (socket < 0) {
+        throw std::runtime_error("cannot open a socket");
+    }
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -43,19 +43,25 @@
     return {head + in_chunks, chunk(chunk_bytes), crowded_daemon::max_body_bytes / chunk_bytes};
 }
 
-/// What holds while the crowd is there and once it has left.
-void check_daemon(crowded_daemon& daemon, crowd& crowd)
+/// What holds while the crowd is there.
+void check_beside_crowd(crowded_daemon& daemon)
 {
     daemon.wait_until_quiet();
     const auto descriptors = daemon.open_descriptors();
     REQUIRE(daemon.running());
+    CHECK(descriptors < most_descriptors);
     CHECK(daemon.answer_to_request(ordinary_body_bytes).starts_with("HTTP/1.1 200"));
     CHECK(daemon.health().starts_with("HTTP/1.1 200"));
+}
+
+/// What holds while the crowd is there and once it has left.
+void check_daemon(crowded_daemon& daemon, crowd& crowd)
+{
+    check_beside_crowd(daemon);
     crowd.leave();
     CHECK(daemon.answer_to_request(ordinary_body_bytes).starts_with("HTTP/1.1 200"));
     CHECK(daemon.peak_memory_kb() > 0);
     CHECK(daemon.peak_memory_kb() < most_memory_kb);
-    CHECK(descriptors < most_descriptors);
     CHECK(daemon.stop() == 0);
 }
 
