--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -48,7 +48,8 @@
     /// Ends the current call with its final answer now.
     void end_call();
 
-    /// Closes the connection unless its request is being served, since there are too many.
+    /// Closes the connection, since there are too many, unless a request has just arrived on it.
+    /// Not called while a request is served, only while its answer is left unread.
     void close_surplus();
 
     /// Frees what an unfinished request or an unread answer holds, since callers hold too much. The
--- a/libs/caller_front/src/caller_connection_shed.cpp
+++ b/libs/caller_front/src/caller_connection_shed.cpp
@@ -3,7 +3,6 @@
 
 #include "local_reply.h"
 
-#include <algorithm>
 #include <chrono>
 
 namespace ej::front {
--- a/libs/caller_front/src/caller_listener.cpp
+++ b/libs/caller_front/src/caller_listener.cpp
@@ -13,6 +13,10 @@
 // freed in the meantime.
 constexpr std::chrono::milliseconds accept_pause{50};
 
+// Limit for received bytes of one caller that have not been read. The kernel would let it grow to
+// several MB, and these count as memory of the VM.
+constexpr int receive_buffer_bytes = 65'536;
+
 } // namespace
 
 caller_listener::caller_listener(std::vector<std::unique_ptr<lane>>& lanes)
@@ -31,6 +35,10 @@
     if (!error) {
         acceptor_.set_option(asio::socket_base::reuse_address(true), error);
     }
+    if (!error) {
+        // Accepted sockets inherit it.
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), error);
+    }
     if (!error) {
         acceptor_.bind(endpoint, error);
     }
--- a/libs/caller_front/src/ready_api.cpp
+++ b/libs/caller_front/src/ready_api.cpp
@@ -23,10 +23,11 @@
     constexpr std::size_t max_body_bytes = 4'096;
     constexpr std::size_t request_memory = std::size_t{4} << 20;
     constexpr std::size_t max_connections = 64;
+    constexpr int receive_buffer_bytes = 16'384;
     constexpr std::chrono::seconds request_timeout{5};
     constexpr std::chrono::seconds idle_timeout{60};
     constexpr std::chrono::seconds write_timeout{5};
-    return {max_body_bytes,  request_memory, max_connections,
+    return {max_body_bytes,  request_memory, max_connections, receive_buffer_bytes,
             request_timeout, idle_timeout,   write_timeout};
 }
 
--- a/libs/http/include/http/server_options.h
+++ b/libs/http/include/http/server_options.h
@@ -19,6 +19,7 @@
     std::size_t request_memory = default_request_memory;
     /// Most connections; from 1. Beyond it, the one that has waited longest is closed.
     std::size_t max_connections = default_max_connections;
+    int receive_buffer_bytes = 0; ///< Of a connection, in the kernel; 0: as the kernel chooses.
     core::duration request_timeout = std::chrono::seconds(10); ///< To receive a whole request.
     core::duration idle_timeout = std::chrono::seconds(60);    ///< Between requests.
     core::duration write_timeout =
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -32,6 +32,11 @@
         if (!error) {
             acceptor.set_option(asio::socket_base::reuse_address(true), error);
         }
+        if (!error && options.receive_buffer_bytes > 0) {
+            // Accepted sockets inherit it.
+            acceptor.set_option(
+                asio::socket_base::receive_buffer_size(options.receive_buffer_bytes), error);
+        }
         if (!error) {
             acceptor.bind(where, error);
         }
