Tests: a port made of a name's last character, where char is signed

Cause: on x86-64 char is signed, and clang-tidy rejects its conversion to a port (bugprone-signed-char-misuse). Change: the character is converted by way of unsigned char. The ports are the same.

--- a/libs/forwarding/tests/leaving_endpoints_test.cpp
+++ b/libs/forwarding/tests/leaving_endpoints_test.cpp
@@ -183,7 +183,7 @@
         const auto count = *rc::gen::inRange(1, 60);
         for (int step = 0; step < count; ++step) {
             const auto name = *rc::gen::element<std::string>("i-1", "i-2", "i-3");
-            const auto port = static_cast<std::uint16_t>(name.back());
+            const auto port = static_cast<std::uint16_t>(static_cast<unsigned char>(name.back()));
             const auto one = record(name, *rc::gen::inRange<std::uint64_t>(1, 5),
                                     *rc::gen::inRange(0, 4) == 0, port);
             const auto run = run_of(one.what);
