Decide roll-outs: a sequential test and a share that is bounded by a draw

Cause: an order to bring in a new version of a service was read by nothing; its endpoints got traffic like any others, and the duty was missed.

--- a/libs/core/include/core/endpoint.h
+++ b/libs/core/include/core/endpoint.h
@@ -5,6 +5,7 @@
 #include <core/failure_domain_id.h>
 #include <core/incarnation_id.h>
 #include <core/service_id.h>
+#include <core/version_id.h>
 
 #include <compare>
 #include <cstdint>
@@ -20,6 +21,7 @@
     address where;
     std::uint32_t slots = 1;     ///< Requests it runs at once; from 1.
     bool checks_fencing = false; ///< Refuses an order with an old fencing number.
+    version_id version;          ///< Of its software; empty: unknown.
 
     friend auto operator<=>(const endpoint&, const endpoint&) = default;
 };
--- /dev/null
+++ b/libs/rollout/include/rollout/awaited_answer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <compare>
+#include <string>
+
+namespace ej::rollout {
+
+/// A request that has had no output yet.
+struct awaited_answer {
+    std::string route;
+    bool by_target = false;
+    core::instant sent{};
+
+    friend auto operator<=>(const awaited_answer&, const awaited_answer&) = default;
+};
+
+} // namespace ej::rollout
