Carry roll-outs out: orders, reports, deciders, status

Cause: no part of the daemon read op/rollout or an endpoint's version.

Change: endpoints have a version; the follower reads orders and records; rollout_keeper reports this daemon's answers to three deciders and takes steps by one conditional write; a bad target is told to all daemons at once. Calls use the versions that their rule allows, count first outputs, ends, failures and requests without output. platform/ has the key and form of orders and status. Without an order a send costs one atomic load more.

--- a/endivejunction/src/parse_forward_settings.cpp
+++ b/endivejunction/src/parse_forward_settings.cpp
@@ -86,6 +86,9 @@
     add("budget-allowance", number(10), "repeated sends on top of the ratio, all daemons together");
     add("budget-window-s", number(10),
         "sliding window to which the ratio and the allowance apply, in s");
+    add("rollout-share", number(0.1),
+        "share of a service's requests that a new version gets until it is known to be good");
+    add("rollout-requests", number(50), "requests that it gets on top of the share");
     add("log-level", with_default("info"), "debug, info, warn or error");
     return all;
 }
@@ -162,6 +165,8 @@
     front.budget = {read.fraction("budget-ratio", max_ratio),
                     read.fraction("budget-allowance", max_allowance),
                     seconds_of(read.fraction("budget-window-s", max_interval_ms / ms_per_second))};
+    front.rollouts = {read.fraction("rollout-share", 1),
+                      read.fraction("rollout-requests", max_allowance)};
 }
 
 } // namespace
--- a/libs/caller_front/include/caller_front/front_settings.h
+++ b/libs/caller_front/include/caller_front/front_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <forwarding/retry_budget_settings.h>
+#include <rollout/rollout_limits.h>
 
 #include <core/address.h>
 #include <core/failure_domain_id.h>
@@ -47,6 +48,7 @@
     std::size_t max_callers = default_max_callers; ///< Callers' connections, all lanes; from 1.
     std::size_t lanes = default_lanes;             ///< Threads that serve callers; from 1.
     forwarding::retry_budget_settings budget;
+    rollout::rollout_limits rollouts; ///< For versions that are not known to be good.
 
     friend auto operator<=>(const front_settings&, const front_settings&) = default;
 };
--- a/libs/caller_front/include/caller_front/store_layout.h
+++ b/libs/caller_front/include/caller_front/store_layout.h
@@ -5,7 +5,11 @@
 
 #include <core/endpoint_id.h>
 #include <core/findings.h>
+#include <core/revision.h>
+#include <core/service_id.h>
 #include <core/vm_id.h>
+#include <rollout/rollout_order.h>
+#include <rollout/rollout_phase.h>
 #include <suspects/part_digest.h>
 
 #include <absl/status/statusor.h>
@@ -50,6 +54,37 @@
     /// The part that is held back under `key`; empty for other keys.
     [[nodiscard]] std::optional<suspects::part_digest> held_part_of(const std::string& key) const;
 
+    /// The service whose roll-out is ordered under `key`; empty for other keys.
+    [[nodiscard]] virtual std::optional<core::service_id>
+    ordered_service_of(const std::string& key) const = 0;
+
+    /// Parses the order of a roll-out of `service`, written at `revision`.
+    /// Error: InvalidArgument when a field is missing or has the wrong type.
+    [[nodiscard]] virtual absl::StatusOr<rollout::rollout_order>
+    parse_rollout_order(const core::service_id& service, const std::string& value,
+                        core::revision revision) const = 0;
+
+    /// Key under which operators read the status of a service's roll-out.
+    [[nodiscard]] virtual std::string rollout_status_key(const core::service_id& service) const = 0;
+
+    /// The status of a roll-out to `target` for operators.
+    [[nodiscard]] virtual std::string rollout_status_text(const core::service_id& service,
+                                                          const core::version_id& target,
+                                                          rollout::rollout_phase phase) const = 0;
+
+    /// Prefix of the keys of roll-outs' records.
+    [[nodiscard]] virtual std::string rollouts_prefix() const = 0;
+
+    /// The key of the record of a service's roll-out.
+    [[nodiscard]] std::string rollout_key(const core::service_id& service) const
+    {
+        return rollouts_prefix() + service.text();
+    }
+
+    /// The service whose roll-out has its record under `key`; empty for other keys.
+    [[nodiscard]] std::optional<core::service_id>
+    rolled_out_service_of(const std::string& key) const;
+
     /// The endpoint that registers under `key`; empty for other keys.
     [[nodiscard]] virtual std::optional<core::endpoint_id>
     endpoint_of(const std::string& key) const = 0;
--- a/libs/caller_front/src/buffered_call.cpp
+++ b/libs/caller_front/src/buffered_call.cpp
@@ -133,6 +133,8 @@
     if (answer.success() && trusted(answer)) {
         running_.erase(one);
         release_load(attempt);
+        note_answer(attempt, rollout::answer_measure::whole);
+        note_overtaken(attempt.started());
         environment_.context.stats.succeeded(attempt.endpoint().name);
         cancel_attempts();
         pass_on(answer, std::move(body));
@@ -144,6 +146,17 @@
     continue_after(end, attempt, std::move(body));
 }
 
+/// Counts the attempts that began before `started` and have no answer yet: they take at least so
+/// long.
+void buffered_call::note_overtaken(core::instant started)
+{
+    for (const running& one : running_) {
+        if (one.attempt->sent() && one.attempt->started() < started) {
+            note_answer(*one.attempt, rollout::answer_measure::whole);
+        }
+    }
+}
+
 void buffered_call::on_end(upstream_attempt& attempt, attempt_end end, const std::string& detail)
 {
     const auto one = find(attempt);
@@ -183,6 +196,7 @@
     progress_.may_have_run =
         progress_.may_have_run ||
         std::ranges::any_of(running_, [](const running& one) { return one.attempt->sent(); });
+    note_overtaken(core::instant::max());
     cancel_attempts();
     give_up(reason, status_gateway_timeout);
 }
--- a/libs/caller_front/src/buffered_call.h
+++ b/libs/caller_front/src/buffered_call.h
@@ -35,6 +35,7 @@
     [[nodiscard]] bool is_running() const override { return !running_.empty(); }
     void continue_after(forwarding::attempt_end end, const upstream_attempt& attempt,
                         std::string body);
+    void note_overtaken(core::instant started);
     void arm_hedge_timer();
     void send_hedge();
     [[nodiscard]] core::duration connect_timeout() const;
--- a/libs/caller_front/src/forwarded_call.cpp
+++ b/libs/caller_front/src/forwarded_call.cpp
@@ -88,10 +88,27 @@
 std::vector<forwarding::candidate> forwarded_call::candidates(bool include_tried) const
 {
     const auto available_endpoints = environment_.context.endpoints.load();
+    const auto& all = available_endpoints->of(service_);
+    const auto rule = version_rule();
+    if (!rule) {
+        return candidates_among(all, include_tried);
+    }
+    const auto preferred = preferred_of(all, *rule);
+    auto found = candidates_among(preferred, include_tried);
+    const bool others = rule->fallback == rollout::version_fallback::if_none_accepts
+                            ? found.empty()
+                            : rule->allows_others() && preferred.empty();
+    return others ? candidates_among(others_of(all, *rule), include_tried) : found;
+}
+
+std::vector<forwarding::candidate>
+forwarded_call::candidates_among(std::span<const core::endpoint> endpoints,
+                                 bool include_tried) const
+{
     const auto at = now();
     // Copied, since the fleet may be replaced during the call.
     std::vector<forwarding::candidate> found;
-    for (const core::endpoint& one : available_endpoints->of(service_)) {
+    for (const core::endpoint& one : endpoints) {
         if (!include_tried && tried_.contains(one.name)) {
             continue;
         }
@@ -133,6 +150,7 @@
     }
     report_load_change(endpoint);
     counted_.insert(attempt.get());
+    await_answer(*attempt);
     attempt->start(
         weak_from_this(),
         {encode_head(request_, body_->size(), head, environment_.context.headers), body_},
@@ -142,6 +160,7 @@
 
 void forwarded_call::release_load(upstream_attempt& attempt)
 {
+    samples_.erase(&attempt);
     if (counted_.erase(&attempt) > 0) {
         environment_.context.stats.end(attempt.endpoint().name, tokens_unread_);
         memory_.release();
@@ -173,6 +192,11 @@
     if (end == attempt_end::misdirected || end == attempt_end::silent) {
         environment_.pool.drop(endpoint.where);
     }
+    if (end == attempt_end::failed || end == attempt_end::spoiled) {
+        note_answer(attempt, rollout::answer_measure::failure);
+    }
+    const auto rule = version_rule();
+    target_failed_ = target_failed_ || (rule && endpoint.version == rule->target);
     ++(attempt.sent() ? progress_.sends : progress_.unsent);
     const bool ran = forwarding::may_have_run(end) && attempt.sent();
     progress_.may_have_run = progress_.may_have_run || ran;
--- a/libs/caller_front/src/forwarded_call.h
+++ b/libs/caller_front/src/forwarded_call.h
@@ -19,6 +19,9 @@
 #include <forwarding/next_step.h>
 #include <forwarding/route.h>
 
+#include <rollout/answer_measure.h>
+#include <rollout/pending_sample.h>
+#include <rollout/version_rule.h>
 #include <suspects/request_digest.h>
 
 #include <core/endpoint.h>
@@ -27,9 +30,11 @@
 #include <core/workspace_id.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -98,6 +103,23 @@
     /// accept requests if `include_tried`.
     [[nodiscard]] std::vector<forwarding::candidate> candidates(bool include_tried) const;
 
+    /// Those of `endpoints` that accept requests and were not tried yet, or all that accept
+    /// requests if `include_tried`.
+    [[nodiscard]] std::vector<forwarding::candidate>
+    candidates_among(std::span<const core::endpoint> endpoints, bool include_tried) const;
+
+    /// The versions that the call may use now; empty without a roll-out of its service.
+    [[nodiscard]] std::optional<rollout::version_rule> version_rule() const;
+
+    /// The endpoints of the call's service that its version rule allows.
+    [[nodiscard]] std::vector<core::endpoint> allowed_endpoints() const;
+
+    /// Counts a new attempt as awaited for the roll-out of its service, if there is one.
+    void await_answer(const upstream_attempt& attempt);
+
+    /// Counts an answer of `attempt` for the roll-out of its service, if there is one.
+    void note_answer(const upstream_attempt& attempt, rollout::answer_measure measure);
+
     /// The endpoint chosen from `from`; empty if `from` is empty.
     [[nodiscard]] std::optional<core::endpoint>
     choose(const std::vector<forwarding::candidate>& from) const;
@@ -210,12 +232,14 @@
 private:
     std::weak_ptr<reply_sink> sink_;
     std::shared_ptr<lazy_timer> deadline_timer_;
-    placed_memory memory_;                      // Of the latest attempt.
+    placed_memory memory_;                                               // Of the latest attempt.
+    std::map<const upstream_attempt*, rollout::pending_sample> samples_; // Without output yet.
     std::set<const upstream_attempt*> counted_; // Attempts whose load is included in `standing`.
     std::optional<core::endpoint> last_endpoint_;
     std::string last_failure_; // Detail of the last failed attempt.
     bool trial_counted_ = false;
-    core::duration waited_{}; // For endpoints that requested a backoff.
+    bool target_failed_ = false; // An endpoint of a roll-out's target version failed the request.
+    core::duration waited_{};    // For endpoints that requested a backoff.
     bool over_ = false;
 };
 
--- a/libs/caller_front/src/forwarded_call_backoff.cpp
+++ b/libs/caller_front/src/forwarded_call_backoff.cpp
@@ -37,9 +37,8 @@
 std::optional<core::instant> forwarded_call::earliest_acceptance() const
 {
     const auto at = now();
-    const auto available_endpoints = environment_.context.endpoints.load();
     std::optional<core::instant> earliest;
-    for (const core::endpoint& one : available_endpoints->of(service_)) {
+    for (const core::endpoint& one : allowed_endpoints()) {
         const auto next = environment_.context.stats.of(one).next_acceptance(at);
         if (next > at) {
             earliest = std::min(earliest.value_or(next), next);
@@ -70,8 +69,7 @@
     environment_.context.metrics.count("backoff_waits_total", {});
     log_backoff_wait(request_id_, step.delay, waited_);
     // An endpoint that refused this request meant it to come back.
-    const auto available_endpoints = environment_.context.endpoints.load();
-    for (const core::endpoint& one : available_endpoints->of(service_)) {
+    for (const core::endpoint& one : allowed_endpoints()) {
         if (!environment_.context.stats.of(one).accepts_requests(at)) {
             tried_.erase(one.name);
         }
--- a/libs/caller_front/src/front_context.h
+++ b/libs/caller_front/src/front_context.h
@@ -21,11 +21,15 @@
 #include <core/endpoint.h>
 #include <core/failure_domain_id.h>
 #include <core/instant.h>
+#include <core/vm_id.h>
 #include <metrics/registry.h>
 #include <overload/copy_gate.h>
 #include <overload/placement_policy.h>
 #include <overload/usage_history.h>
 #include <overload/waiting_counts.h>
+#include <rollout/rollout_board.h>
+#include <rollout/rollout_report.h>
+#include <rollout/rollout_verdict.h>
 #include <suspects/cleared_request.h>
 #include <suspects/death_record.h>
 #include <suspects/isolate_then_refuse_policy.h>
@@ -75,6 +79,7 @@
     overload::copy_gate copies;
     suspects::suspect_table suspects{
         std::make_unique<const suspects::isolate_then_refuse_policy>(weight_to_refuse)};
+    rollout::rollout_board rollouts;
     metrics::registry metrics;
     part_guard parts{settings.vm, metrics};
     /// Used on the control loop alone.
@@ -86,6 +91,9 @@
     /// All of `peers`, by failure domain.
     concurrency::snapshot<std::map<core::failure_domain_id, std::vector<core::address>>>
         peers_by_domain{std::map<core::failure_domain_id, std::vector<core::address>>()};
+    /// The same addresses by VM.
+    concurrency::snapshot<std::map<core::vm_id, core::address>> peers_by_vm{
+        std::map<core::vm_id, core::address>()};
     /// Called on any thread when this daemon's load at an engine changes; set before the lanes run.
     std::function<void(const core::endpoint&)> load_changed = [](const core::endpoint&) {};
     /// Called on any thread when an endpoint died while serving requests; set before the lanes
@@ -102,6 +110,15 @@
     /// Applies changes received from a peer of the failure domain. Called on the control loop; set
     /// before it runs.
     std::function<void(const store_update&)> apply_store_update = [](const store_update&) {};
+    /// Called on the control loop when an order or a record of a roll-out has changed; set before
+    /// it runs.
+    std::function<void()> rollouts_changed = [] {};
+    /// Apply messages of other daemons about a roll-out. Called on the control loop; set before it
+    /// runs.
+    std::function<void(const rollout::rollout_report&)> apply_rollout_report =
+        [](const rollout::rollout_report&) {};
+    std::function<void(const rollout::rollout_verdict&)> apply_rollout_verdict =
+        [](const rollout::rollout_verdict&) {};
     /// Called on the control loop when the store answers again after an outage; set before it runs.
     std::function<void()> store_returned = [] {};
     /// Called on any thread when a suspect request has completed; set before the lanes run.
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -10,6 +10,7 @@
 #include "lane.h"
 #include "peer_link.h"
 #include "ready_api.h"
+#include "rollout_keeper.h"
 #include "store_follower.h"
 
 #include <http/client.h>
@@ -56,7 +57,11 @@
           follower(context, store, *where.layout, loop),
           registration(context, store, *where.layout, loop),
           keeper(context, store, *where.layout, loop), ready(context, store.counts()),
-          peers(context, loop)
+          peers(context, loop),
+          rollouts(context, store, *where.layout, loop,
+                   [this](const peer_message& message, const core::address& to) {
+                       peers.send_to(message, to);
+                   })
     {
         context.load_changed = [this](const core::endpoint& one) { peers.queue_load_change(one); };
         context.death_seen = [this](const suspects::death_record& one) {
@@ -74,6 +79,13 @@
         context.send_store_update = [this](const store_update& one) {
             peers.send_store_update(one);
         };
+        context.rollouts_changed = [this] { rollouts.wake(); };
+        context.apply_rollout_report = [this](const rollout::rollout_report& one) {
+            rollouts.apply(one);
+        };
+        context.apply_rollout_verdict = [this](const rollout::rollout_verdict& one) {
+            rollouts.apply(one);
+        };
         context.store_returned = [this] { registration.renew_now(); };
         context.apply_store_update = [this](const store_update& one) {
             follower.apply_update(one);
@@ -107,6 +119,7 @@
     held_part_keeper keeper;
     ready_api ready;
     peer_link peers;
+    rollout_keeper rollouts;
     std::vector<std::unique_ptr<lane>> lanes;
     std::unique_ptr<caller_listener> listener;
     std::thread thread;
@@ -138,6 +151,8 @@
         made->loop, [&registration = made->registration] { return registration.run(); },
         asio::detached);
     asio::co_spawn(made->loop, [&keeper = made->keeper] { return keeper.run(); }, asio::detached);
+    asio::co_spawn(
+        made->loop, [&rollouts = made->rollouts] { return rollouts.run(); }, asio::detached);
     made->listener->start();
     std::ranges::for_each(made->lanes, [](const auto& one) { one->run(); });
     made->thread = std::thread([&loop = made->loop] { loop.run(); });
--- a/libs/caller_front/src/peer_codec.cpp
+++ b/libs/caller_front/src/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "peer_codec.h"
 
 #include <cbor/parse.h>
+#include <rollout_wire/rollout_codec.h>
 #include <suspects_wire/death_codec.h>
 #include <suspects_wire/evidence_codec.h>
 #include <suspects_wire/part_codec.h>
@@ -228,6 +229,16 @@
     return suspects_wire::encode(report);
 }
 
+std::vector<std::uint8_t> bytes_of(const rollout::rollout_report& report)
+{
+    return rollout_wire::encode(report);
+}
+
+std::vector<std::uint8_t> bytes_of(const rollout::rollout_verdict& verdict)
+{
+    return rollout_wire::encode(verdict);
+}
+
 std::vector<std::uint8_t> bytes_of(const suspects::part_death& seen)
 {
     return suspects_wire::encode(seen);
@@ -272,6 +283,9 @@
         return std::visit([](auto& one) -> peer_message { return std::move(one); },
                           *about_evidence);
     }
+    if (auto about_rollout = rollout_wire::decode_rollout(bytes); about_rollout.ok()) {
+        return std::visit([](auto& one) -> peer_message { return std::move(one); }, *about_rollout);
+    }
     return suspects_wire::decode_death(bytes);
 }
 
--- a/libs/caller_front/src/peer_link.cpp
+++ b/libs/caller_front/src/peer_link.cpp
@@ -99,6 +99,21 @@
     evidence_.apply(report, sender());
 }
 
+void peer_link::apply(const rollout::rollout_report& report)
+{
+    context_.apply_rollout_report(report);
+}
+
+void peer_link::apply(const rollout::rollout_verdict& verdict)
+{
+    context_.apply_rollout_verdict(verdict);
+}
+
+void peer_link::send_to(const peer_message& message, const core::address& to)
+{
+    send(message, {to});
+}
+
 core::address peer_link::sender() const
 {
     return {sender_.address().to_string(), sender_.port()};
--- a/libs/caller_front/src/peer_link.h
+++ b/libs/caller_front/src/peer_link.h
@@ -50,6 +50,9 @@
     /// Sends changes read from the store to the daemons of this failure domain. On the loop.
     void send_store_update(const store_update& update);
 
+    /// Sends `message` to one daemon. On the loop.
+    void send_to(const peer_message& message, const core::address& to);
+
     /// Sends `message` to all daemons.
     void broadcast(const peer_message& message);
 
@@ -81,6 +84,8 @@
     void apply(const forwarding::leaving_notice& told);
     void apply(const suspects::evidence_query& query);
     void apply(const suspects::evidence_report& report);
+    void apply(const rollout::rollout_report& report);
+    void apply(const rollout::rollout_verdict& verdict);
     [[nodiscard]] core::address sender() const;
     void await_review();
     void send_held_parts();
--- a/libs/caller_front/src/store_follower.cpp
+++ b/libs/caller_front/src/store_follower.cpp
@@ -172,12 +172,14 @@
     std::vector<core::address> peers;
     std::vector<core::address> domain_peers;
     std::map<core::failure_domain_id, std::vector<core::address>> by_domain;
+    std::map<core::vm_id, core::address> by_vm;
     std::vector<core::vm_id> members{context_.settings.vm};
     std::size_t rank = 0;
     for (const auto& [key, daemon] : daemons_) {
         peers.push_back(daemon.peer_listen);
         by_domain[daemon.domain].push_back(daemon.peer_listen);
         members.emplace_back(key.substr(layout_.daemons_prefix().size()));
+        by_vm[members.back()] = daemon.peer_listen;
         if (daemon.domain == context_.settings.domain) {
             domain_peers.push_back(daemon.peer_listen);
             rank += key < own_key ? 1 : 0;
@@ -188,6 +190,7 @@
     context_.daemons = peers.size() + 1;
     context_.peers.store(std::move(peers));
     context_.peers_by_domain.store(std::move(by_domain));
+    context_.peers_by_vm.store(std::move(by_vm));
     context_.domain_peers.store(std::move(domain_peers));
 }
 
--- a/libs/caller_front/src/store_follower_apply.cpp
+++ b/libs/caller_front/src/store_follower_apply.cpp
@@ -31,6 +31,14 @@
         apply_held_part(*part, item);
         return true;
     }
+    if (const auto service = layout_.ordered_service_of(item.key)) {
+        apply_order(*service, item);
+        return true;
+    }
+    if (const auto service = layout_.rolled_out_service_of(item.key)) {
+        apply_rollout(*service, item);
+        return true;
+    }
     return false;
 }
 
--- a/libs/caller_front/src/store_follower_query.cpp
+++ b/libs/caller_front/src/store_follower_query.cpp
@@ -144,6 +144,7 @@
             present.insert(*std::move(name));
         }
     }
+    retain_rollouts(listing);
     log_.answered(now());
     log_.retain(present, listing.as_of, now());
     as_of_ = listing.as_of;
--- a/libs/caller_front/src/store_layout.cpp
+++ b/libs/caller_front/src/store_layout.cpp
@@ -14,6 +14,15 @@
     return absl::StrCat(held_parts_prefix(), absl::Hex(part.value()));
 }
 
+std::optional<core::service_id> store_layout::rolled_out_service_of(const std::string& key) const
+{
+    const auto prefix = rollouts_prefix();
+    if (!key.starts_with(prefix) || key.size() == prefix.size()) {
+        return std::nullopt;
+    }
+    return core::service_id(key.substr(prefix.size()));
+}
+
 std::optional<suspects::part_digest> store_layout::held_part_of(const std::string& key) const
 {
     const auto prefix = held_parts_prefix();
--- a/libs/caller_front/src/stream_call.cpp
+++ b/libs/caller_front/src/stream_call.cpp
@@ -41,7 +41,9 @@
 {
     // Used even if other requests failed there recently: reading the prompt again costs more.
     auto& context = environment_.context;
-    const bool usable = copy_at_ && context.endpoints.load()->lists(*copy_at_) &&
+    const auto rule = version_rule();
+    const bool usable = copy_at_ && (!rule || rule->keeps(copy_at_->version)) &&
+                        context.endpoints.load()->lists(*copy_at_) &&
                         !context.stats.in_backoff(*copy_at_, now());
     return usable ? copy_at_ : std::nullopt;
 }
@@ -242,6 +244,9 @@
     silence_->stop();
     lost->cancel();
     record_failure(*lost, end, detail);
+    if (end == attempt_end::silent && !progress_.had_output) {
+        note_answer(*lost, rollout::answer_measure::first_output); // It takes at least so long.
+    }
     if (from_copy_ || !flowing_) {
         // There is no copy, or the attempt to resume from it failed: the next attempt reads the
         // prompt again.
--- a/libs/caller_front/src/stream_call_output.cpp
+++ b/libs/caller_front/src/stream_call_output.cpp
@@ -137,6 +137,7 @@
         return;
     }
     if (!std::exchange(progress_.had_output, true)) {
+        note_answer(attempt, rollout::answer_measure::first_output);
         environment_.context.parts.record_output(environment_.parts);
     }
     if (!std::exchange(flowing_, true)) {
@@ -176,6 +177,9 @@
         return;
     }
     record_usage(attempt);
+    if (progress_.runs == 0) { // Otherwise it is only the rest of the stream.
+        note_answer(attempt, rollout::answer_measure::whole);
+    }
     release_load(attempt);
     cancel_attempts();
     if (const auto to = sink()) {
--- a/libs/forwarding/include/forwarding/retry_budget.h
+++ b/libs/forwarding/include/forwarding/retry_budget.h
@@ -53,6 +53,9 @@
         return others_.sum(service, now).waiting;
     }
 
+    /// Requests for `service` a second, of all daemons that report theirs, over the window.
+    [[nodiscard]] double requests_per_second(const core::service_id& service, core::instant now);
+
     /// This daemon's numbers of sends within the window, by service.
     [[nodiscard]] std::vector<service_share> own_shares(core::instant now);
 
--- a/libs/forwarding/src/retry_budget.cpp
+++ b/libs/forwarding/src/retry_budget.cpp
@@ -101,6 +101,21 @@
     });
 }
 
+double retry_budget::requests_per_second(const core::service_id& service, core::instant now)
+{
+    const auto bound = settings_.load();
+    const auto own = windows_.with(service, [&](auto& windows) {
+        const auto found = windows.find(service);
+        if (found == windows.end()) {
+            return std::size_t{0};
+        }
+        drop_before(found->second.first_sends, now - bound->window);
+        return found->second.first_sends.size();
+    });
+    const auto all = double(own) + double(others_.sum(service, now).first_sends);
+    return all / std::chrono::duration<double>(bound->window).count();
+}
+
 std::vector<service_share> retry_budget::own_shares(core::instant now)
 {
     const auto bound = settings_.load();
--- a/stand_ins/fleet/include/fleet/store_stand_in.h
+++ b/stand_ins/fleet/include/fleet/store_stand_in.h
@@ -35,6 +35,9 @@
     void remove(const std::string& key);
     [[nodiscard]] bool contains(const std::string& key);
 
+    /// The value of `key`; empty if it is absent.
+    [[nodiscard]] std::string value_of(const std::string& key);
+
     /// Ends all leases granted so far; their keys stay.
     void end_leases() { leases_ended_ = true; }
 
--- a/stand_ins/fleet/src/store_stand_in.cpp
+++ b/stand_ins/fleet/src/store_stand_in.cpp
@@ -80,6 +80,13 @@
     items_[key] = {"", true, ++revision_};
 }
 
+std::string store_stand_in::value_of(const std::string& key)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = items_.find(key);
+    return found == items_.end() || found->second.removed ? std::string() : found->second.value;
+}
+
 bool store_stand_in::contains(const std::string& key)
 {
     const std::scoped_lock lock(mutex_);
--- a/tests/soak/node/main.cpp
+++ b/tests/soak/node/main.cpp
@@ -35,7 +35,9 @@
 using fleet::step_kind;
 
 constexpr int log_mode = 0644;
+constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
+constexpr int status_failed = 500;
 constexpr int status_unavailable = 503;
 constexpr std::chrono::milliseconds run_time{15};
 constexpr std::chrono::milliseconds event_interval{10};
@@ -46,7 +48,9 @@
     std::string name;
     bool engine = false;
     bool crashes = false; ///< Crashes on a prompt part.
+    bool fails = false;   ///< Each answer is a failure.
     std::string runs;
+    std::string own_runs;    ///< File for the runs of endpoints like this one; empty: none.
     std::string notices;     ///< File for notices; empty: none are recorded.
     double lost_answers = 0; ///< Fraction of requests that run but get no answer.
     double surplus = 0;      ///< Fraction of answers that are sent twice.
@@ -57,6 +61,7 @@
 public:
     explicit node(node_settings settings)
         : settings_(std::move(settings)), runs_(open_log(settings_.runs)),
+          own_runs_(settings_.own_runs.empty() ? -1 : open_log(settings_.own_runs)),
           notices_(settings_.notices.empty() ? -1 : open_log(settings_.notices))
     {
     }
@@ -141,7 +146,11 @@
 
     void record_run(const std::string& request) const
     {
-        append(runs_, fleet::header_value(request, "Endivejunction-Attempt-Id") + "\n");
+        const auto line = fleet::header_value(request, "Endivejunction-Attempt-Id") + "\n";
+        append(runs_, line);
+        if (own_runs_ >= 0) {
+            append(own_runs_, line);
+        }
     }
 
     std::string not_run(const std::string& request, int status) const
@@ -158,7 +167,8 @@
             return steps;
         }
         const auto text = fleet::signed_answer(
-            request, 200, "answer to " + fleet::header_value(request, "Endivejunction-Attempt-Id"),
+            request, settings_.fails ? status_failed : status_ok,
+            "answer to " + fleet::header_value(request, "Endivejunction-Attempt-Id"),
             leaving_field(request));
         steps.push_back({step_kind::send, text});
         if (draw() < settings_.surplus) {
@@ -190,6 +200,7 @@
 
     node_settings settings_;
     int runs_;
+    int own_runs_;
     int notices_;
     std::atomic<bool> leaving_{false};
     std::atomic<core::instant> paused_until_{core::instant{}};
@@ -203,6 +214,7 @@
     po::options_description options;
     options.add_options()("name", po::value(&settings.name)->required())(
         "engine", po::bool_switch(&settings.engine))("crashes", po::bool_switch(&settings.crashes))(
+        "fails", po::bool_switch(&settings.fails))("own-runs", po::value(&settings.own_runs))(
         "runs", po::value(&settings.runs)->required())("notices", po::value(&settings.notices))(
         "lost-answers", po::value(&settings.lost_answers))("surplus", po::value(&settings.surplus))(
         "shed", po::value(&settings.shed));
--- a/tests/soak/src/fault.cpp
+++ b/tests/soak/src/fault.cpp
@@ -23,6 +23,10 @@
 // Smaller seeds are replayed as they were before leaving daemons got SIGHUP.
 constexpr std::uint64_t first_seed_with_late_reloads = 2'000;
 
+// Smaller seeds are replayed as they were before roll-outs.
+constexpr std::uint64_t first_seed_with_versions = 3'000;
+constexpr std::uint64_t seeds_per_seed_with_versions = 3;
+
 // Faults beside a crashing part: the promise holds for daemons that reach the store and each other.
 constexpr std::array faults_beside_crashes{
     fault_kind::kill_daemon,    fault_kind::stop_daemon,          fault_kind::kill_endpoint,
@@ -50,6 +54,11 @@
     return seed >= first_seed_with_parts && seed % seeds_per_seed_with_signals == 0;
 }
 
+bool has_bad_version(std::uint64_t seed)
+{
+    return seed >= first_seed_with_versions && seed % seeds_per_seed_with_versions == 0;
+}
+
 std::vector<fault> make_plan(std::uint64_t seed, std::chrono::milliseconds length)
 {
     std::mt19937_64 random(seed);
--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -82,6 +82,27 @@
     return faults;
 }
 
+/// Checks after all faults that the roll-out of a bad version has ended, and that the version got
+/// no more than its limits.
+std::vector<std::string> check_rollout(soak_fleet& system, const call_log& calls)
+{
+    constexpr double share = 0.1; // The daemon's defaults.
+    constexpr double requests = 50;
+    std::vector<std::string> faults;
+    if (!system.wait_for_rollout("rolled_back")) {
+        faults.emplace_back("a bad version is not rolled back");
+    }
+    const auto all = calls.calls();
+    const auto for_service = std::ranges::count_if(
+        all, [](const call_record& one) { return one.kind != call_kind::generate; });
+    const auto exposed = system.runs_at_target();
+    if (double(exposed) > share * double(for_service) + requests) {
+        faults.push_back("a bad version ran " + std::to_string(exposed) + " of " +
+                         std::to_string(for_service) + " requests");
+    }
+    return faults;
+}
+
 bool run(std::uint64_t seed, const soak_settings& settings)
 {
     const auto folder = settings.failed_logs_folder + "/" + std::to_string(seed);
@@ -93,7 +114,7 @@
     std::size_t injected = 0;
     {
         soak_fleet system(settings.programs, folder, has_crashing_part(seed),
-                          settings.other_program);
+                          has_bad_version(seed), settings.other_program);
         if (!system.wait_until_ready()) {
             faults.emplace_back("daemons are not ready");
         }
@@ -109,6 +130,9 @@
         runner.finish();
         std::ranges::copy(runner.unexpected_exits(), std::back_inserter(faults));
         std::ranges::copy(check_recovery(system, calls), std::back_inserter(faults));
+        if (has_bad_version(seed)) {
+            std::ranges::copy(check_rollout(system, calls), std::back_inserter(faults));
+        }
         const auto runs = system.runs();
         std::ranges::copy(calls.faults(runs), std::back_inserter(faults));
         std::ranges::copy(crashes.faults(calls.calls(), runs), std::back_inserter(faults));
--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -5,6 +5,8 @@
 #include <fleet/endpoint_stand_in.h>
 #include <fleet/free_port.h>
 
+#include <absl/strings/str_replace.h>
+
 #include "caller.h"
 
 #include <signal.h>
@@ -25,6 +27,7 @@
 constexpr std::chrono::seconds longest_wait{20}; // Only bounds a hang.
 constexpr std::chrono::milliseconds poll_interval{20};
 constexpr auto grace_s = "4";
+constexpr std::chrono::seconds rollout_time{8};
 
 template <class T>
 T value_or_throw(absl::StatusOr<T> result)
@@ -74,7 +77,7 @@
 };
 
 soak_fleet::soak_fleet(std::string programs, std::string folder, bool engines_crash,
-                       std::string other_program)
+                       bool bad_version, std::string other_program)
     : programs_(std::move(programs)), folder_(std::move(folder)), engines_crash_(engines_crash),
       other_program_(std::move(other_program)), work_(boost::asio::make_work_guard(loop_))
 {
@@ -94,6 +97,9 @@
     for (std::size_t number = 0; number < endpoint_count; ++number) {
         start_endpoint(number);
     }
+    if (bad_version) {
+        start_bad_version();
+    }
     for (std::size_t number = 0; number < daemon_count; ++number) {
         start_daemon(number);
     }
@@ -107,6 +113,7 @@
     for (auto& one : endpoints_) {
         one->process.reset();
     }
+    targets_.clear();
     work_.reset();
     loop_.stop();
     thread_.join();
@@ -173,6 +180,49 @@
     register_endpoint(slot, "ready");
 }
 
+void soak_fleet::start_bad_version()
+{
+    for (const std::string& domain : domains) {
+        const auto name = "i-" + std::to_string(++started_endpoints_);
+        targets_.push_back(value_or_throw(harness::child_process::start(
+            programs_ + "/soak_node", {"--name", name, "--runs", folder_ + "/runs", "--own-runs",
+                                       folder_ + "/target_runs", "--fails"})));
+        const auto address =
+            core::parse_address(value_or_throw(targets_.back()->wait_for_line("listening ")));
+        if (!address) {
+            throw std::runtime_error("an endpoint did not print its listen address");
+        }
+        const auto entry = fleet::registration("app", *address, domain, "ready",
+                                               static_cast<long long>(started_endpoints_));
+        store_.put("servers/" + name, absl::StrReplaceAll(entry, {{"\"v1\"", "\"v2\""}}));
+    }
+    store_.put("op/rollout/app", R"({"service":"app","target":"v2","durationS":)" +
+                                     std::to_string(rollout_time.count()) + "}");
+}
+
+bool soak_fleet::wait_for_rollout(const std::string& state)
+{
+    const auto end = std::chrono::steady_clock::now() + longest_wait;
+    const auto wanted = R"("state":")" + state + "\"";
+    while (store_.value_of("status/rollout/app").find(wanted) == std::string::npos) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
+std::size_t soak_fleet::runs_at_target() const
+{
+    std::size_t count = 0;
+    std::ifstream file(folder_ + "/target_runs");
+    for (std::string line; std::getline(file, line);) {
+        ++count;
+    }
+    return count;
+}
+
 void soak_fleet::register_endpoint(const endpoint_slot& one, const std::string& state)
 {
     store_.put("servers/" + one.name,
--- a/tests/soak/src/soak_fleet.h
+++ b/tests/soak/src/soak_fleet.h
@@ -36,8 +36,10 @@
     /// Starts the programs in the folder `programs`; their logs are written to `folder`. With
     /// `engines_crash`, engines crash on a prompt part, and no proxy is in front of them: it would
     /// accept connections for an engine that is down. Throws std::runtime_error.
+    /// With `bad_version`, further endpoints of the application have a version whose answers are
+    /// failures, and its roll-out is ordered.
     /// With `other_program`, every second start of a daemon runs that program.
-    soak_fleet(std::string programs, std::string folder, bool engines_crash,
+    soak_fleet(std::string programs, std::string folder, bool engines_crash, bool bad_version,
                std::string other_program = {});
     ~soak_fleet();
     soak_fleet(const soak_fleet&) = delete;
@@ -89,6 +91,12 @@
     /// What the endpoints recorded so far; lines that are not notices are skipped.
     [[nodiscard]] std::vector<endpoint_notice> notices() const;
 
+    /// Waits until the status of the roll-out is `state`; false after 20 s.
+    [[nodiscard]] bool wait_for_rollout(const std::string& state);
+
+    /// The number of runs at endpoints of the version that is rolled out.
+    [[nodiscard]] std::size_t runs_at_target() const;
+
     /// The number of runs of each request, by its id.
     [[nodiscard]] std::map<std::string, int> runs() const;
 
@@ -98,6 +106,7 @@
 
     void start_daemon(std::size_t number);
     void start_endpoint(std::size_t number);
+    void start_bad_version();
     void register_endpoint(const endpoint_slot& one, const std::string& state);
 
     std::string programs_;
@@ -109,6 +118,7 @@
     fleet::store_stand_in store_;
     std::vector<std::unique_ptr<daemon_slot>> daemons_;
     std::vector<std::unique_ptr<endpoint_slot>> endpoints_;
+    std::vector<std::unique_ptr<harness::child_process>> targets_; // Of the bad version.
     int version_ = 0;
     std::uint64_t started_endpoints_ = 0;
     std::uint64_t started_daemons_ = 0;
