--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -113,8 +113,8 @@
     std::vector<std::string> faults;
     std::size_t injected = 0;
     {
-        soak_fleet system(settings.programs, folder, has_crashing_part(seed),
-                          has_bad_version(seed), settings.other_program);
+        soak_fleet system(settings.programs, folder, has_crashing_part(seed), has_bad_version(seed),
+                          settings.other_program);
         if (!system.wait_until_ready()) {
             faults.emplace_back("daemons are not ready");
         }
