--- a/tests/soak/src/fault.cpp
+++ b/tests/soak/src/fault.cpp
@@ -27,6 +27,10 @@
 constexpr std::uint64_t first_seed_with_versions = 3'000;
 constexpr std::uint64_t seeds_per_seed_with_versions = 3;
 
+// Smaller seeds are replayed as they were before crowds.
+constexpr std::uint64_t first_seed_with_crowds = 4'000;
+constexpr std::uint64_t seeds_per_seed_with_crowds = 5;
+
 // Faults beside a crashing part: the promise holds for daemons that reach the store and each other.
 constexpr std::array faults_beside_crashes{
     fault_kind::kill_daemon,    fault_kind::stop_daemon,          fault_kind::kill_endpoint,
@@ -59,6 +63,11 @@
     return seed >= first_seed_with_versions && seed % seeds_per_seed_with_versions == 0;
 }
 
+bool has_crowds(std::uint64_t seed)
+{
+    return seed >= first_seed_with_crowds && seed % seeds_per_seed_with_crowds == 0;
+}
+
 std::vector<fault> make_plan(std::uint64_t seed, std::chrono::milliseconds length)
 {
     std::mt19937_64 random(seed);
--- a/tests/soak/src/fault.h
+++ b/tests/soak/src/fault.h
@@ -30,6 +30,9 @@
 /// True if a version of the application whose answers are failures is rolled out during `seed`.
 [[nodiscard]] bool has_bad_version(std::uint64_t seed);
 
+/// True if crowds of clients outside the limits press the daemons during `seed`.
+[[nodiscard]] bool has_crowds(std::uint64_t seed);
+
 /// The faults for `seed`, ordered by start time within `length`. Faults may overlap.
 [[nodiscard]] std::vector<fault> make_plan(std::uint64_t seed, std::chrono::milliseconds length);
 
--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -4,6 +4,7 @@
 #include "call_log.h"
 #include "caller_pool.h"
 #include "crash_log.h"
+#include "crowd_pool.h"
 #include "fault.h"
 #include "fault_runner.h"
 #include "notice_log.h"
@@ -113,8 +114,9 @@
     std::vector<std::string> faults;
     std::size_t injected = 0;
     {
-        soak_fleet system(settings.programs, folder, has_crashing_part(seed), has_bad_version(seed),
-                          settings.other_program);
+        const soak_variant variant{has_crashing_part(seed), has_bad_version(seed),
+                                   has_crowds(seed)};
+        soak_fleet system(settings.programs, folder, variant, settings.other_program);
         if (!system.wait_until_ready()) {
             faults.emplace_back("daemons are not ready");
         }
@@ -122,6 +124,7 @@
         injected = plan.size();
         fault_runner runner(system, calls, crashes, notices);
         {
+            const crowd_pool crowds(system, has_crowds(seed), seed);
             caller_pool callers(system, calls, seed);
             runner.play(plan);
             system.end_all_faults();
--- a/tests/soak/src/soak_fleet.cpp
+++ b/tests/soak/src/soak_fleet.cpp
@@ -28,6 +28,7 @@
 constexpr std::chrono::milliseconds poll_interval{20};
 constexpr auto grace_s = "4";
 constexpr std::chrono::seconds rollout_time{8};
+constexpr auto max_callers = "32"; // More than the callers have; a crowd is larger.
 
 template <class T>
 T value_or_throw(absl::StatusOr<T> result)
@@ -76,9 +77,9 @@
     std::unique_ptr<harness::child_process> process;
 };
 
-soak_fleet::soak_fleet(std::string programs, std::string folder, bool engines_crash,
-                       bool bad_version, std::string other_program)
-    : programs_(std::move(programs)), folder_(std::move(folder)), engines_crash_(engines_crash),
+soak_fleet::soak_fleet(std::string programs, std::string folder, const soak_variant& variant,
+                       std::string other_program)
+    : programs_(std::move(programs)), folder_(std::move(folder)), variant_(variant),
       other_program_(std::move(other_program)), work_(boost::asio::make_work_guard(loop_))
 {
     std::filesystem::create_directories(folder_);
@@ -97,7 +98,7 @@
     for (std::size_t number = 0; number < endpoint_count; ++number) {
         start_endpoint(number);
     }
-    if (bad_version) {
+    if (variant_.bad_version) {
         start_bad_version();
     }
     for (std::size_t number = 0; number < daemon_count; ++number) {
@@ -122,29 +123,32 @@
 void soak_fleet::start_daemon(std::size_t number)
 {
     daemon_slot& slot = *daemons_.at(number);
-    const std::vector<std::string> arguments{"forward",
-                                             "--vm",
-                                             "vm-" + std::to_string(number),
-                                             "--failure-domain",
-                                             domains.at(number % domains.size()),
-                                             "--listen",
-                                             core::to_string(slot.callers),
-                                             "--ready-listen",
-                                             core::to_string(slot.ready),
-                                             "--peer-listen",
-                                             core::to_string(slot.peers),
-                                             "--store",
-                                             core::to_string(slot.to_store.address()),
-                                             "--grace-s",
-                                             grace_s,
-                                             "--apply-ms",
-                                             "1000",
-                                             "--budget-ratio",
-                                             "0.8",
-                                             "--budget-allowance",
-                                             "150",
-                                             "--lanes",
-                                             "2"};
+    std::vector<std::string> arguments{"forward",
+                                       "--vm",
+                                       "vm-" + std::to_string(number),
+                                       "--failure-domain",
+                                       domains.at(number % domains.size()),
+                                       "--listen",
+                                       core::to_string(slot.callers),
+                                       "--ready-listen",
+                                       core::to_string(slot.ready),
+                                       "--peer-listen",
+                                       core::to_string(slot.peers),
+                                       "--store",
+                                       core::to_string(slot.to_store.address()),
+                                       "--grace-s",
+                                       grace_s,
+                                       "--apply-ms",
+                                       "1000",
+                                       "--budget-ratio",
+                                       "0.8",
+                                       "--budget-allowance",
+                                       "150",
+                                       "--lanes",
+                                       "2"};
+    if (variant_.crowds) {
+        arguments.insert(arguments.end(), {"--max-callers", max_callers});
+    }
     slot.end_requested = false;
     const bool other = ++started_daemons_ % 2 == 0 && !other_program_.empty();
     slot.process = value_or_throw(harness::child_process::start_logging(
@@ -165,7 +169,7 @@
     if (slot.engine) {
         arguments.emplace_back("--engine");
     }
-    if (slot.engine && engines_crash_) {
+    if (slot.engine && variant_.engines_crash) {
         arguments.emplace_back("--crashes");
     }
     slot.process =
@@ -176,7 +180,7 @@
         throw std::runtime_error("an endpoint did not print its listen address");
     }
     slot.proxy.forward_to(*bind_address);
-    slot.address = slot.engine && engines_crash_ ? *bind_address : slot.proxy.address();
+    slot.address = slot.engine && variant_.engines_crash ? *bind_address : slot.proxy.address();
     register_endpoint(slot, "ready");
 }
 
--- a/tests/soak/src/soak_fleet.h
+++ b/tests/soak/src/soak_fleet.h
@@ -2,6 +2,7 @@
 
 #include "endpoint_notice.h"
 #include "loopback_proxy.h"
+#include "soak_variant.h"
 
 #include <core/address.h>
 #include <core/instant.h>
@@ -33,13 +34,11 @@
     static constexpr std::size_t engine_count = 5;
     static constexpr std::size_t endpoint_count = 8; ///< The first `engine_count` are engines.
 
-    /// Starts the programs in the folder `programs`; their logs are written to `folder`. With
-    /// `engines_crash`, engines crash on a prompt part, and no proxy is in front of them: it would
-    /// accept connections for an engine that is down. Throws std::runtime_error.
-    /// With `bad_version`, further endpoints of the application have a version whose answers are
-    /// failures, and its roll-out is ordered.
-    /// With `other_program`, every second start of a daemon runs that program.
-    soak_fleet(std::string programs, std::string folder, bool engines_crash, bool bad_version,
+    /// Starts the programs in the folder `programs`; their logs are written to `folder`. No proxy
+    /// is in front of engines that crash: it would accept connections for one that is down.
+    /// With `other_program`, every second start of a daemon runs that program. Throws
+    /// std::runtime_error.
+    soak_fleet(std::string programs, std::string folder, const soak_variant& variant,
                std::string other_program = {});
     ~soak_fleet();
     soak_fleet(const soak_fleet&) = delete;
@@ -54,7 +53,7 @@
     [[nodiscard]] core::address callers(std::size_t daemon) const;
 
     /// True if engines crash on a prompt part. Thread-safe.
-    [[nodiscard]] bool engines_crash() const { return engines_crash_; }
+    [[nodiscard]] bool engines_crash() const { return variant_.engines_crash; }
 
     /// True if the daemon's readiness check succeeds, as a load balancer would test it.
     /// Thread-safe.
@@ -111,7 +110,7 @@
 
     std::string programs_;
     std::string folder_;
-    bool engines_crash_;
+    soak_variant variant_;
     std::string other_program_;
     boost::asio::io_context loop_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
