--- a/libs/rollout_wire/tests/rollout_codec_test.cpp
+++ b/libs/rollout_wire/tests/rollout_codec_test.cpp
@@ -24,22 +24,28 @@
             any_latencies()};
 }
 
+rollout::rollout_report any_report()
+{
+    rollout::rollout_report report;
+    report.from = core::vm_id("vm-1");
+    report.start = *rc::gen::arbitrary<std::uint64_t>();
+    report.service = core::service_id("llm");
+    report.order = core::revision(*rc::gen::arbitrary<std::uint64_t>());
+    report.to_target = *rc::gen::inRange(0U, rollout::whole_share + 1);
+    report.runs_elsewhere = *rc::gen::arbitrary<std::uint32_t>();
+    const int routes = *rc::gen::inRange(0, 5);
+    for (int route = 0; route < routes; ++route) {
+        report.answers["r" + std::to_string(route)] = {any_counts(), any_counts()};
+    }
+    return report;
+}
+
 } // namespace
 
 TEST_CASE("a report and a verdict on a roll-out round-trip")
 {
     CHECK(rc::check("report", [] {
-        rollout::rollout_report report;
-        report.from = core::vm_id("vm-1");
-        report.start = *rc::gen::arbitrary<std::uint64_t>();
-        report.service = core::service_id("llm");
-        report.order = core::revision(*rc::gen::arbitrary<std::uint64_t>());
-        report.to_target = *rc::gen::inRange(0U, rollout::whole_share + 1);
-        report.runs_elsewhere = *rc::gen::arbitrary<std::uint32_t>();
-        const int routes = *rc::gen::inRange(0, 5);
-        for (int route = 0; route < routes; ++route) {
-            report.answers["r" + std::to_string(route)] = {any_counts(), any_counts()};
-        }
+        const auto report = any_report();
         const auto read = decode_rollout(encode(report));
         RC_ASSERT(read.ok());
         RC_ASSERT(*read == rollout_message(report));
