Requests that a daemon awaited when it ended are not awaited any more

The ages of requests without output stayed in the sum when their daemon restarted or fell silent, and counted as slow answers for the rest of the roll-out: a good version could be rolled back for a daemon's end.

"a request that a daemon awaited when it ended is not awaited any more" failed in both sections before (3 == 0). Found by reading.

--- a/libs/caller_front/src/rollout_keeper.cpp
+++ b/libs/caller_front/src/rollout_keeper.cpp
@@ -158,7 +158,7 @@
                             std::size_t rank, core::instant at)
 {
     watched& by = watch(service, state);
-    by.judge.apply(by.evidence.total());
+    by.judge.apply(by.evidence.total(at));
     const rollout::rollout_verdict verdict{service, state.order->revision};
     if (by.judge.condemns()) {
         condemn(verdict, by.judge.fault());
--- a/libs/caller_front/src/rollout_keeper_view.cpp
+++ b/libs/caller_front/src/rollout_keeper_view.cpp
@@ -61,7 +61,7 @@
     view.room = room_of(*state.order);
     view.members = members->size();
     view.heard = by.evidence.heard_of(*members, at);
-    for (const auto& [route, answers] : by.evidence.total()) {
+    for (const auto& [route, answers] : by.evidence.total(at)) {
         view.target_answers += answers.target.answers();
     }
     view.suspicion = by.judge.suspicion();
--- a/libs/rollout/include/rollout/evidence_table.h
+++ b/libs/rollout/include/rollout/evidence_table.h
@@ -23,7 +23,7 @@
     void apply(const rollout_report& report, core::revision order, core::instant now);
 
     /// The answers of all daemons since the order, also of those that have ended meanwhile.
-    [[nodiscard]] answers_by_route total() const;
+    [[nodiscard]] answers_by_route total(core::instant now) const;
 
     /// How many of `members` have reported lately.
     [[nodiscard]] std::size_t heard_of(const std::vector<core::vm_id>& members,
--- a/libs/rollout/src/evidence_table.cpp
+++ b/libs/rollout/src/evidence_table.cpp
@@ -15,6 +15,15 @@
     }
 }
 
+/// `answers` without the requests that are awaited.
+answers_by_route without_awaited(answers_by_route answers)
+{
+    for (auto& [route, one] : answers) {
+        one.target.awaited = one.others.awaited = {};
+    }
+    return answers;
+}
+
 } // namespace
 
 void evidence_table::apply(const rollout_report& report, core::revision order, core::instant now)
@@ -33,7 +42,7 @@
     if (report.start != known.latest.start) {
         // Not ordered by time: a clock may be set back between two runs.
         known.ended_runs.insert(known.latest.start);
-        add(known.earlier, known.latest.answers);
+        add(known.earlier, without_awaited(known.latest.answers));
     }
     else if (report.number <= known.latest.number) {
         return;
@@ -42,12 +51,14 @@
     known.heard = now;
 }
 
-answers_by_route evidence_table::total() const
+answers_by_route evidence_table::total(core::instant now) const
 {
     answers_by_route sum;
     for (const auto& [from, known] : entries_) {
         add(sum, known.earlier);
-        add(sum, known.latest.answers);
+        // A daemon that has ended awaits nothing any more.
+        add(sum,
+            is_recent(known, now) ? known.latest.answers : without_awaited(known.latest.answers));
     }
     return sum;
 }
--- a/libs/rollout/tests/evidence_table_test.cpp
+++ b/libs/rollout/tests/evidence_table_test.cpp
@@ -33,7 +33,7 @@
 
 std::uint32_t failed_in(const evidence_table& table)
 {
-    return table.total()["r"].target.failed;
+    return table.total(start)["r"].target.failed;
 }
 
 } // namespace
@@ -76,6 +76,24 @@
     CHECK(table.heard_of({core::vm_id("a")}, start + seconds(9)) == 1);
 }
 
+TEST_CASE("a request that a daemon awaited when it ended is not awaited any more")
+{
+    evidence_table table;
+    auto waiting = report_of("a", 1, 1, 0);
+    waiting.answers["r"].target.awaited.count.at(20) = 3;
+    table.apply(waiting, order, start);
+    SECTION("the daemon has restarted")
+    {
+        table.apply(report_of("a", 2, 1, 0), order, start);
+        CHECK(table.total(start)["r"].target.awaited.total() == 0);
+    }
+    SECTION("the daemon is silent")
+    {
+        CHECK(table.total(start)["r"].target.awaited.total() == 3);
+        CHECK(table.total(start + seconds(3))["r"].target.awaited.total() == 0);
+    }
+}
+
 TEST_CASE("reports on another order do not count")
 {
     evidence_table table;
--- a/measure/rollout/rollout_replay.cpp
+++ b/measure/rollout/rollout_replay.cpp
@@ -180,7 +180,7 @@
     made.room = {load_.endpoints, load_.endpoints};
     made.members = members_.size();
     made.heard = evidence_.heard_of(members_, now_);
-    for (const auto& [route, answers] : evidence_.total()) {
+    for (const auto& [route, answers] : evidence_.total(now_)) {
         made.target_answers += answers.target.answers();
     }
     made.suspicion = judge_.suspicion();
@@ -192,7 +192,7 @@
 void rollout_replay::decide()
 {
     schedule(look_interval, [this] { decide(); });
-    const auto answers = evidence_.total();
+    const auto answers = evidence_.total(now_);
     if (way_.sequential) {
         judge_.apply(answers);
     }
