A decider that has just started waits for reports before a hand-over ends

With reports of more than half of the daemons, a decider wrote "succeeded" although the others, which had not had their turn to report, could still run requests at the old endpoints; these are stopped then.

Change: a hand-over ends only after reports have come for as long as one is valid, 1.5 s. A daemon that is silent for longer still does not hold it up.

"a decider that has just started waits for the other daemons before a hand-over" failed before. Found by reading.

--- a/libs/rollout/include/rollout/evidence_table.h
+++ b/libs/rollout/include/rollout/evidence_table.h
@@ -16,7 +16,7 @@
 /// The reports of all daemons on one roll-out. Not thread-safe.
 class evidence_table {
 public:
-    /// A report that is older counts as missing: twice the interval of reports, and one lost.
+    /// A report that is older counts as missing: three intervals, so that two may be lost.
     static constexpr core::duration report_lifetime = std::chrono::milliseconds(1'500);
 
     /// Applies a report; those on another order and those that arrive out of order are ignored.
@@ -29,8 +29,8 @@
     [[nodiscard]] std::size_t heard_of(const std::vector<core::vm_id>& members,
                                        core::instant now) const;
 
-    /// True if each daemon that has reported lately applies at least `to_target` and runs nothing
-    /// at other versions.
+    /// True if reports have come for `report_lifetime`, and each daemon that has reported lately
+    /// applies at least `to_target` and runs nothing at other versions.
     [[nodiscard]] bool handed_over(share to_target, core::instant now) const;
 
     /// Requests that run at other versions, by the latest reports.
@@ -48,6 +48,7 @@
 
     std::map<core::vm_id, entry> entries_;
     core::revision order_;
+    core::instant collecting_since_{}; // The first report on that order.
 };
 
 } // namespace ej::rollout
--- a/libs/rollout/src/evidence_table.cpp
+++ b/libs/rollout/src/evidence_table.cpp
@@ -34,6 +34,7 @@
     if (report.order != order) {
         return;
     }
+    collecting_since_ = entries_.empty() ? now : collecting_since_;
     const auto [found, added] = entries_.try_emplace(report.from, entry{report, now, {}, {}});
     entry& known = found->second;
     if (added || known.ended_runs.contains(report.start)) {
@@ -79,10 +80,12 @@
 
 bool evidence_table::handed_over(share to_target, core::instant now) const
 {
-    return std::ranges::all_of(entries_, [&](const auto& one) {
-        return !is_recent(one.second, now) ||
-               (one.second.latest.to_target >= to_target && one.second.latest.runs_elsewhere == 0);
-    });
+    // Before that, a daemon that has not been heard of may only not have had its turn.
+    const bool collected = !entries_.empty() && now - collecting_since_ >= report_lifetime;
+    return collected && std::ranges::all_of(entries_, [&](const auto& one) {
+               return !is_recent(one.second, now) || (one.second.latest.to_target >= to_target &&
+                                                      one.second.latest.runs_elsewhere == 0);
+           });
 }
 
 std::uint64_t evidence_table::runs_elsewhere(core::instant now) const
--- a/libs/rollout/tests/evidence_table_test.cpp
+++ b/libs/rollout/tests/evidence_table_test.cpp
@@ -121,6 +121,16 @@
     CHECK(table.heard_of(members, start + seconds(3)) == 1);
 }
 
+TEST_CASE("a decider that has just started waits for the other daemons before a hand-over")
+{
+    evidence_table table;
+    table.apply(report_of("a", 1, 1, 0), order, start);
+    CHECK_FALSE(table.handed_over(whole_share, start));
+    table.apply(report_of("a", 1, 2, 0), order, start + seconds(1));
+    table.apply(report_of("a", 1, 3, 0), order, start + seconds(2));
+    CHECK(table.handed_over(whole_share, start + seconds(2)));
+}
+
 TEST_CASE("all daemons find the same deciders, and another one when a decider is gone")
 {
     std::vector<core::vm_id> members;
