Awaited requests keep their version when another order follows

A request that was awaited while an order took the place of another one counted for the target of the first: as an answer of the wrong side, slow if it had waited long.

Cause: the side was decided when the request was sent. Now the version is kept and compared with the order in force.

"a request that is awaited across two orders counts for its version" failed before (0 == 1, 1 == 0). "roll-outs of two services do not touch each other" is new and passed at once. Found by reading.

--- a/libs/rollout/include/rollout/awaited_answer.h
+++ b/libs/rollout/include/rollout/awaited_answer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/instant.h>
+#include <core/version_id.h>
 
 #include <compare>
 #include <string>
@@ -10,7 +11,7 @@
 /// A request that has had no output yet.
 struct awaited_answer {
     std::string route;
-    bool by_target = false;
+    core::version_id version; ///< Of the endpoint.
     core::instant sent{};
 
     friend auto operator<=>(const awaited_answer&, const awaited_answer&) = default;
--- a/libs/rollout/src/rollout_board.cpp
+++ b/libs/rollout/src/rollout_board.cpp
@@ -197,7 +197,7 @@
         return {};
     }
     const auto number = ++awaits_;
-    const awaited_answer one{std::move(route), version == state->order->target, now};
+    const awaited_answer one{std::move(route), version, now};
     answers_.with(service, [&](auto& entries) { entries[service].awaited.emplace(number, one); });
     return {*this, service, number};
 }
@@ -219,7 +219,8 @@
         auto answers = current ? own.by_route : answers_by_route();
         for (const auto& [number, one] : own.awaited) {
             route_answers& of_route = entry_of(answers, one.route);
-            auto& counts = one.by_target ? of_route.target : of_route.others;
+            const bool by_target = one.version == state->order->target;
+            auto& counts = by_target ? of_route.target : of_route.others;
             ++counts.awaited.count.at(latency_counts::bucket_of(now - one.sent));
         }
         return answers;
--- a/libs/rollout/tests/rollout_board_test.cpp
+++ b/libs/rollout/tests/rollout_board_test.cpp
@@ -89,6 +89,33 @@
     CHECK(board.answers_of(service, start + seconds(3))["r"].target.awaited.total() == 0);
 }
 
+TEST_CASE("a request that is awaited across two orders counts for its version")
+{
+    rollout_board board;
+    board.put_order(order_at(5), start);
+    const auto sample = board.await(service, other, "r", start);
+    auto back = order_at(9);
+    back.target = other;
+    board.put_order(back, start);
+    const auto seen = board.answers_of(service, start);
+    CHECK(seen.at("r").target.awaited.total() == 1);
+    CHECK(seen.at("r").others.awaited.total() == 0);
+}
+
+TEST_CASE("roll-outs of two services do not touch each other")
+{
+    rollout_board board;
+    board.put_order(order_at(5), start);
+    auto second = order_at(6);
+    second.service = core::service_id("app");
+    board.put_order(second, start);
+    board.put_record(service, record_for(5, rollout_phase::rolled_back), core::revision(8), start);
+    board.record({second.service, target, "r", answer_measure::failure, {}});
+    CHECK(board.open() == std::vector{second.service});
+    CHECK(board.answers_of(service, start).empty());
+    CHECK_FALSE(board.of(second.service)->record);
+}
+
 TEST_CASE("more routes than a report holds are counted as one")
 {
     rollout_board board;
