A record whose share would grow by itself is rejected

A record with a later share above its present one was read. The share of a trial is clamped between the two, which std::clamp does not define then. No daemon writes such a record; the store may hold one of another writer.

Found by reading.

--- a/libs/rollout/include/rollout/rollout_record.h
+++ b/libs/rollout/include/rollout/rollout_record.h
@@ -20,7 +20,7 @@
     core::version_id target;
     rollout_phase phase = rollout_phase::trial;
     share to_target = 0;                 ///< Share of the requests for the target.
-    share later = 0;                     ///< The share from `until` on, unless it has changed.
+    share later = 0;                     ///< The share from `until` on; at most `to_target`.
     std::chrono::milliseconds until{};   ///< Since the order.
     std::chrono::milliseconds written{}; ///< Since the order.
     std::string reason;                  ///< Of the last step; without line breaks.
--- a/libs/rollout/src/rollout_record.cpp
+++ b/libs/rollout/src/rollout_record.cpp
@@ -54,7 +54,7 @@
     const auto changes = core::parse_number<std::uint32_t>(lines[until]);
     const auto age = core::parse_number<std::uint32_t>(lines[written]);
     if (!revision || !at || !now || !then || !changes || !age || *now > whole_share ||
-        *then > whole_share || lines[target].empty()) {
+        *then > *now || lines[target].empty()) {
         return std::nullopt;
     }
     return rollout_record{core::revision(*revision),
