Read as a newcomer: words, untrue sentences, tests that were missing

Words: a target is rejected, not condemned; the keeper reviews. Comments on withdrawn orders, on the state's rejection and on the counts of a test said something else than the code does.

--- a/endivejunction/tests/forward_settings_test.cpp
+++ b/endivejunction/tests/forward_settings_test.cpp
@@ -40,4 +40,15 @@
     CHECK_FALSE(faults.empty());
 }
 
+TEST_CASE("the limits of a new version are taken, and a share above 1 is a fault")
+{
+    core::findings faults;
+    CHECK(parse({}, faults).front.rollouts == rollout::rollout_limits{0.1, 50});
+    CHECK(parse({"--rollout-share", "0.02", "--rollout-requests", "7"}, faults).front.rollouts ==
+          rollout::rollout_limits{0.02, 7});
+    CHECK(faults.empty());
+    static_cast<void>(parse({"--rollout-share", "1.5"}, faults));
+    CHECK_FALSE(faults.empty());
+}
+
 } // namespace ej
--- a/libs/caller_front/src/rollout_keeper.cpp
+++ b/libs/caller_front/src/rollout_keeper.cpp
@@ -24,8 +24,8 @@
 using std::chrono::milliseconds;
 
 // While a roll-out is open.
-constexpr milliseconds look_interval{250};
-constexpr std::uint64_t looks_per_report = 2;
+constexpr milliseconds review_interval{250};
+constexpr std::uint64_t reviews_per_report = 2;
 // A decider waits so long for each one that comes before it.
 constexpr milliseconds takeover_delay{700};
 
@@ -53,22 +53,22 @@
         std::erase_if(watched_, [&](const auto& one) {
             return !one.second.writing && !std::ranges::binary_search(open, one.first);
         });
-        std::ranges::for_each(open, [&](const core::service_id& one) { look_at(one, at); });
-        ++looks_;
-        timer_.expires_at(open.empty() ? core::instant::max() : at + look_interval);
+        std::ranges::for_each(open, [&](const core::service_id& one) { review(one, at); });
+        ++reviews_;
+        timer_.expires_at(open.empty() ? core::instant::max() : at + review_interval);
         error_code cancelled; // By `wake`.
         co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     }
 }
 
-void rollout_keeper::look_at(const core::service_id& service, core::instant at)
+void rollout_keeper::review(const core::service_id& service, core::instant at)
 {
     const auto state = context_.rollouts.of(service);
     if (state == nullptr || !state->is_open()) {
         return;
     }
     set_trial_share(service, *state, at);
-    if (looks_ % looks_per_report == 0) {
+    if (reviews_ % reviews_per_report == 0) {
         report(service, *state, at);
     }
     const auto deciders = rollout::deciders_for(service, *context_.parts.members.load());
@@ -134,13 +134,13 @@
 
 void rollout_keeper::apply(const rollout::rollout_verdict& verdict)
 {
-    condemn(verdict, "told by another daemon");
+    reject(verdict, "told by another daemon");
 }
 
-void rollout_keeper::condemn(const rollout::rollout_verdict& verdict, const std::string& reason)
+void rollout_keeper::reject(const rollout::rollout_verdict& verdict, const std::string& reason)
 {
-    if (context_.rollouts.condemn(verdict.service, verdict.order)) {
-        context_.metrics.count("rollouts_condemned_total", {{"service", verdict.service.text()}});
+    if (context_.rollouts.reject_target(verdict.service, verdict.order)) {
+        context_.metrics.count("rollouts_rejected_total", {{"service", verdict.service.text()}});
         logging::log(logging::level::warn, "target of roll-out is bad",
                      {{"service", verdict.service.text()},
                       {"order", std::to_string(verdict.order.value())},
@@ -160,22 +160,22 @@
     watched& by = watch(service, state);
     by.judge.apply(by.evidence.total(at));
     const rollout::rollout_verdict verdict{service, state.order->revision};
-    if (by.judge.condemns()) {
-        condemn(verdict, by.judge.fault());
+    if (by.judge.rejects()) {
+        reject(verdict, by.judge.fault());
         // Repeated until the record says so, since datagrams may be lost.
-        if (looks_ % looks_per_report == 0) {
+        if (reviews_ % reviews_per_report == 0) {
             broadcast(verdict);
         }
     }
-    const bool condemned = by.judge.condemns() || state.is_condemned();
+    const bool rejected = by.judge.rejects() || state.is_rejected();
     const auto since = at - state.began;
     const auto known = state.is_answered() ? state.record : std::nullopt;
     const auto next =
-        condemned ? rollout::final_record(*state.order, rollout::rollout_phase::rolled_back, since,
-                                          by.judge.condemns() ? by.judge.fault()
-                                                              : "found bad by another daemon")
-                  : rollout::next_record(*state.order, known, view_of(service, state, by, at),
-                                         context_.settings.rollouts);
+        rejected ? rollout::final_record(*state.order, rollout::rollout_phase::rolled_back, since,
+                                         by.judge.rejects() ? by.judge.fault()
+                                                            : "found bad by another daemon")
+                 : rollout::next_record(*state.order, known, view_of(service, state, by, at),
+                                        context_.settings.rollouts);
     const bool same = std::exchange(by.due_after, state.record_revision) == state.record_revision;
     if (!next || !same) {
         by.due_since.reset();
--- a/libs/caller_front/src/rollout_keeper.h
+++ b/libs/caller_front/src/rollout_keeper.h
@@ -64,7 +64,7 @@
         bool writing = false;
     };
 
-    void look_at(const core::service_id& service, core::instant at);
+    void review(const core::service_id& service, core::instant at);
     void report(const core::service_id& service, const rollout::rollout_state& state,
                 core::instant at);
     void count_answers(const rollout::rollout_report& made) const;
@@ -75,7 +75,7 @@
                                              core::instant at) const;
     void decide(const core::service_id& service, const rollout::rollout_state& state,
                 std::size_t rank, core::instant at);
-    void condemn(const rollout::rollout_verdict& verdict, const std::string& reason);
+    void reject(const rollout::rollout_verdict& verdict, const std::string& reason);
     void broadcast(const rollout::rollout_verdict& verdict);
     [[nodiscard]] watched& watch(const core::service_id& service,
                                  const rollout::rollout_state& state);
@@ -95,7 +95,7 @@
     send_function send_;
     asio::steady_timer timer_;
     std::uint64_t start_ = 0;
-    std::uint64_t looks_ = 0;
+    std::uint64_t reviews_ = 0;
     std::uint64_t reports_ = 0; // Sent.
     std::map<core::service_id, watched> watched_;
 };
--- a/libs/rollout/include/rollout/change_test.h
+++ b/libs/rollout/include/rollout/change_test.h
@@ -29,8 +29,8 @@
     std::uint64_t others_bad_ = 0;
     double recent_ = 0;      // Answers of other versions, the older ones with less weight.
     double recent_bad_ = 0;  // The bad ones among them.
-    double flow_target_ = 0; // Answers of the latest of all.
-    double flow_others_ = 0;
+    double flow_target_ = 0; // Answers of the target among the latest of all versions.
+    double flow_others_ = 0; // Answers of other versions among them.
     double sum_ = 0;
 };
 
--- a/libs/rollout/include/rollout/rollout_board.h
+++ b/libs/rollout/include/rollout/rollout_board.h
@@ -58,8 +58,8 @@
     /// Sets the share of a trial of `service`, if it has one.
     void set_trial_share(const core::service_id& service, share to_target);
 
-    /// Sends nothing more to the target of `order`. Returns true if it was not condemned before.
-    bool condemn(const core::service_id& service, core::revision order);
+    /// Sends nothing more to the target of `order`. Returns true if it was not rejected before.
+    bool reject_target(const core::service_id& service, core::revision order);
 
     /// Counts an answer if its service has an open roll-out.
     void record(const measured_answer& seen);
--- a/libs/rollout/include/rollout/rollout_judge.h
+++ b/libs/rollout/include/rollout/rollout_judge.h
@@ -17,7 +17,7 @@
     void apply(const answers_by_route& answers);
 
     /// True if the target is bad.
-    [[nodiscard]] bool condemns() const { return !fault_.empty(); }
+    [[nodiscard]] bool rejects() const { return !fault_.empty(); }
 
     /// Why the target is bad, for operators; empty while it is not.
     [[nodiscard]] const std::string& fault() const { return fault_; }
--- a/libs/rollout/include/rollout/rollout_state.h
+++ b/libs/rollout/include/rollout/rollout_state.h
@@ -18,9 +18,9 @@
     std::optional<rollout_record> record; ///< May answer an earlier order.
     core::revision order_revision;        ///< Of the last write or removal of the order.
     core::revision record_revision;       ///< Of the record in the store; 0: it has none.
-    core::instant began{};    ///< When the order was given, as far as this daemon knows.
-    share trial_share = 0;    ///< Of a trial, by the latest rate of requests; the record's at most.
-    core::revision condemned; ///< Order whose target is known to be bad; 0: none.
+    core::instant began{}; ///< When the order was given, as far as this daemon knows.
+    share trial_share = 0; ///< Of a trial, by the latest rate of requests; the record's at most.
+    core::revision rejected_order; ///< Order whose target is known to be bad; 0: none.
 
     /// True if `record` answers `order`.
     [[nodiscard]] bool is_answered() const
@@ -34,8 +34,8 @@
         return order && !(is_answered() && is_final(record->phase));
     }
 
-    /// True if the target of the order has been found bad and its end is not recorded yet.
-    [[nodiscard]] bool is_condemned() const { return order && condemned == order->revision; }
+    /// True if the target of the order has been found bad.
+    [[nodiscard]] bool is_rejected() const { return order && rejected_order == order->revision; }
 
     /// Share of the requests that goes to the target at `now`.
     [[nodiscard]] share to_target(core::instant now) const;
--- a/libs/rollout/src/rollout_board.cpp
+++ b/libs/rollout/src/rollout_board.cpp
@@ -158,13 +158,13 @@
     }
 }
 
-bool rollout_board::condemn(const core::service_id& service, core::revision order)
+bool rollout_board::reject_target(const core::service_id& service, core::revision order)
 {
     return change_state(service, [&](rollout_state& state) {
-        if (state.condemned >= order) {
+        if (state.rejected_order >= order) {
             return false;
         }
-        state.condemned = order;
+        state.rejected_order = order;
         return true;
     });
 }
--- a/libs/rollout/src/rollout_state.cpp
+++ b/libs/rollout/src/rollout_state.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// The rule at the end of a roll-out, or while an order has no record: nothing is known to be good
-/// of the target then.
+/// The rule behind a roll-out. A target that has not succeeded is not used.
 version_rule rule_at_end(const rollout_record& record)
 {
     if (record.phase == rollout_phase::succeeded) {
@@ -21,7 +20,7 @@
 
 share rollout_state::to_target(core::instant now) const
 {
-    if (!is_answered() || is_condemned()) {
+    if (!is_answered() || is_rejected()) {
         return 0;
     }
     if (record->phase != rollout_phase::trial) {
@@ -34,10 +33,10 @@
 version_rule rollout_state::rule_for(share draw, core::instant now) const
 {
     if (!order) {
-        // A withdrawn order leaves things as they were before it, or at its end.
+        // Withdrawn before its end, an order counts as rolled back.
         return !record ? version_rule{} : rule_at_end(*record);
     }
-    if (is_condemned()) {
+    if (is_rejected()) {
         return {order->target, false, version_fallback::never, whole_share};
     }
     if (!is_answered()) {
--- a/libs/rollout/tests/rollout_state_test.cpp
+++ b/libs/rollout/tests/rollout_state_test.cpp
@@ -77,11 +77,11 @@
     CHECK_FALSE(state.rule_for(160, start).prefers(target));
 }
 
-TEST_CASE("a condemned target gets nothing in any phase that is not final")
+TEST_CASE("a rejected target gets nothing in any phase that is not final")
 {
     for (const auto phase : {rollout_phase::trial, rollout_phase::ramp, rollout_phase::handover}) {
         auto state = in_phase(phase, whole_share);
-        state.condemned = core::revision(5);
+        state.rejected_order = core::revision(5);
         const auto rule = state.rule_for(0, start);
         CHECK_FALSE(rule.prefers(target));
         CHECK_FALSE(rule.keeps(target));
--- a/measure/rollout/rollout_replay.cpp
+++ b/measure/rollout/rollout_replay.cpp
@@ -196,9 +196,9 @@
     if (way_.sequential) {
         judge_.apply(answers);
     }
-    const bool bad = way_.sequential ? judge_.condemns() : way_.is_bad(answers);
-    if (bad && !state_.is_condemned()) {
-        schedule(verdict_delay, [this] { state_.condemned = order_.revision; });
+    const bool bad = way_.sequential ? judge_.rejects() : way_.is_bad(answers);
+    if (bad && !state_.is_rejected()) {
+        schedule(verdict_delay, [this] { state_.rejected_order = order_.revision; });
     }
     if (on_the_way_) {
         return;
--- a/tests/forward/rollout_fixture.h
+++ b/tests/forward/rollout_fixture.h
@@ -14,7 +14,7 @@
 namespace ej::forward_tests {
 
 /// A daemon before three endpoints of service "app" with version v1 and three with version v2,
-/// which fail or answer late when they are told to.
+/// which fail when they are told to.
 class rollout_fixture {
 public:
     static constexpr int endpoints_per_version = 3;
--- a/tests/forward/rollout_test.cpp
+++ b/tests/forward/rollout_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -22,9 +23,9 @@
     REQUIRE(fleet.call_until([&] { return left-- == 0; }));
 }
 
-bool is_condemned(const rollout_fixture& fleet)
+bool is_rejected(const rollout_fixture& fleet)
 {
-    return fleet.fixture.metrics().find("rollouts_condemned_total") != std::string::npos;
+    return fleet.fixture.metrics().find("rollouts_rejected_total") != std::string::npos;
 }
 
 } // namespace
@@ -77,7 +78,7 @@
     REQUIRE(fleet.call_until([&] { return fleet.arrivals(true) > 0; }));
     fleet.fixture.store.set_silent(true);
     fleet.break_target();
-    REQUIRE(fleet.call_until([&] { return is_condemned(fleet); }));
+    REQUIRE(fleet.call_until([&] { return is_rejected(fleet); }));
     const int reached = fleet.arrivals(true);
     call(fleet, 100);
     CHECK(fleet.arrivals(true) == reached);
@@ -85,6 +86,24 @@
     CHECK(fleet.call_until_status("rolled_back"));
 }
 
+TEST_CASE("a step whose answer is lost is followed, and the roll-out goes on")
+{
+    rollout_fixture fleet;
+    fleet.fixture.settings.store_deadline = std::chrono::milliseconds(200);
+    fleet.order();
+    fleet.fixture.configure_and_start(all_endpoints);
+    // The store carries writes out; the daemon gives up waiting for its answers.
+    fleet.fixture.store.set_answer_delay(std::chrono::milliseconds(300));
+    REQUIRE(fleet.call_until_status("running"));
+    const auto unwritten = [&] {
+        return fleet.fixture.metrics().find("rollout_writes_failed_total") != std::string::npos;
+    };
+    REQUIRE(fleet.call_until(unwritten));
+    fleet.fixture.store.set_answer_delay({});
+    CHECK(fleet.call_until_status("succeeded"));
+    CHECK(fleet.failures() == 0);
+}
+
 TEST_CASE("a roll-out goes on after a restart of the daemon that decides")
 {
     rollout_fixture fleet;
