--- a/review/support-2/crashing.py
+++ b/review/support-2/crashing.py
@@ -16,7 +16,7 @@
 CRASHING = "/book/crash"
 # The crashing request comes again after this pause.
 AGAIN_S = 4.0
-END_AT_S = 85.0
+END_AT_S = 70.0
 BACK_AFTER_S = 2.0
 # A process that is killed is restarted after a short delay.
 RESTART_S = 0.3
--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -8,7 +8,6 @@
 import itertools
 import json
 import os
-import random
 import re
 import signal
 import socket
@@ -34,21 +33,20 @@
     return time.monotonic()
 
 
+# Below the ports that the system gives to outgoing connections, so that they stay free; another part of the range for
+# each process, so that scripts can run at the same time.
+ports = itertools.cycle(range(20_000 + os.getpid() % 100 * 120, 20_000 + os.getpid() % 100 * 120 + 120))
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    """A free port below those that the system gives to outgoing connections, so that it stays free."""
     while True:
-        port = random.randrange(20_000, 32_000)
+        port = next(ports)
         with socket.socket(socket.AF_INET, kind) as one:
             try:
                 one.bind(("127.0.0.1", port))
+                return port
             except OSError:
                 continue
-        if port not in taken:
-            taken.add(port)
-            return port
-
-
-taken = set()
 
 
 class Record:
@@ -121,10 +119,6 @@
         self.leases = {}
         self.numbers = itertools.count(77120)
         self.changed = asyncio.Event()
-        self.waiting = set()
-        self.cut_until = 0.0
-        self.cut = 0
-        self.connections = set()
         self.server = None
         self.port = 0
 
@@ -132,20 +126,6 @@
         self.port = free_port()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
 
-    async def open_new_address(self):
-        """The store is reached at a further port from now on; returns a function that closes the former one."""
-        before = self.server
-        connections = self.connections
-        self.connections = set()
-        await self.start()
-
-        def close():
-            before.close()
-            for writer in list(connections):
-                writer.close()
-
-        return close
-
     def put(self, key, value, lease=0):
         self.revision += 1
         made = self.items[key]["createdRev"] if key in self.items else self.revision
@@ -164,13 +144,6 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def cut_watches(self, for_s):
-        """Ends the watches that wait, or come to wait within `for_s`, without an answer."""
-        self.cut_until = now() + for_s
-        for writer in list(self.waiting):
-            self.cut += 1
-            writer.close()
-
     def expire(self):
         for lease, (ttl, until) in list(self.leases.items()):
             if until <= now():
@@ -182,7 +155,6 @@
             self.remove(key)
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
         while True:
             message = await read_message(reader)
             if message is None:
@@ -191,7 +163,7 @@
             parts = urlsplit(target)
             query = {name: values[0] for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
             self.expire()
-            status, answer = await self.answer(method, unquote(parts.path), query, message.body, writer)
+            status, answer = await self.answer(method, unquote(parts.path), query, message.body)
             if writer.is_closing():
                 break
             writer.write(encode(status, [("Content-Type", "application/json")], json.dumps(answer).encode()))
@@ -201,7 +173,7 @@
                 break
         writer.close()
 
-    async def answer(self, method, path, query, body, writer):
+    async def answer(self, method, path, query, body):
         if path == "/v1/kv-key":
             item = self.items.get(query.get("key", ""))
             return (200, {**item, "currentRev": self.revision}) if item else (404, {"currentRev": self.revision})
@@ -212,7 +184,7 @@
             return 200, {"items": [self.items[key] for key in page], "morePages": len(keys) > len(page),
                          "currentRev": self.revision}
         if path == "/v1/kv-watch":
-            return await self.watch(query, writer)
+            return await self.watch(query)
         if path == "/v1/kv-txn":
             return self.transact(json.loads(body))
         if path == "/v1/kv-lease":
@@ -232,7 +204,7 @@
             return 200, {}
         return 404, {}
 
-    async def watch(self, query, writer):
+    async def watch(self, query):
         after, prefix = int(query["after"]), query.get("prefix", "")
         until = now() + int(query.get("waitMs", "0")) / 1000
         while True:
@@ -240,19 +212,10 @@
             left = until - now()
             if events or left <= 0:
                 return 200, {"events": events, "currentRev": self.revision}
-            if now() < self.cut_until:
-                self.cut += 1
-                writer.close()
-                return 503, {}
-            self.waiting.add(writer)
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 pass
-            finally:
-                self.waiting.discard(writer)
-            if writer.is_closing():
-                return 503, {}
 
     def transact(self, call):
         for row in call.get("expectedRevision", []):
@@ -313,13 +276,6 @@
             await asyncio.sleep(1.2)
             self.register()
 
-    def unregister(self):
-        """Its entry is removed, and it goes on serving. Returns the time of the store's acknowledgement."""
-        self.beats.cancel()
-        self.store.remove("servers/" + self.id)
-        self.record.line(f"the store has removed the entry of {self.id}")
-        return now()
-
     def crash(self):
         """All connections are reset; the entry lapses after three silent intervals."""
         self.record.line(f"worker {self.id} crashes")
@@ -414,13 +370,6 @@
             file.write(text)
         os.replace(self.settings + ".new", self.settings)
 
-    def change_settings(self, **values):
-        """Fills in the template anew and sends SIGHUP."""
-        self.values.update({name.replace("__", "."): value for name, value in values.items()})
-        self.write_settings()
-        self.record.line(f"settings of {self.name} change: {values}, SIGHUP")
-        self.signal(signal.SIGHUP)
-
     def start(self):
         with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
             command = re.search(r'^run = "([^"]*)"', file.read(), re.MULTILINE).group(1).split(" ")
@@ -512,6 +461,7 @@
     """Runs `scenario(record, folder, daemons)`, ends all processes that were started, and exits."""
     record = Record(os.path.join(folder, "record.txt"))
     daemons = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         try:
             if os.access(PROGRAM, os.X_OK):
@@ -520,7 +470,7 @@
                 code, text = 2, "target/bin/endivejunction is missing"
         except asyncio.TimeoutError:
             code, text = 2, "the case took too long"
-        except Exception as fault:  # A fault of the case itself.
+        except (Exception, SystemExit) as fault:  # A fault of the case itself, or its end from outside.
             code, text = 2, f"{type(fault).__name__}: {fault}"
         finally:
             for one in daemons:
