Review case 8 (BUDGET): all daemons killed beside a request that crashes workers

Cause: deaths that count against a request lie in the daemons' memory alone; after all were killed nobody can be asked. Change: script and claim.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""BUDGET: the workers that a request crashes go dark."""
+"""BUDGET: all daemons are killed at once after a request that crashes workers was recognised."""
 
 import os
 import sys
@@ -13,7 +13,7 @@
 
 
 async def scenario(record, folder, daemons):
-    return await crashing.play(record, folder, daemons, dark=TROUBLE)
+    return await crashing.play(record, folder, daemons, kill_at_s=30.0 if TROUBLE else None)
 
 
 fleet.run_case(HERE, scenario)
