--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -102,6 +102,9 @@
 # --- The platform's store -----------------------------------------------------------------------
 
 
+PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000  # "at most about 500 items or 1 MB"
+
+
 class Store:
     """The platform's metadata store, form `kv`."""
 
@@ -202,9 +205,15 @@
         if path == "/v1/kv-range":
             keys = sorted(k for k in self.items if k.startswith(asked.get("prefix", "")))
             keys = [k for k in keys if k > asked.get("after", "")]
+            page, size = [], 0
+            for key in keys:
+                size += len(self.items[key][0])
+                if page and (size > PAGE_BYTES or len(page) == PAGE_ITEMS):
+                    break
+                page.append(self.item_json(key))
             return 200, {
-                "items": [self.item_json(k) for k in keys[:500]],
-                "morePages": len(keys) > 500,
+                "items": page,
+                "morePages": len(page) < len(keys),
                 "currentRev": self.revision,
             }
         if path == "/v1/kv-watch":
