--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -566,8 +566,11 @@
     daemons = []
 
     async def whole():
+        loop = asyncio.get_running_loop()
         # Tasks that are cancelled at the end are no failures of the case.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, what: None)
+        loop.set_exception_handler(lambda loop, what: None)
+        # The processes are ended also if the script is told to stop.
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as scratch:
             try:
                 return await asyncio.wait_for(case(record, scratch, daemons), 110)
@@ -582,7 +585,7 @@
 
     try:
         held = asyncio.run(whole())
-    except Exception as error:  # A fault of the script or its surroundings is no broken rule.
+    except (Exception, asyncio.CancelledError) as error:  # A fault of the script or its surroundings is no broken rule.
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
