Requests that cross the close of their connection are logged and counted

Change: `request crossed a close` and `caller_requests_crossed_total`; the line of a configuration that comes into force tells its idle limit.

--- a/libs/caller_front/src/caller_connection.h
+++ b/libs/caller_front/src/caller_connection.h
@@ -88,6 +88,7 @@
     void stop_waiting(connection_end why);
     void wait_stopped();
     void half_close();
+    void record_crossing();
     void stay_open();
     [[nodiscard]] bool accepts_requests() const;
     void stop_serving();
--- a/libs/caller_front/src/caller_connection_end.cpp
+++ b/libs/caller_front/src/caller_connection_end.cpp
@@ -51,6 +51,7 @@
                            if (unread) {
                                // Closing beside unread bytes resets the connection, and the caller
                                // might lose its last answer.
+                               self->record_crossing();
                                self->stay_open();
                                return;
                            }
@@ -58,6 +59,15 @@
                        });
 }
 
+/// Records that a request crossed the close of the connection: it stays unread, and its caller gets
+/// no answer.
+void caller_connection::record_crossing()
+{
+    context_.metrics.count("caller_requests_crossed_total",
+                           {{"end", std::string(to_string(end_of_wait_))}});
+    log_crossing(end_of_wait_, now() - idle_since_, limits().idle_timeout);
+}
+
 /// Owns the connection while it does not read; without a pending operation it would be destroyed.
 void caller_connection::stay_open()
 {
--- a/libs/caller_front/src/store_follower_apply.cpp
+++ b/libs/caller_front/src/store_follower_apply.cpp
@@ -123,13 +123,15 @@
     changed_ = log_.name_services(forwarding::services_named_by(*rules), now()) || changed_;
     const auto version = rules->version;
     const auto routes = rules->routes.size();
+    const auto idle = rules->limits.idle_timeout;
     context_.rules.store(std::make_shared<const forwarding::indexed_ruleset>(*std::move(rules)));
     context_.metrics.set("configuration_version", {}, double(version.value()));
     logging::log(
         logging::level::info, "configuration in force",
         {{"version", std::to_string(version.value())},
          {"before", known == nullptr ? "none" : std::to_string(known->rules().version.value())},
-         {"routes", std::to_string(routes)}});
+         {"routes", std::to_string(routes)},
+         {"idle_ms", std::to_string(idle.count())}});
 }
 
 bool store_follower::apply_endpoint(const core::endpoint_id& name, const platform::store_item& item)
--- a/libs/caller_front/tests/caller_connection_test.cpp
+++ b/libs/caller_front/tests/caller_connection_test.cpp
@@ -84,6 +84,19 @@
     CHECK(fixture.received().starts_with("HTTP/1.1 404"));
 }
 
+// LOST: no log and no metric told of a request that got no answer since it crossed a close.
+TEST_CASE("a request that crosses the close of its connection is counted")
+{
+    connection_fixture fixture(never);
+    fixture.connection->close_if_idle();
+    fixture.run_ready();
+    CHECK_FALSE(counts(fixture, "caller_requests_crossed_total"));
+    fixture.send(plain_request());
+    fixture.run_ready();
+    CHECK(counts(fixture, "caller_requests_crossed_total{end=\"leaving\"} 1"));
+    CHECK(fixture.next_read() == asio::error::eof);
+}
+
 TEST_CASE("an idle connection without a request is closed in an orderly way")
 {
     connection_fixture fixture(never);
