--- a/libs/http/include/http/framing_check.h
+++ b/libs/http/include/http/framing_check.h
@@ -11,7 +11,7 @@
 
 /// Checks the header of a request or an answer strictly, line by line, before a parser consumes it.
 /// Accepted are only bodies with one decimal length, with the single transfer coding `chunked`, or
-/// with neither.
+/// with neither, and of answers only those with a status from 100 to 599.
 class framing_check {
 public:
     /// Checks what is new in `unconsumed`, the received bytes that the parser has not consumed.
--- a/libs/http/src/framing_check.cpp
+++ b/libs/http/src/framing_check.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace ej::http {
@@ -35,6 +36,20 @@
     return core::equal_ignoring_case(coding, "chunked");
 }
 
+/// True for the first line of an answer whose status is outside 100 to 599 (RFC 9110, 15).
+bool has_invalid_status(std::string_view line)
+{
+    constexpr std::string_view protocol = "HTTP/";
+    constexpr unsigned first_status = 100;
+    constexpr unsigned last_status = 599;
+    if (!line.starts_with(protocol)) {
+        return false; // Of a request: a method has no slash.
+    }
+    const auto words = core::split(line, ' ');
+    const auto status = words.size() < 2 ? std::nullopt : core::parse_number<unsigned>(words[1]);
+    return !status || *status < first_status || *status > last_status;
+}
+
 bool is_length(std::string_view value)
 {
     // A signed type would accept a minus sign.
@@ -90,6 +105,9 @@
     constexpr std::string_view old_version = "HTTP/1.0";
     // A status line begins with the version, a request line ends with it.
     supports_codings_ = !line.starts_with(old_version) && !line.ends_with(old_version);
+    if (has_invalid_status(line)) {
+        fault_ = framing_fault::malformed;
+    }
 }
 
 void framing_check::read_field(std::string_view line)
--- a/libs/http/tests/framing_check_test.cpp
+++ b/libs/http/tests/framing_check_test.cpp
@@ -119,4 +119,17 @@
     CHECK(holds);
 }
 
+// MIXED: a status below 100 was taken for that of an interim answer.
+TEST_CASE("an answer whose status is outside 100 to 599 is malformed")
+{
+    for (const std::string status : {"000", "042", "099", "600", "999", "", "20x", "-200"}) {
+        framing_check check;
+        CHECK(check.inspect("HTTP/1.1 " + status + " X\r\n\r\n") == framing_fault::malformed);
+    }
+    for (const std::string status : {"100", "200", "599"}) {
+        framing_check check;
+        CHECK(check.inspect("HTTP/1.1 " + status + "\r\n\r\n") == framing_fault::none);
+    }
+}
+
 } // namespace ej::http
