Entries of suspects: a check a second in place of one for each death heard

Read of the change: each death that another daemon tells woke the keeper of the entries, which looks at all suspects; when an engine dies, every daemon that it served tells it. Only a death of its own concerns a daemon at once. Change: deaths that are heard start the check each second if it has stopped, and it goes on while any death is known. An entry whose text could not be read back is not written, since it would be due again at once. Tests: the entry is written from the second death on, follows the third, and is removed when the request has completed; of the daemons that know a death only the owner and the one that observed it write.

--- a/libs/caller_front/src/entry_keeper.cpp
+++ b/libs/caller_front/src/entry_keeper.cpp
@@ -37,6 +37,13 @@
     timer_.cancel();
 }
 
+void entry_keeper::resume()
+{
+    if (timer_.expiry() == core::instant::max()) {
+        timer_.cancel();
+    }
+}
+
 asio::awaitable<void> entry_keeper::run()
 {
     for (;;) {
--- a/libs/caller_front/src/entry_keeper.h
+++ b/libs/caller_front/src/entry_keeper.h
@@ -24,9 +24,12 @@
     /// Brings the store in line with the entries for as long as the loop runs.
     boost::asio::awaitable<void> run();
 
-    /// Reports that changes may be due.
+    /// Reports that changes are due.
     void wake();
 
+    /// Reports that changes may become due; they are made with the next check.
+    void resume();
+
 private:
     boost::asio::awaitable<absl::Status> apply(std::vector<platform::store_write> due);
 
--- a/libs/caller_front/src/front_daemon.cpp
+++ b/libs/caller_front/src/front_daemon.cpp
@@ -86,7 +86,7 @@
                 request_keeper.wake();
             });
         };
-        context.evidence_changed = [this] { request_keeper.wake(); };
+        context.evidence_changed = [this] { request_keeper.resume(); };
         context.send_store_update = [this](const store_update& one) {
             peers.send_store_update(one);
         };
--- a/libs/caller_front/src/suspect_entries.cpp
+++ b/libs/caller_front/src/suspect_entries.cpp
@@ -49,11 +49,13 @@
     std::set<suspects::request_digest> counted;
     for (const auto& known : context_.suspects.evidence_against(min_deaths, max_entries, now())) {
         counted.insert(known.request);
-        if (changes.size() < most && is_due(known)) {
-            changes.push_back({layout_.suspect_key(known.request),
-                               stored_suspect_text(known.deaths, time_of_day()),
-                               {},
-                               {}});
+        if (changes.size() == most || !is_due(known)) {
+            continue;
+        }
+        auto text = stored_suspect_text(known.deaths, time_of_day());
+        // An identifier that the format cannot hold would be written again and again.
+        if (parse_stored_suspect(text, time_of_day())) {
+            changes.push_back({layout_.suspect_key(known.request), std::move(text), {}, {}});
         }
     }
     std::erase_if(observed_, [&](suspects::request_digest one) { return !counted.contains(one); });
@@ -97,7 +99,7 @@
 
 bool suspect_entries::idle()
 {
-    return observed_.empty() && context_.suspects_in_store.empty();
+    return context_.suspects.size() == 0 && context_.suspects_in_store.empty();
 }
 
 bool suspect_entries::owns(suspects::request_digest request) const
