--- a/libs/suspects/include/suspects/death_record.h
+++ b/libs/suspects/include/suspects/death_record.h
@@ -3,6 +3,7 @@
 #include <suspects/death_id.h>
 #include <suspects/request_digest.h>
 
+#include <algorithm>
 #include <compare>
 #include <vector>
 
@@ -18,6 +19,13 @@
     /// True if no request ran there.
     [[nodiscard]] bool empty() const { return running.empty() && flowing.empty(); }
 
+    /// True if `request` ran there.
+    [[nodiscard]] bool lists(request_digest request) const
+    {
+        return std::ranges::binary_search(running, request) ||
+               std::ranges::binary_search(flowing, request);
+    }
+
     friend auto operator<=>(const death_record&, const death_record&) = default;
 };
 
--- a/libs/suspects/include/suspects/suspect_table.h
+++ b/libs/suspects/include/suspects/suspect_table.h
@@ -15,6 +15,7 @@
 #include <concurrency/sharded.h>
 #include <core/instant.h>
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -26,6 +27,9 @@
 /// Thread-safe.
 class suspect_table {
 public:
+    /// Time for which a death counts; longer than callers retry a failed request.
+    static constexpr std::chrono::minutes retention{15};
+
     explicit suspect_table(std::unique_ptr<const suspicion_policy> policy);
 
     /// Records a death that this daemon observed or a peer reported, first known `age` ago. If
