--- a/libs/caller_front/src/caller_connection_timeout.cpp
+++ b/libs/caller_front/src/caller_connection_timeout.cpp
@@ -12,9 +12,8 @@
 // Checks for progress of the output within the write timeout.
 constexpr int progress_checks = 5;
 
-// A request crosses the close of its connection if its caller relies on the connection for as long
-// as the limit: by another clock, another limit than the one in force here, or just before the end.
-// Callers were seen to reuse connections after four thirds of the limit.
+// Callers may rely on a connection for longer than the limit, by their clock or by another limit
+// that they know. Closing it at the limit would cross their requests.
 constexpr int limits_until_close = 2;
 
 } // namespace
