Entries of suspects: losses of whole domains write none

Change: a death in a burst in which other endpoints died without the request counts half for the entry. The verdicts stay as they are. Test: "requests that went through two losses of whole domains have no entries".

--- a/libs/caller_front/src/suspect_entries.cpp
+++ b/libs/caller_front/src/suspect_entries.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -20,10 +21,49 @@
 // would let the request crash more endpoints than it may.
 constexpr std::size_t min_deaths = 2;
 
+// Endpoints that die within this time mostly die of one cause, such as the loss of a domain.
+constexpr std::chrono::seconds burst{1};
+
 // Bounds the entries of all daemons, about 400 bytes each. The requests with the most deaths are
 // kept.
 constexpr std::size_t max_entries = 256;
 
+/// The deaths in `evidence`, by age.
+std::multimap<core::duration, suspects::death_id>
+deaths_by_age(const std::vector<suspects::request_evidence>& evidence)
+{
+    std::multimap<core::duration, suspects::death_id> found;
+    for (const suspects::request_evidence& known : evidence) {
+        for (const suspects::request_death& one : known.deaths) {
+            found.emplace(one.age, one.death);
+        }
+    }
+    return found;
+}
+
+bool lists(const std::vector<suspects::request_death>& deaths, const suspects::death_id& death)
+{
+    return std::ranges::find(deaths, death, &suspects::request_death::death) != deaths.end();
+}
+
+/// True if the deaths that count against a request suffice for an entry. One that falls into a
+/// burst in which endpoints died without the request counts half: else each loss of a domain would
+/// write an entry for every stream that went through two of them.
+bool is_strong(const suspects::request_evidence& known,
+               const std::multimap<core::duration, suspects::death_id>& all)
+{
+    const auto halves = [&](const suspects::request_death& one) {
+        const std::ranges::subrange beside(all.lower_bound(one.age - burst),
+                                           all.upper_bound(one.age + burst));
+        const bool in_burst = std::ranges::any_of(
+            beside, [&](const auto& other) { return !lists(known.deaths, other.second); });
+        return std::size_t{in_burst ? 1U : 2U};
+    };
+    std::size_t sum = 0;
+    std::ranges::for_each(known.deaths, [&](const auto& one) { sum += halves(one); });
+    return sum >= 2 * min_deaths;
+}
+
 /// True if a death that counts against a request is missing in its entry.
 bool lacks_death(const stored_suspect& stored, const suspects::request_evidence& known)
 {
@@ -31,8 +71,7 @@
            std::ranges::any_of(
                known.deaths,
                [&](const suspects::request_death& one) {
-                   return std::ranges::find(stored.deaths, one.death,
-                                            &suspects::request_death::death) == stored.deaths.end();
+                   return !lists(stored.deaths, one.death);
                });
 }
 
@@ -47,9 +86,11 @@
 {
     std::vector<platform::store_write> changes;
     std::set<suspects::request_digest> counted;
-    for (const auto& known : context_.suspects.evidence_against(min_deaths, max_entries, now())) {
+    const auto evidence = context_.suspects.evidence_against(min_deaths, max_entries, now());
+    const auto all = deaths_by_age(evidence);
+    for (const suspects::request_evidence& known : evidence) {
         counted.insert(known.request);
-        if (changes.size() == most || !is_due(known)) {
+        if (changes.size() == most || !is_strong(known, all) || !is_due(known)) {
             continue;
         }
         auto text = stored_suspect_text(known.deaths, time_of_day());
--- a/libs/caller_front/tests/suspect_entries_test.cpp
+++ b/libs/caller_front/tests/suspect_entries_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -101,6 +103,33 @@
     CHECK(writers == 1);
 }
 
+TEST_CASE("requests that went through two losses of whole domains have no entries")
+{
+    daemon_entries in("vm-1", {"vm-1"});
+    const auto lose_domain = [&](const std::string& domain, core::instant at) {
+        for (std::uint64_t number = 1; number <= 4; ++number) {
+            const suspects::request_digest stream(number);
+            in.context.suspects.record_death(
+                {{core::endpoint_id(domain + std::to_string(number)), core::incarnation_id("1")},
+                 {stream, suspects::request_digest(100 + number)},
+                 {}},
+                at);
+            in.entries.observe(stream);
+        }
+    };
+    const auto at = now();
+    lose_domain("a", at - std::chrono::seconds(20));
+    lose_domain("b", at - std::chrono::seconds(10));
+    CHECK(in.entries.due(most_changes).empty());
+    // One of them crashes an endpoint at another time.
+    const suspects::request_digest stream(1);
+    in.context.suspects.record_death(
+        {{core::endpoint_id("c"), core::incarnation_id("1")}, {stream}, {}},
+        at - std::chrono::seconds(5));
+    in.entries.observe(stream);
+    CHECK(in.make_changes().size() == 1);
+}
+
 // A busy store would be written to without end.
 TEST_CASE("an entry that its format cannot hold is not written")
 {
